--- a/fawnwharf/net/front_end.py
+++ b/fawnwharf/net/front_end.py
@@ -16,6 +16,7 @@
 from fawnwharf.net.wheel import monotonic_ms
 from fawnwharf.policy import Router
 
+TALLY_MS = 5_000.0  # pace of the line that counts what was sent
 TIDY_MS = 250.0  # pace of the look after idle and silent connections
 LATE_ARRIVALS_MS = 800.0  # after SIGTERM, connections and requests keep coming for 0.6 s
 LINGER_MS = 20_000.0  # and never longer than this, whatever is still open
@@ -47,7 +48,7 @@
         self.router = Router(settings, deployment.seed)
         links_most = max(4, int(sockets * SCORER_SHARE))
         self.pool = ScorerPool(self.loop, wire, links_most, deployment.seed, self.log)
-        self.table = RequestTable(self.loop, self.pool, wire)
+        self.table = RequestTable(self.loop, self.pool, wire, settings.classes, self.log)
         self.changelog = ChangeLog(self.loop, deployment.changelog, 0, self._on_fleet, self.log)
         self._known()
         clients_most = max(4, int(sockets * CLIENT_SHARE))
@@ -74,6 +75,7 @@
     def start(self) -> None:
         self.changelog.connect()
         self.loop.wheel.after(TIDY_MS, self._tidy)
+        self.loop.wheel.after(TALLY_MS, self._tell_tally)
         self.port.ready = True
 
     def serve(self) -> None:
@@ -129,6 +131,12 @@
         self.port.tidy()
         self.loop.wheel.after(TIDY_MS, self._tidy)
 
+    def _tell_tally(self) -> None:
+        if counts := self.pool.tally:
+            self.log("sent: " + ", ".join(f"{name} {count}" for name, count in sorted(counts.items())))
+            counts.clear()
+        self.loop.wheel.after(TALLY_MS, self._tell_tally)
+
     # --- the roster -----------------------------------------------------------------------------
 
     def _known(self) -> None:
--- a/fawnwharf/net/requests.py
+++ b/fawnwharf/net/requests.py
@@ -5,12 +5,13 @@
 """
 
 import itertools
-from collections.abc import Callable
-from dataclasses import dataclass
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field
 
 from fawnwharf import interface as io
 from fawnwharf.config import Wire
 from fawnwharf.net.endings import End, told
+from fawnwharf.net.log import Log
 from fawnwharf.net.loop import Loop
 from fawnwharf.net.scorers import Answer, Attempt, Order, ScorerPool
 from fawnwharf.net.wheel import Timer, monotonic_ms
@@ -18,6 +19,7 @@
 BODIES_MOST = 32 * 1024 * 1024  # bytes of open requests' bodies: part of the memory limit
 FULL_PUSHBACK_MS = 250.0  # advice where this front end can hold no more; the module never saw the request
 CROWD_MOST = 30
+STORY_MOST = 24  # steps told of one request
 
 
 @dataclass(slots=True)
@@ -62,13 +64,22 @@
     deadline_ms: float  # of the monotonic clock
     backstop: Timer
     attempts: int = 0  # sent so far; the module numbers them in the same order
+    taken_ms: float = field(default_factory=monotonic_ms)
+    story: list[str] = field(default_factory=list)  # what happened to it, for the log
+
+    def note(self, text: str) -> None:
+        if len(self.story) < STORY_MOST:
+            self.story.append(f"+{monotonic_ms() - self.taken_ms:.0f} {text}")
 
 
 class RequestTable:
     """Owns every open request, and sees to it that each gets exactly one outcome."""
 
-    def __init__(self, loop: Loop, pool: ScorerPool, wire: Wire) -> None:
+    def __init__(
+        self, loop: Loop, pool: ScorerPool, wire: Wire, classes: Mapping[str, io.ClassSpec], log: Log
+    ) -> None:
         self.open: dict[str, OpenRequest] = {}
+        self._classes, self._log = classes, log
         self._loop, self._pool, self._wire = loop, pool, wire
         self._bodies = 0
         self._numbers = itertools.count(1)
@@ -118,6 +129,18 @@
     def _finish(self, key: str, outcome: Outcome) -> None:
         if request := self._close(key):
             request.call.reply(outcome)
+            self._tell_story(request, outcome)
+
+    def _tell_story(self, request: OpenRequest, outcome: Outcome) -> None:
+        """A line on each request that was not served in time: what it waited for, step by step."""
+        call, took = request.call, monotonic_ms() - request.taken_ms
+        spec = self._classes.get(call.class_name)
+        if spec is None or (isinstance(outcome, Served) and took <= spec.promise_ms):
+            return
+        what = type(outcome).__name__.lower()
+        steps = "; ".join(request.story) or "never sent"
+        line = f"{call.id.hex()} {call.class_name} of {call.function} {what} after {took:.0f} ms"
+        self._log(f"{line} of {call.budget_ms:.0f}: {steps}", "requests")
 
     # --- from the module ----------------------------------------------------------------------
 
@@ -144,6 +167,7 @@
             body=call.body,
             deadline_ms=request.deadline_ms,
         )
+        request.note(f"sent to {worker}")
         self._pool.send(attempt)
 
     def cancel(self, action: io.Cancel) -> None:
@@ -166,8 +190,11 @@
             ending, warmth, crowd = told(end or End.NEVER_SENT, attempt.begun), io.Warmth.UNTOLD, None
         else:
             ending, warmth, crowd = answer.ending, answer.warmth, self._crowd(answer)
-            if ending is io.Ending.GOOD:
-                self._finish(key, Served(answer.body))
+        if request := self.open.get(key):
+            what = end.name if end else f"{ending.name} {warmth.name} crowd {crowd}"
+            request.note(f"{attempt.worker}: {what} link {attempt.link_ms:.0f}")
+        if answer is not None and ending is io.Ending.GOOD:
+            self._finish(key, Served(answer.body))
         took = monotonic_ms() - attempt.began_ms
         closed = key not in self.open
         self._loop.tell(io.AttemptEnded(key, number, attempt.worker, ending, took, closed, warmth, crowd))
@@ -178,10 +205,17 @@
         return min(CROWD_MOST, answer.crowd)
 
     def order(self, action: io.Hold) -> None:
+        self._note_order(action.function, f"order {action.copies} at {action.worker}")
         self._pool.order(Order(action.worker, self._order_ended, action.function, action.copies))
 
+    def _note_order(self, function: str, text: str) -> None:
+        for request in self.open.values():
+            if request.call.function == function:
+                request.note(text)
+
     def _order_ended(self, order: Order, end: End | None, answer: Answer | None) -> None:
         took = monotonic_ms() - order.began_ms
         ending = answer.ending if answer else told(end or End.NEVER_SENT, order.begun)
         copies = answer.copies if answer else 0
+        self._note_order(order.function, f"{order.worker} holds {copies} {ending.name}")
         self._loop.tell(io.OrderAnswered(order.worker, order.function, ending, copies, took))
--- a/fawnwharf/net/scorers.py
+++ b/fawnwharf/net/scorers.py
@@ -2,7 +2,7 @@
 
 import itertools
 import random
-from collections import deque
+from collections import Counter, deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -63,6 +63,7 @@
     piece: Piece | None = field(default=None, init=False)
     timer: Timer | None = field(default=None, init=False)
     over: bool = field(default=False, init=False)
+    link_ms: float = field(default=0.0, init=False)  # how long it waited for a connection
     id: bytes = field(default=b"", kw_only=True)
 
     @property
@@ -153,6 +154,7 @@
         if not self.streams:
             self._gap_ms, self._owed_ms = self.idle_ms(), monotonic_ms()
         self.streams[stream.id] = stream
+        stream.link_ms = monotonic_ms() - stream.began_ms
         stream.link, stream.piece = self, self.connection.write(stream.frame())
 
     def withdraw(self, stream: Stream) -> None:
@@ -248,6 +250,7 @@
     def __init__(self, loop: Loop, wire: Wire, links_most: int, seed: int, log: Log) -> None:
         self.loop, self.wire, self.log = loop, wire, log
         self.scorers: dict[int, Scorer] = {}
+        self.tally: Counter[str] = Counter()  # what was sent and how connections ended, for the log
         self._links_most, self._links = links_most, 0
         self._trust_most_ms = max(TRUST_LEAST_MS, IDLE_PART * wire.keepalive_ms)
         self._trust_ms = self._trust_most_ms  # a link idle for longer is not used again
@@ -302,10 +305,12 @@
         if left <= 0:
             self._end(attempt, End.NEVER_SENT)
             return
+        self.tally["calls"] += 1
         attempt.timer = self.loop.wheel.after(left, lambda: self._out_of_time(attempt))
         self._place(attempt)
 
     def order(self, order: Order) -> None:
+        self.tally["loads" if order.copies else "questions"] += 1
         order.id = next(self._order_ids).to_bytes(8, "big")
         order.timer = self.loop.wheel.after(self.wire.load_wait_ms, lambda: self._out_of_time(order))
         self._place(order)
@@ -343,6 +348,7 @@
         link.connection = made
         scorer.links.append(link)
         self._links += 1
+        self.tally["dials"] += 1
         return None
 
     def _fail_waiting(self, scorer: Scorer, end: End) -> None:
@@ -363,6 +369,7 @@
         scorer = link.scorer
         scorer.links.remove(link)
         self._links -= 1
+        self.tally[f"ended {end.name}"] += 1
         if (gap := link.stale_after_ms(end)) is not None and gap >= TRUST_LEAST_MS:
             self._trust_ms = min(self._trust_ms, max(TRUST_LEAST_MS, TRUST_PART * gap))
         streams, link.streams = list(link.streams.values()), {}
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -569,6 +569,39 @@
         self.assertFalse(first.ended)
 
 
+class Stories(Case):
+    def test_a_request_that_was_not_served_is_told_step_by_step_under_its_id(self):
+        scorer = ScorerPeer(copies=None)
+        rig = self.rig(scorer)
+        client = rig.client()
+        client.call(call="9b1f03aa5c7e2d41", ttl="80")
+        rig.until(lambda: client.answers, "it is given up")
+        [line] = [line for line in rig.lines if "9b1f03aa5c7e2d41" in line]
+        worker = front_end.worker_number(scorer.id)
+        self.assertIn(f"view of {ROW} refused after", line)
+        self.assertIn(f"order 0 at {worker}", line)
+
+    def test_a_request_served_in_time_is_not_told(self):
+        scorer = ScorerPeer()
+        rig = self.rig(scorer)
+        client = rig.client()
+        client.call()
+        rig.until(lambda: scorer.runs, "it runs")
+        scorer.answer(scorer.runs[0])
+        rig.until(lambda: client.answers, "it is answered")
+        self.assertFalse([line for line in rig.lines if ROW in line])
+
+    def test_what_was_sent_is_counted_once(self):
+        scorer = ScorerPeer()
+        rig = self.rig(scorer)
+        rig.client().call()
+        rig.until(lambda: scorer.runs, "it runs")
+        for _ in range(2):
+            rig.front._tell_tally()
+        told = [line for line in rig.lines if line.startswith("sent: ")]
+        self.assertEqual(told, ["sent: calls 1, dials 2, questions 1"])
+
+
 class Roster(Case):
     def event(self, seq, *members, complete=False):
         return {"seq": seq, "fleet": {"complete": complete, "members": list(members)}}
