Bound a front end's sends to a worker over the window, as functions meet there unseen

The hash order puts several functions on one worker, and the bound on own requests in flight cannot see it: each of 40 front ends has one call out there at the most. The bound now also holds over the window, so that what all front ends send to a worker is bounded too.

--- a/fawnwharf/policy.py
+++ b/fawnwharf/policy.py
@@ -1,8 +1,7 @@
 """All decisions of fawnwharf: conditional speculative scaling after CIDRE, for one front end.
 
-Types, events and actions are in interface.py. A request goes to the first worker in its function's
-hash order that has a free warm lane within the bound. Without one it is held, and a busy warm
-instance races one new load for it; whichever frees first takes it (`_dispatch`, `_race`).
+A request goes to the first worker in its function's hash order with a free warm lane within the bound.
+Without one it is held, and a busy warm instance races one new load for it; the first takes it (`_race`).
 """
 
 import hashlib
@@ -25,6 +24,7 @@
 RATE_MS = 5_000.0  # stretch over which arrivals are counted, and pause between questions for an empty place
 BOUND_FACTOR = 1.5  # a worker takes this multiple of its fair share of own requests (bounded loads)
 BOUND_FLOOR = 2.0  # and never fewer than these, else a quiet function would wander
+SHARE_FACTOR, SHARE_LEAST = 1.3, 0.5  # and a multiple of its share of own sends over the window
 SURVEY_WIDTH = 4  # workers asked after an unknown function where few front ends share the fleet
 ASK_WAIT_MS = 12.0  # answers to questions come within a round trip; a load waits no longer for them
 SILENT_MS = 300.0  # nothing heard for this long with something owed: ask the worker for a sign
@@ -83,12 +83,25 @@
         return self.value
 
 
+@dataclass(slots=True)
+class Recent:  # a count that forgets over the window
+    count: float = 0.0
+    at_ms: float = 0.0
+
+    def at(self, now_ms: float) -> float:
+        return self.count * math.exp((self.at_ms - now_ms) / WINDOW_MS)
+
+    def add(self, now_ms: float) -> None:
+        self.count, self.at_ms = self.at(now_ms) + 1, now_ms
+
+
 @dataclass(slots=True, eq=False)
 class Worker:
     id: int
     entry: io.WorkerEntry
     mark: int  # its number as 64 well-mixed bits, for the hash orders
     own: int = 0  # own attempts out
+    sends: Recent = field(default_factory=Recent)
     started_ms: float | None = None  # told, or guessed when a silent worker came back empty
     owed_ms: float | None = None  # since when an answer is owed with nothing heard
     strain: float = 1.0  # its runs, as a multiple of what the function's take elsewhere
@@ -184,19 +197,16 @@
     def __init__(self, settings: io.Settings, seed: int) -> None:
         self.settings, self.seed, self.chance, self.now, self.began_ms = settings, seed, seed, 0.0, math.inf
         self.actions: list[io.Action] = []
-        self.workers: dict[int, Worker] = {}
-        self.ready: list[Worker] = []
+        self.workers, self.ready = dict[int, Worker](), list[Worker]()
         self.members: dict[int, float] = {}  # that the hash orders hold, and their sizes
         self.watched: dict[int, Worker] = {}  # those that owe an answer or are suspect
         self.suspects = 0  # ready workers that are suspect
-        self.functions: dict[str, Function] = {}
-        self.waiting: dict[str, Function] = {}
+        self.functions, self.waiting = dict[str, Function](), dict[str, Function]()
         self.requests: dict[str, Request] = {}
         self.attempts: dict[tuple[str, int], Attempt] = {}
         self.flying: deque[Attempt] = deque()  # attempts out for less than the promise
         self.hedges = HEDGES_MOST  # tokens for second attempts
-        self.taken: deque[float] = deque()
-        self.ordered: deque[float] = deque()
+        self.sends, self.taken, self.ordered = Recent(), deque[float](), deque[float]()
         self.loads_limit, self.loading = LOADS_START, 0  # own orders under way
         self.tokens: dict[str, tuple[float, float]] = {}
         self.total, self.fleet = 1.0, 0.01  # size of the ready fleet, cold workers in part; the largest seen
@@ -265,8 +275,7 @@
         self._dispatch(fn)
 
     def _forget(self) -> None:
-        """Guards the memory against ever new functions and workers: what is long past goes, and of too many
-        functions the half not called for longest, but for what is in use. Harm: it is asked after anew."""
+        """Guards the memory: what is long past goes, and of too many functions the half not called lately."""
         past, used = self.now - FORGET_MS, {worker.last for worker in self.workers.values()}
         half = FUNCTIONS_MOST // 2 * (len(self.functions) >= FUNCTIONS_MOST)
         for n, fn in enumerate(sorted(self.functions.values(), key=lambda fn: fn.last_ms[-1])):
@@ -386,8 +395,7 @@
             self._dispatch_all()
 
     def _hopeless(self, request: Request) -> bool:
-        """Never sent and hardly to be on time: given up beyond a share, else before half its time is gone.
-        Guards clients against a long wait for nothing. Harm: a late answer that it might have had."""
+        """Never sent and hardly to be on time: given up beyond a share, else before half its time is gone."""
         if request.attempts or not self._late(request):
             return False
         held = self.now + SWEEP_MS + LEAD_MS - request.arrived_ms
@@ -404,8 +412,7 @@
         return fn.loads.median(self.now) or fn.load_told_ms or 1000.0
 
     def _strain(self, worker: Worker, runs: float) -> None:
-        """Long runs and full answers tell of load that others put there, or of any other cause of slowness.
-        Guards where a front end sees little of each worker. Harm: a heavy request moves the next ones on."""
+        """Long runs and full answers tell of others' load. Harm: a heavy request moves the next ones on."""
         worker.strain += ANSWER_GAIN * (runs - worker.strain)
         if self.wide and worker.strain > STRAINED:
             worker.strained_ms = self.now + WINDOW_MS * math.log((worker.strain - 1) / (STRAINED - 1))
@@ -424,8 +431,7 @@
             self.watched[worker.id] = worker
 
     def _watch(self, worker: Worker) -> None:
-        """Ask a silent worker for a sign; without one, send nothing there and take its requests back.
-        Guards against every kind of silence. Harm: a worker too busy to answer in time loses its traffic."""
+        """Ask a silent worker for a sign; without one, send nothing there and take its requests back."""
         if worker.suspect_ms is not None:
             if self.now - (worker.sign_ms or worker.suspect_ms) >= TRIAL_MS:
                 self._ask_sign(worker)
@@ -449,8 +455,7 @@
         self.actions.append(io.Hold(worker.id, fn.name, 0))
 
     def _doubt(self, worker: Worker) -> None:
-        """Ask for a sign: a connection that broke, or an answer that was spoilt, tells little of the process.
-        Harm: where it did die, a few more calls are sent there in vain before the sign is missed."""
+        """Ask for a sign: a broken connection, or a spoilt answer, tells little of the process."""
         if worker.suspect_ms is None and worker.sign_ms is None:
             self._ask_sign(worker)
 
@@ -510,8 +515,7 @@
         return min(spare, key=lambda worker: worker.own, default=None)
 
     def _free(self, fn: Function, instance: Instance, worker: Worker) -> bool:
-        """A free warm lane; where calls come often, copies with no sign for a while are asked after first.
-        Guards against every way in which a copy goes unseen. Harm: a round trip for a quiet function."""
+        """A free warm lane; where calls come often, copies with no sign for a while are asked after first."""
         if self.now < instance.blocked_ms or self._copies(instance, worker) * fn.lanes <= instance.own:
             return False
         most = max(-(-instance.own // fn.lanes), self.now - instance.seen_ms < STALE_MS) * fn.lanes
@@ -533,6 +537,8 @@
         if self.now > request.held_ms:
             fn.waits.timed.append((self.now, self.now - request.held_ms))
         instance.own, worker.own, instance.seen_ms = instance.own + 1, worker.own + 1, self.now
+        self.sends.add(self.now)
+        worker.sends.add(self.now)
         if worker.started_ms is not None:
             worker.sent.append(self.now)
         self._owe(worker)
@@ -544,8 +550,7 @@
         self.actions.append(io.Send(request.id, worker.id))
 
     def _miss_answers(self) -> None:
-        """Hold overdue answers lost, try their calls elsewhere, and rest a class where several were lost.
-        Guards against workers that answer all but some calls. Harm: a very long call may be run twice."""
+        """Hold overdue answers lost, try their calls elsewhere, and rest a class where several were lost."""
         for attempt in list(self.attempts.values()):
             fn, worker = attempt.function, self.workers[attempt.worker]
             lapse = worker.lapses.get(fn.kind)
@@ -581,8 +586,7 @@
         return resting * 2 <= len(self.ready)
 
     def _hasten(self, request: Request, attempt: Attempt) -> None:
-        """A second attempt elsewhere for one out far longer than a run, while tokens last.
-        Guards against lost answers, hangs and slow workers alike. Harm: work done twice, for few calls."""
+        """A second attempt elsewhere for one out far longer than a run: lost, hung or slow. Few get it."""
         due = min(OVERDUE_RUNS * self._te(request.function), request.spec.promise_ms * LATE_MOST)
         waits = attempt.open and self.now - attempt.sent_ms > due
         if waits and self.hedges >= 1 and self._may_send_again(request):
@@ -652,9 +656,13 @@
         fair = (len(self.attempts) + 1) * self._size(worker) / self.total
         return max(BOUND_FLOOR * self._warmth(worker), BOUND_FACTOR * fair)
 
+    def _past_share(self, worker: Worker) -> bool:
+        """Guards against functions that meet on a worker, where all front ends' calls add up unseen."""
+        fair = self.sends.at(self.now) * self._size(worker) / self.total
+        return worker.sends.at(self.now) > max(SHARE_LEAST, SHARE_FACTOR * fair)
+
     def _refresh(self) -> None:
-        """Limits, against overload of any cause: the rate sold times an uncrowded run is what the largest
-        fleet seen works on at once (Little's law). Too late where more is sold than the fleet can do."""
+        """Limits: the rate sold times an uncrowded run is what the largest fleet works on (Little's law)."""
         self.refreshed_ms = self.now
         if self.now - self.forgot_ms >= FORGET_MS / 4:
             self.forgot_ms = self.now
@@ -688,19 +696,17 @@
     def _ordered(self, fn: Function) -> list[Worker]:  # by rendezvous hashing, the same at every front end
         if fn.order_members is not self.members:
 
-            def score(worker: Worker) -> float:
-                unit = (_mix(fn.mark ^ worker.mark) + 1) / (2**64 + 1)
-                return math.log(unit) / self._units(worker)
+            def rank(worker: Worker) -> tuple[float, int]:
+                return -math.log((_mix(fn.mark ^ worker.mark) + 1) / 2**64) / self._units(worker), worker.id
 
-            fn.order = sorted(self.ready, key=lambda worker: (-score(worker), worker.id))
+            fn.order = sorted(self.ready, key=rank)
             fn.order_members, fn.known = self.members, None
         return fn.order
 
     def _known(self, fn: Function) -> list[Worker]:  # in hash order, with some belief
-        order = self._ordered(fn)
-        if fn.known is None:
-            fn.known = [worker for worker in order if worker.id in fn.instances]
-        return fn.known
+        if self._ordered(fn) and fn.known is None:
+            fn.known = [worker for worker in fn.order if worker.id in fn.instances]
+        return fn.known or []
 
     def _instance(self, fn: Function, worker: Worker) -> Instance:
         worker.last = fn
@@ -716,14 +722,13 @@
         return list(dict.fromkeys(first + sorted(known, key=lambda w: w.strained_ms > self.now)))
 
     def _turned(self, fn: Function, request: Request) -> list[Worker]:  # as needed, from the drawn place on
-        fit = (worker for worker in self._ordered(fn) if worker.strained_ms <= self.now)
+        fit = (w for w in self._ordered(fn) if w.strained_ms <= self.now and not self._past_share(w))
         order = list(islice(fit, fn.width)) or fn.order[: fn.width]
         turn = request.draw % max(1, len(order))
         return order[turn:] + order[:turn]
 
     def _measure(self, fn: Function) -> None:
-        """How many workers a function needs: own arrivals times front ends, or the crowd that answers tell.
-        Guards against a hundred front ends that each find the first worker free."""
+        """How many workers a function needs: arrivals of all, or the crowd that answers tell of."""
         if fn.last_ms:
             faded = math.exp((fn.last_ms[-1] - self.now) / FADE_MS)
             fn.arrived, fn.crowd = fn.arrived * faded, fn.crowd * faded
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -7,6 +7,7 @@
 
 from fawnwharf import interface as io
 from fawnwharf.interface import Ending
+from fawnwharf.policy import SHARE_FACTOR, Function, _mark
 
 SOLD = {"t": 100.0}
 
@@ -41,6 +42,24 @@
     assert homes.most_common(1)[0][1] <= 30
 
 
+def test_functions_that_meet_on_one_worker_move_on_past_its_share_of_the_sends():
+    [drive, *_] = fleet(40)
+    router = drive.router
+    for name in (f"f{n}" for n in range(400)):  # those whose first worker is the same
+        router.functions[name] = Function(name, "safe", 2, None, _mark(name))
+    first = router._ordered(router.functions["f0"])[0]
+    meeting = [fn.name for fn in router.functions.values() if router._ordered(fn)[0] is first]
+    router.functions.clear()
+    homes = Counter()
+    for turn in range(60):
+        drive.now += 100.0
+        for send in standing(drive, drive.ask(f"r{turn}", meeting[turn % 5], lanes=2, tenant="t")):
+            homes[send.worker] += 1
+            drive.end(send)
+    assert len(meeting) >= 5 and sum(homes.values()) >= 60
+    assert homes[first.id] <= 60 / 20 * SHARE_FACTOR + 2
+
+
 def test_a_rare_function_keeps_one_home_at_all_front_ends():
     homes = {standing(drive, drive.ask("r", lanes=2, tenant="t"))[0].worker for drive in fleet(50)}
     assert len(homes) == 1
