Let fewer loads start: the load path's switch at Te in wide fleets, and the first place asked

Three things drove them: the switch went off only at 40 Te, that is never; a front end that knew no copy asked a drawn place, not the one that all ask first; and a place counted as full at 0.6 of its lanes, so that noise widened functions.

--- a/fawnwharf/policy.py
+++ b/fawnwharf/policy.py
@@ -39,8 +39,8 @@
 LOAD_SLOW = 2.5  # a load this many times slower than told says that the store is crowded
 RUN_GAIN = 0.02  # weight of one run in the mean run of workers that are not crowded
 ROOM_SPREAD = 1.5  # room for chance in a worker's limit, in square roots of its mean requests
-SPREAD_LANES = 0.6  # part of a copy's lanes that a wide function's calls are to fill on one worker
-SPREAD_PART = 0.3  # and of what the worker can take in flight: several functions meet there
+SPREAD_LANES = 1.2  # part of a copy's lanes that a wide function's calls are to fill on one worker
+SPREAD_PART = 0.6  # and of what the worker can take in flight: several functions meet there
 FADE_MS = 30_000.0  # a function's width forgets over this: one call may be all a front end sees in seconds
 RUSH = 3  # so many arrivals close together tell of a function turned hot before that
 ANSWER_GAIN = 0.4  # weight of one answer in what answers tell of others' load: they are rare
@@ -657,7 +657,8 @@
         return max(BOUND_FLOOR * self._warmth(worker), BOUND_FACTOR * fair)
 
     def _past_share(self, worker: Worker) -> bool:
-        """Guards against functions that meet on a worker, where all front ends' calls add up unseen."""
+        """Guards against functions that meet on a worker: all front ends' calls add up there, while each has
+        one out at the most. As all keep the bound, so does their sum."""
         fair = self.sends.at(self.now) * self._size(worker) / self.total
         return worker.sends.at(self.now) > max(SHARE_LEAST, SHARE_FACTOR * fair)
 
@@ -724,7 +725,7 @@
     def _turned(self, fn: Function, request: Request) -> list[Worker]:  # as needed, from the drawn place on
         fit = (w for w in self._ordered(fn) if w.strained_ms <= self.now and not self._past_share(w))
         order = list(islice(fit, fn.width)) or fn.order[: fn.width]
-        turn = request.draw % max(1, len(order))
+        turn = request.draw % max(1, len(order)) * self._is_warm(fn)
         return order[turn:] + order[:turn]
 
     def _measure(self, fn: Function) -> None:
@@ -791,8 +792,7 @@
         if fn.load_path:
             unused = [i.unused_ms for i in fn.instances.values() if i.unused_ms is not None]
             idle = max([fn.idle_ms, *(self.now - since for since in unused)])
-            # Where this front end sees one call in many, the others' calls use the copy as often.
-            flip = idle > self._te(fn) * (self.settings.fleet_size if self.wide else 1)
+            flip = idle > self._te(fn)
         else:
             oldest = self.now - min((request.held_ms for request in fn.queue), default=self.now)
             flip = max(oldest, fn.waits.median(self.now) or 0.0) > self._tp(fn)
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -60,6 +60,26 @@
     assert homes[first.id] <= 60 / 20 * SHARE_FACTOR + 2
 
 
+def test_the_switch_goes_off_at_te_here_too():
+    [drive, *_] = fleet(40)
+    fn = Function("f", "safe", 2, None, _mark("f"))
+    drive.router.runs.timed.append((0.0, 100.0))
+    fn.idle_ms = 150.0  # longer than a run
+    assert not drive.router._load_path(fn)
+
+
+def test_who_knows_no_copy_asks_the_worker_that_all_ask_first():
+    [drive, *_] = fleet(40)
+    for turn in range(40):  # so many that the function spreads
+        drive.now += 100.0
+        drive.ask(f"r{turn}", "hot", lanes=2, tenant="t")
+    fn = drive.router.functions["hot"]
+    fn.instances.clear()
+    fn.known = None
+    asks = of(drive.ask("next", "hot", lanes=2, tenant="t"), io.Hold)
+    assert fn.width > 1 and [ask.worker for ask in asks] == [drive.router._ordered(fn)[0].id]
+
+
 def test_a_rare_function_keeps_one_home_at_all_front_ends():
     homes = {standing(drive, drive.ask("r", lanes=2, tenant="t"))[0].worker for drive in fleet(50)}
     assert len(homes) == 1
