--- a/fawnwharf/policy.py
+++ b/fawnwharf/policy.py
@@ -202,8 +202,7 @@
         self.watched: dict[int, Worker] = {}  # those that owe an answer or are suspect
         self.suspects = 0  # ready workers that are suspect
         self.functions, self.waiting = dict[str, Function](), dict[str, Function]()
-        self.requests: dict[str, Request] = {}
-        self.attempts: dict[tuple[str, int], Attempt] = {}
+        self.requests, self.attempts = dict[str, Request](), dict[tuple[str, int], Attempt]()
         self.flying: deque[Attempt] = deque()  # attempts out for less than the promise
         self.hedges = HEDGES_MOST  # tokens for second attempts
         self.sends, self.taken, self.ordered = Recent(), deque[float](), deque[float]()
@@ -269,7 +268,7 @@
         fn.queue.append(request)
         if request.deadline_ms - self.now <= SWEEP_MS + LEAD_MS:
             self._finish(request)  # the next sweep may be too late: a client's last try has little time
-        elif self.wide or not self._is_warm(fn):
+        elif not self._is_warm(fn, self.wide):
             for worker in self._turned(fn, request)[:1] if self.wide else self._ordered(fn)[:SURVEY_WIDTH]:
                 self._spread(fn, worker)
         self._dispatch(fn)
@@ -402,7 +401,8 @@
         return request.over_share or held >= HELD_PART * (request.deadline_ms - request.arrived_ms)
 
     def _copies(self, instance: Instance, worker: Worker) -> int:  # none after a restart or a keep-alive
-        lapsed = instance.own == 0 and self.now - instance.seen_ms > self.settings.idle_life_ms
+        kept_ms = FADE_MS if self.wide else self.settings.idle_life_ms  # others' calls renew it too
+        lapsed = instance.own == 0 and self.now - instance.seen_ms > kept_ms
         return 0 if lapsed or instance.seen_ms <= (worker.started_ms or -math.inf) else instance.copies
 
     def _te(self, fn: Function) -> float:  # te: the median run, of all functions while this one has none
@@ -656,11 +656,12 @@
         fair = (len(self.attempts) + 1) * self._size(worker) / self.total
         return max(BOUND_FLOOR * self._warmth(worker), BOUND_FACTOR * fair)
 
-    def _past_share(self, worker: Worker) -> bool:
-        """Guards against functions that meet on a worker: all front ends' calls add up there, while each has
-        one out at the most. As all keep the bound, so does their sum."""
+    def _fit(self, worker: Worker) -> bool:
+        """Not strained, nor past its share. Guards against functions that meet on a worker: all front ends'
+        calls add up there, while each has one out at the most. As all keep the bound, so does their sum."""
         fair = self.sends.at(self.now) * self._size(worker) / self.total
-        return worker.sends.at(self.now) > max(SHARE_LEAST, SHARE_FACTOR * fair)
+        past = worker.sends.at(self.now) > max(SHARE_LEAST, SHARE_FACTOR * fair)
+        return not past and worker.strained_ms <= self.now
 
     def _refresh(self) -> None:
         """Limits: the rate sold times an uncrowded run is what the largest fleet works on (Little's law)."""
@@ -685,7 +686,6 @@
     def _late(self, request: Request) -> bool:  # hardly to be answered in time any more
         promise = request.spec.promise_ms
         left = request.arrived_ms + promise - self.now
-        # The second term guards against runs grown so long that all would count as late from the start.
         return left < min(LATE_RUNS * self._te(request.function), promise * LATE_MOST)
 
     def _units(self, worker: Worker) -> float:
@@ -720,11 +720,10 @@
         if not self.wide:
             return known
         first = [w for w in self._turned(fn, request) if w.id in fn.instances]
-        return list(dict.fromkeys(first + sorted(known, key=lambda w: w.strained_ms > self.now)))
+        return list(dict.fromkeys(first + sorted(known, key=lambda w: not self._fit(w))))
 
     def _turned(self, fn: Function, request: Request) -> list[Worker]:  # as needed, from the drawn place on
-        fit = (w for w in self._ordered(fn) if w.strained_ms <= self.now and not self._past_share(w))
-        order = list(islice(fit, fn.width)) or fn.order[: fn.width]
+        order = list(islice(filter(self._fit, self._ordered(fn)), fn.width)) or fn.order[: fn.width]
         turn = request.draw % max(1, len(order)) * self._is_warm(fn)
         return order[turn:] + order[:turn]
 
@@ -742,8 +741,9 @@
         fn.arrived += 1
         fn.last_ms.append(self.now)
 
-    def _is_warm(self, fn: Function) -> bool:
-        return any(self._copies(fn.instances[w.id], w) and self._usable(w, fn) for w in self._known(fn))
+    def _is_warm(self, fn: Function, fit: bool = False) -> bool:  # on a worker that is fit for more?
+        warm = (w for w in self._known(fn) if self._copies(fn.instances[w.id], w) and self._usable(w, fn))
+        return any(not fit or self._fit(w) for w in warm)
 
     def _race(self, fn: Function) -> None:  # the loads that held requests need, one for the lanes of a copy
         if self._asking(fn):
@@ -751,7 +751,6 @@
         warm = self._is_warm(fn)
         pending = sum(fn.instances[w.id].order_ms is not None for w in self._known(fn) if self._usable(w, fn))
         held = sum(not (warm and (r.over_share or (self.wide and self._late(r)))) for r in fn.queue)
-        # Held by the own limit in all, a request gains nothing by a load.
         if warm and (len(self.flying) >= self.limit or not self._load_path(fn)):
             return
 
@@ -820,8 +819,7 @@
         quota = self.settings.quotas_rps.get(tenant)
         if quota is None:
             return False
-        rate = quota / max(1, self.settings.fleet_size)
-        # Few calls a second come unevenly: room for chance where this front end sees but a part.
+        rate = quota / max(1, self.settings.fleet_size)  # with room for chance, as few calls come unevenly
         most = rate * TENANT_BURST_S + self.wide * 2 * math.sqrt(rate * WINDOW_MS / 1000)
         tokens, since = self.tokens.get(tenant, (most, self.now))
         tokens = min(most, tokens + rate * (self.now - since) / 1000)
