Take a long run or a load for what it is, not for silence that has to be asked after

Silence is now counted in median runs and from when a load is due. In a wide fleet a silent worker is passed over after three runs, which costs nothing, and asked only after eight.

--- a/fawnwharf/policy.py
+++ b/fawnwharf/policy.py
@@ -425,9 +425,9 @@
             worker.suspect_ms = None
             self.actions.append(io.Log(f"worker {worker.id} answers again"))
 
-    def _owe(self, worker: Worker) -> None:
+    def _owe(self, worker: Worker, after_ms: float = 0.0) -> None:
         if worker.owed_ms is None:  # else it owes one already
-            worker.owed_ms = self.now
+            worker.owed_ms = self.now + after_ms
             self.watched[worker.id] = worker
 
     def _watch(self, worker: Worker) -> None:
@@ -440,9 +440,13 @@
                 self._suspect(worker)
         elif worker.owed_ms is None:
             del self.watched[worker.id]
-        elif self.now - worker.owed_ms >= SILENT_MS:
+        elif self._silent(worker, LOST_RUNS if self.wide else OVERDUE_RUNS):
             self._ask_sign(worker)
 
+    def _silent(self, worker: Worker, runs: float) -> bool:  # for longer than so many runs
+        due_ms = max(SILENT_MS, runs * (self.runs.median(self.now) or 0.0))
+        return worker.owed_ms is not None and self.now - worker.owed_ms >= due_ms
+
     def _ask_sign(self, worker: Worker) -> None:
         worker.sign_ms = self.now
         if worker.last and self.settings.may_order and worker.entry.state != State.GONE:
@@ -661,7 +665,7 @@
         calls add up there, while each has one out at the most. As all keep the bound, so does their sum."""
         fair = self.sends.at(self.now) * self._size(worker) / self.total
         past = worker.sends.at(self.now) > max(SHARE_LEAST, SHARE_FACTOR * fair)
-        return not past and worker.strained_ms <= self.now
+        return not past and worker.strained_ms <= self.now and not self._silent(worker, OVERDUE_RUNS)
 
     def _refresh(self) -> None:
         """Limits: the rate sold times an uncrowded run is what the largest fleet works on (Little's law)."""
@@ -781,7 +785,7 @@
         instance.order_ms, instance.raced, self.loading = self.now, warm, self.loading + 1
         instance.order_count = min(16, self._copies(instance, worker) + 1)
         self.ordered.append(self.now)
-        self._owe(worker)
+        self._owe(worker, self._tp(fn))  # a load takes longer than a run, and says nothing until it stands
         self.actions.append(io.Hold(worker.id, fn.name, instance.order_count))
 
     def _asking(self, fn: Function) -> bool:  # answers to questions are awaited, for a round trip at the most
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -91,6 +91,28 @@
     assert not of(actions, io.Hold) and {send.worker for send in of(actions, io.Send)} == homes
 
 
+def test_a_silent_worker_is_passed_over_before_it_is_asked():
+    [drive, *_] = fleet(40)
+    router = drive.router
+    router.runs.timed.extend((0.0, 200.0) for _ in range(5))
+    [send] = standing(drive, drive.ask("long", tenant="t"))
+    worker = router.workers[send.worker]
+    worker.sends.count = 0.0
+    signs, fit = [], []
+    for ms in (540, 200, 1000):  # three runs, and eight
+        signs.append([h for h in of(drive.sweep(drive.now + ms), io.Hold) if not h.copies])
+        fit.append(router._fit(worker))
+    assert fit == [True, False, False]
+    assert [bool(asked) for asked in signs] == [False, False, True]
+
+
+def test_a_load_that_takes_its_time_is_no_silence():
+    [drive, *_] = fleet(40)
+    loads = of(drive.answer_asks(drive.ask("r", tenant="t", load_ms=800.0)), io.Hold)
+    assert [load.copies for load in loads] == [1]
+    assert not of(drive.sweep(drive.now + 900), io.Hold)
+
+
 def test_a_rare_function_keeps_one_home_at_all_front_ends():
     homes = {standing(drive, drive.ask("r", lanes=2, tenant="t"))[0].worker for drive in fleet(50)}
     assert len(homes) == 1
