--- a/fawnwharf/config.py
+++ b/fawnwharf/config.py
@@ -75,12 +75,17 @@
     fall_multiple: Span = 2.0
 
 
+class _Costs(Struct):
+    handshake: Span = 0.0
+
+
 class _Settings(Struct):
     classes: list[_Class] = []
     tenants: list[_Tenant] = []
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
     family_info: _Family = msgspec.field(default_factory=_Family)
     invariants: _Rules = msgspec.field(default_factory=_Rules)
+    costs: _Costs = msgspec.field(default_factory=_Costs)
     fleet_size: Least = 1
     locality: str = ""
     tick: Span = 1.0
@@ -120,6 +125,7 @@
     max_open: int = 20_000
     load_wait_ms: float = 10_000.0
     tells_crowd: bool = False
+    spare_links: bool = True  # a connection may be opened before a call needs it
     tenants: frozenset[str] = frozenset()  # empty: a site without tenants
 
 
@@ -227,6 +233,7 @@
         max_open=bounds.max_open,
         load_wait_ms=family.load_wait,
         tells_crowd=family.notes_peers_in_hand,
+        spare_links=read.costs.handshake == 0,
         tenants=frozenset(tenant.name for tenant in read.tenants),
     )
 
--- a/fawnwharf/net/scorers.py
+++ b/fawnwharf/net/scorers.py
@@ -321,8 +321,10 @@
         if closed or (stream.is_new_work and scorer.state is not State.READY):
             self._end(stream, End.NEVER_SENT)
         elif link := scorer.link_for(stream.id, self._trust_ms):
+            shared = any(isinstance(other, Attempt) for other in link.streams.values())
             link.start(stream)
-            if scorer.crowded() and self._links < SPREAD_PART * self._links_most:
+            wanted = shared or self.wire.spare_links
+            if wanted and scorer.crowded() and self._links < SPREAD_PART * self._links_most:
                 self._dial_one(scorer)
         else:
             scorer.waiting.append(stream)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -292,6 +292,17 @@
         rig.until(lambda: len(ended) == 3, "the others are answered")
         self.assertEqual(ended, [(End.BAD_BYTES, True)] + [(io.Ending.GOOD, True)] * 2)
 
+    def test_no_spare_link_is_opened_where_new_ones_are_charged_until_calls_share_one(self):
+        scorer = ScorerPeer(copies=None)
+        rig = self.rig(scorer, settings={"costs": {"handshake": 0.08}})
+        id = front_end.worker_number(scorer.id)
+        dials = []
+        for n in range(3):
+            rig.front.pool.send(attempt(id, [], id=b"%08d" % n))
+            rig.until(lambda n=n: len(scorer.runs) > n, "it runs")
+            dials.append(rig.front.pool.tally["dials"])
+        self.assertEqual(dials, [1, 2, 2])
+
     def test_a_link_that_the_scorer_has_just_ended_is_not_used_again(self):
         scorer, ended = ScorerPeer(), []
         rig = self.rig(scorer)
