Build the environment anew unless it was finished for these requirements

The inherited build took any .venv folder for a good one: half made, of other requirements or with its interpreter gone.

--- a/tests/test_repository.py
+++ b/tests/test_repository.py
@@ -2,6 +2,8 @@
 
 import ast
 import re
+import shutil
+import subprocess
 from pathlib import Path
 
 ROOT = Path(__file__).parent.parent
@@ -38,3 +40,30 @@
     code = re.search(r"```python\n(.*?)```", (ROOT / "README.md").read_text(), re.S).group(1)
     exec(compile(code, "README.md", "exec"), {})
     assert "Send(request='r1'" in capsys.readouterr().out
+
+
+def build(root, path):
+    env = {"PATH": f"{path}:/usr/bin:/bin"}
+    subprocess.run(["sh", "deploy/build.sh"], cwd=root, env=env, check=True)
+    return (root / ".venv" / "made").read_text()
+
+
+def test_the_build_makes_a_stale_environment_anew_and_keeps_a_good_one(tmp_path):
+    root, tools = tmp_path / "root", tmp_path / "tools"
+    tools.mkdir()
+    (root / "deploy").mkdir(parents=True)
+    shutil.copy(ROOT / "deploy" / "build.sh", root / "deploy")
+    (root / "requirements.txt").write_text("one==1\n")
+    stub = tools / "python3"  # stands in for python3 -m venv .venv, and counts what it made
+    stub.write_text(
+        '#!/bin/sh\necho x >> "$0.made"\nmkdir -p .venv/bin\nln -s /bin/true .venv/bin/python\n'
+        'ln -s /bin/true .venv/bin/pip\nwc -l < "$0.made" | tr -d " " > .venv/made\n'
+    )
+    stub.chmod(0o755)
+    (root / ".venv" / "bin").mkdir(parents=True)  # half made
+    assert build(root, tools) == "1\n"
+    assert build(root, tools) == "1\n"
+    (root / "requirements.txt").write_text("one==2\n")  # out of date
+    assert build(root, tools) == "2\n"
+    (root / ".venv" / "bin" / "python").unlink()  # its interpreter is gone
+    assert build(root, tools) == "3\n"
