--- a/fawnwharf/policy.py
+++ b/fawnwharf/policy.py
@@ -213,8 +213,8 @@
         self.limit = math.inf  # own attempts in flight, in all
         self.worker_most = 0.0  # what a worker can take of all front ends, in flight
         self.promise_ms = min((spec.promise_ms for spec in settings.classes.values()), default=1000.0)
-        self.runs, self.run_ms = Samples(), self.promise_ms / 5
-        self.sweeping, self.refreshed_ms, self.forgot_ms = False, -math.inf, -math.inf
+        self.runs, self.run_ms, self.sweeping = Samples(), self.promise_ms / 5, False
+        self.refreshed_ms = self.forgot_ms = -math.inf
         self.handlers = {io.RosterChanged: self._on_roster, io.RequestArrived: self._on_request,
                          io.ClientLeft: self._on_left, io.AttemptEnded: self._on_attempt,
                          io.OrderAnswered: self._on_order, io.TimerDue: self._on_timer}  # fmt: skip
@@ -394,8 +394,8 @@
             self._dispatch_all()
 
     def _hopeless(self, request: Request) -> bool:
-        """Never sent and hardly to be on time: given up beyond a share, else before half its time is gone."""
-        if request.attempts or not self._late(request):
+        """Not out and hardly to be on time: given up beyond a share, else before half its time is gone."""
+        if any(attempt.open for attempt in request.attempts) or not self._late(request):
             return False
         held = self.now + SWEEP_MS + LEAD_MS - request.arrived_ms
         return request.over_share or held >= HELD_PART * (request.deadline_ms - request.arrived_ms)
@@ -630,8 +630,8 @@
         return self.now - first.sent_ms < request.spec.dedup_window_ms - WINDOW_MARGIN_MS
 
     def _may_refuse(self, request: Request) -> bool:
-        effect, everywhere = request.spec.effect, request.spec.group is io.Group.ALL
-        return not request.first_run() or effect is Effect.SAFE or (effect is Effect.KEYED and everywhere)
+        dropped = request.spec.effect is Effect.KEYED and request.spec.group is io.Group.ALL
+        return not request.first_run() or request.spec.effect is Effect.SAFE or dropped
 
     def _warm_enough(self, worker: Worker) -> bool:  # a just-started worker has a budget
         if (share := self._warmth(worker)) >= 1.0:
@@ -675,8 +675,7 @@
             self._forget()
         self.total = sum(self._size(worker) for worker in self.ready) or 1.0
         self.fleet = max(self.fleet, sum(self._units(worker) for worker in self.ready))
-        peers, most = max(1, self.settings.fleet_size), 0.0
-        sold = sum(self.settings.quotas_rps.values()) / 1000
+        peers, most, sold = max(1, self.settings.fleet_size), 0.0, sum(self.settings.quotas_rps.values()) / 1000
         for worker in self.ready:
             mean = sold * self.run_ms * self._size(worker) / self.fleet  # of all front ends
             most += mean + ROOM_SPREAD * math.sqrt(mean)
@@ -684,8 +683,9 @@
             worker.limit = max(2.0 if self.wide else 1.0, own) if sold > 0 else math.inf
         self.worker_most = most / max(1, len(self.ready)) if sold > 0 else 2 * BOUND_FLOOR
         self.wide = self.worker_most < peers
-        # In all, what the fleet gets through in a part of the promise: beyond that all would come late.
-        self.limit = sold * self.promise_ms * LATE_MOST / peers if self.wide and sold > 0 else math.inf
+        # In all, what those alive get through in a part of the promise: beyond that all would come late.
+        part = sum(self._size(worker) for worker in self.ready if worker.suspect_ms is None) / self.fleet / peers
+        self.limit = part * sold * self.promise_ms * LATE_MOST if self.wide and sold > 0 else math.inf
 
     def _late(self, request: Request) -> bool:  # hardly to be answered in time any more
         promise = request.spec.promise_ms
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -113,6 +113,28 @@
     assert not of(drive.sweep(drive.now + 900), io.Hold)
 
 
+def test_the_limit_in_flight_shrinks_with_the_workers_that_live():
+    [drive, *_] = fleet(40)
+    router = drive.router
+    router._refresh()
+    whole = router.limit
+    for worker in router.ready[:10]:
+        router._suspect(worker)
+    router._refresh()
+    assert router.wide and router.limit == whole / 2
+
+
+def test_a_call_that_is_late_and_out_nowhere_is_given_up_before_its_deadline():
+    [drive, *_] = fleet(40)
+    [send] = standing(drive, drive.ask("r", tenant="t", budget=2500.0))
+    for worker in drive.router.ready:  # nobody else can take it
+        worker.limit = 0.0
+    drive.end(send, Ending.ERROR, closed=False)
+    drive.sweep(2500.0)
+    [given_up] = [now for now, action in drive.log if isinstance(action, io.Refuse)]
+    assert given_up <= 1300.0
+
+
 def test_a_rare_function_keeps_one_home_at_all_front_ends():
     homes = {standing(drive, drive.ask("r", lanes=2, tenant="t"))[0].worker for drive in fleet(50)}
     assert len(homes) == 1
