--- a/fawnwharf/policy.py
+++ b/fawnwharf/policy.py
@@ -673,9 +673,9 @@
         if self.now - self.forgot_ms >= FORGET_MS / 4:
             self.forgot_ms = self.now
             self._forget()
-        self.total = sum(self._size(worker) for worker in self.ready) or 1.0
+        self.total, most = sum(self._size(worker) for worker in self.ready) or 1.0, 0.0
         self.fleet = max(self.fleet, sum(self._units(worker) for worker in self.ready))
-        peers, most, sold = max(1, self.settings.fleet_size), 0.0, sum(self.settings.quotas_rps.values()) / 1000
+        peers, sold = max(1, self.settings.fleet_size), sum(self.settings.quotas_rps.values()) / 1000
         for worker in self.ready:
             mean = sold * self.run_ms * self._size(worker) / self.fleet  # of all front ends
             most += mean + ROOM_SPREAD * math.sqrt(mean)
@@ -683,9 +683,9 @@
             worker.limit = max(2.0 if self.wide else 1.0, own) if sold > 0 else math.inf
         self.worker_most = most / max(1, len(self.ready)) if sold > 0 else 2 * BOUND_FLOOR
         self.wide = self.worker_most < peers
-        # In all, what those alive get through in a part of the promise: beyond that all would come late.
-        part = sum(self._size(worker) for worker in self.ready if worker.suspect_ms is None) / self.fleet / peers
-        self.limit = part * sold * self.promise_ms * LATE_MOST if self.wide and sold > 0 else math.inf
+        alive = sum(self._size(worker) for worker in self.ready if worker.suspect_ms is None) / self.fleet
+        most = alive * sold * self.promise_ms * LATE_MOST / peers  # beyond that all would come late
+        self.limit = most if self.wide and sold > 0 else math.inf
 
     def _late(self, request: Request) -> bool:  # hardly to be answered in time any more
         promise = request.spec.promise_ms
