Ask for another place only past twice the share: past 1.3 times, chance takes many

A front end sends three or four calls to a worker in the window, so chance alone takes many workers past 1.3 times their share; each such time a function's next place was asked, and loaded where it held nothing. The test of functions that meet allows as much.

--- a/fawnwharf/policy.py
+++ b/fawnwharf/policy.py
@@ -20,6 +20,7 @@
 FORGET_MS = 60_000.0  # a function not called, or a worker gone, for this long is forgotten
 SAMPLES_MOST = 64  # samples kept for one median: more would not move it, and cost 100 bytes each
 REFRESH_MS = 1_000.0  # pace of what depends on the whole fleet; no rate is taken over less
+ASK_FACTOR = 2.0  # past this multiple another place is asked: past the other one, chance alone takes many
 STALE_MS = 1_000.0  # a copy with no sign for this long may have given way
 RATE_MS = 5_000.0  # stretch over which arrivals are counted, and pause between questions for an empty place
 BOUND_FACTOR = 1.5  # a worker takes this multiple of its fair share of own requests (bounded loads)
@@ -660,11 +661,10 @@
         fair = (len(self.attempts) + 1) * self._size(worker) / self.total
         return max(BOUND_FLOOR * self._warmth(worker), BOUND_FACTOR * fair)
 
-    def _fit(self, worker: Worker) -> bool:
-        """Not strained, nor past its share. Guards against functions that meet on a worker: all front ends'
-        calls add up there, while each has one out at the most. As all keep the bound, so does their sum."""
+    def _fit(self, worker: Worker, factor: float = SHARE_FACTOR) -> bool:
+        """Not strained, silent or past its share: functions meet there, and all front ends' calls add up."""
         fair = self.sends.at(self.now) * self._size(worker) / self.total
-        past = worker.sends.at(self.now) > max(SHARE_LEAST, SHARE_FACTOR * fair)
+        past = worker.sends.at(self.now) > max(SHARE_LEAST, factor * fair)
         return not past and worker.strained_ms <= self.now and not self._silent(worker, OVERDUE_RUNS)
 
     def _refresh(self) -> None:
@@ -745,9 +745,9 @@
         fn.arrived += 1
         fn.last_ms.append(self.now)
 
-    def _is_warm(self, fn: Function, fit: bool = False) -> bool:  # on a worker that is fit for more?
+    def _is_warm(self, fn: Function, fit: bool = False) -> bool:  # on a worker far from its share?
         warm = (w for w in self._known(fn) if self._copies(fn.instances[w.id], w) and self._usable(w, fn))
-        return any(not fit or self._fit(w) for w in warm)
+        return any(not fit or self._fit(w, ASK_FACTOR) for w in warm)
 
     def _race(self, fn: Function) -> None:  # the loads that held requests need, one for the lanes of a copy
         if self._asking(fn):
