Begin no attempt for a client that has gone, wherever its request waits

Three orders of events began an attempt for a client that had left: a dial that came up after the client's end was read, a call placed again after its link ended unwritten, and a request with its client's end unread behind it.

Cause: only the module's Cancel took a waiting attempt back (policy._close), and it gives none where the settings forbid cancels, though what no scorer has heard of needs none. RequestTable._close left such attempts in the pool. Nor did ScorerPool._place ask whether anybody still waits when the first byte was to leave. The same let an attempt begin after another one had been served.

Ruled out: with cancels allowed and the end already read, the batch's cancel takes the bytes back before the flush.

Mend: the table takes back what has not begun when a request ends, and the pool asks at the first byte whether the client is there, by a look at its socket (its end behind unread bytes included).

--- a/fawnwharf/net/clients.py
+++ b/fawnwharf/net/clients.py
@@ -162,10 +162,16 @@
             self._malformed(error)
             return
         fields["budget_ms"] = max(0.0, fields["budget_ms"] - self.connection.age_ms)
-        call = Call(reply=lambda outcome: self._reply(seqid, outcome), **fields)
+        call = Call(reply=lambda outcome: self._reply(seqid, outcome), waits=self._waits, **fields)
         if (key := self.port.table.take(call)) is not None:
             self.open[seqid] = key
 
+    def _waits(self) -> bool:
+        """Whether the client is still there. Guards what nobody waits for: its end may be unread yet."""
+        if self.connection.peer_ended():
+            self.connection.close(End.CLOSED_BY_PEER)
+        return not self.connection.closed
+
     def _reply(self, seqid: int, outcome: Outcome) -> None:
         self.open.pop(seqid, None)
         if isinstance(outcome, Served):
--- a/fawnwharf/net/connection.py
+++ b/fawnwharf/net/connection.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import errno
+import select
 import socket
 import struct
 from collections import deque
@@ -174,6 +175,15 @@
         except OSError:
             return b""
 
+    def peer_ended(self) -> bool:
+        """Whether the peer's end has come, also where it lies behind bytes that are unread."""
+        unread = b"" if self.closed else self.unread()
+        if not unread:
+            return unread is not None
+        poll = select.poll()
+        poll.register(self._sock, select.POLLRDHUP)
+        return any(mask & select.POLLRDHUP for _, mask in poll.poll(0))
+
     # --- reading ------------------------------------------------------------------------------
 
     def read_on(self, on: bool) -> None:
--- a/fawnwharf/net/requests.py
+++ b/fawnwharf/net/requests.py
@@ -55,6 +55,7 @@
     memory_mb: float | None
     load_ms: float | None
     reply: Callable[[Outcome], None]
+    waits: Callable[[], bool]  # whether its client is still there; one that is not is taken off by the asking
 
 
 @dataclass(slots=True, eq=False)
@@ -124,8 +125,21 @@
             request.backstop.cancel()
             self._bodies -= len(request.call.body)
             self._ended[key] = request
+            self._take_back(key, request)
         return request
 
+    def _take_back(self, key: str, request: OpenRequest) -> None:
+        """What no scorer has heard of yet must not begin for a request that is over. The module's cancels
+        don't see to that: where the settings forbid them there are none."""
+        for number in range(request.attempts):
+            if attempt := self._out.get((key, number)):
+                self._pool.take_back(attempt)
+
+    def _may_begin(self, key: str) -> bool:
+        """Asked when an attempt's first byte is to leave, which may be long after it was decided on."""
+        request = self.open.get(key)
+        return request is not None and request.call.waits()
+
     def _finish(self, key: str, outcome: Outcome) -> None:
         if request := self._close(key):
             request.call.reply(outcome)
@@ -160,6 +174,7 @@
         attempt = self._out[key, number] = Attempt(
             worker=worker,
             ended=lambda attempt, end, answer: self._attempt_ended(key, number, attempt, end, answer),
+            may_begin=lambda: self._may_begin(key),
             id=call.id,
             kind=call.class_name,
             function=call.function,
--- a/fawnwharf/net/scorers.py
+++ b/fawnwharf/net/scorers.py
@@ -78,6 +78,7 @@
     token: str = ""
     body: bytes = b""
     deadline_ms: float = 0.0
+    may_begin: Callable[[], bool] = lambda: True  # asked when its first byte is to leave
 
     is_new_work = True
 
@@ -94,6 +95,9 @@
     function: str = ""
     copies: int = 0
 
+    def may_begin(self) -> bool:
+        return True
+
     @property
     def is_new_work(self) -> bool:  # a question is none
         return self.copies > 0
@@ -316,11 +320,16 @@
         self._place(order)
 
     def _place(self, stream: Stream) -> None:
+        if stream.over:  # taken back by what another one's placing brought
+            return
         scorer = self.scorers.get(stream.worker)
         closed = scorer is None or scorer.state is State.GONE
         if closed or (stream.is_new_work and scorer.state is not State.READY):
             self._end(stream, End.NEVER_SENT)
         elif link := scorer.link_for(stream.id, self._trust_ms):
+            if not stream.may_begin():
+                self._end(stream, End.NEVER_SENT)
+                return
             shared = any(isinstance(other, Attempt) for other in link.streams.values())
             link.start(stream)
             wanted = shared or self.wire.spare_links
@@ -396,6 +405,12 @@
             self._take_off(stream)
             self._end(stream, End.CALLED_OFF)
 
+    def take_back(self, stream: Stream) -> None:
+        """Its request is over: it goes no further, unless its scorer may have heard of it."""
+        if not stream.over and not stream.begun:
+            self._take_off(stream)
+            self._end(stream, End.NEVER_SENT)
+
     def _out_of_time(self, stream: Stream) -> None:
         begun = stream.begun
         self._take_off(stream)
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -5,9 +5,10 @@
 import socket
 import struct
 import time
+import unittest
 
 from fawnwharf.config import deployment_from
-from fawnwharf.net import scorer_frames, thrift
+from fawnwharf.net import scorer_frames, scorers, thrift
 from fawnwharf.net.front_end import FrontEnd
 
 PATIENCE_S = 20.0
@@ -114,7 +115,7 @@
 class ClientPeer(Buffered):
     def __init__(self, address):
         super().__init__(socket.create_connection(address))
-        self.answers, self.seqid = [], 0
+        self.answers, self.seqid, self.last_frame = [], 0, b""
 
     def pump(self):
         super().pump()
@@ -126,7 +127,8 @@
         self.seqid = seqid or self.seqid + 1
         base = {"op": op, "call": f"{self.seqid:016x}", "ttl": "8000", "org": "acme", "row": ROW}
         base |= {"dedupe": "5c0f"} if op == "save" else {}
-        self.sock.sendall(handle_frame(self.seqid, base | fields, body))
+        self.last_frame = handle_frame(self.seqid, base | fields, body)
+        self.sock.sendall(self.last_frame)
         return self.seqid
 
     def withdraw(self, seqid):
@@ -229,3 +231,23 @@
     with selectors.DefaultSelector() as selector:
         selector.register(sock, selectors.EVENT_READ)
         return bool(selector.select(seconds))
+
+
+class Case(unittest.TestCase):
+    def rig(self, *peers, **more):
+        rig = Rig(*peers, **more)
+        self.addCleanup(rig.close)
+        return rig
+
+
+def attempt(worker, ended, id=b"12345678", body=b"", within_ms=8000.0):
+    return scorers.Attempt(
+        worker, lambda stream, end, answer: ended.append((end or answer.ending, stream.begun)), id=id,
+        kind="view", function=ROW, body=body, deadline_ms=scorers.monotonic_ms() + within_ms,
+    )  # fmt: skip
+
+
+def order(worker, ended, copies=1):
+    return scorers.Order(
+        worker, lambda stream, end, answer: ended.append((end or answer.ending, stream.begun)), ROW, copies
+    )
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -14,7 +14,7 @@
 from unittest import mock
 
 import msgspec
-from peers import ROW, SETTINGS, ClientPeer, LogPeer, Rig, ScorerPeer, handle_frame, ready
+from peers import ROW, SETTINGS, Case, ClientPeer, LogPeer, ScorerPeer, attempt, handle_frame, order, ready
 
 from fawnwharf import interface as io
 from fawnwharf.net import changelog, clients, front_end, loop, requests, scorer_frames, scorers, wheel
@@ -23,13 +23,6 @@
 ROOT = Path(__file__).parent.parent
 
 
-class Case(unittest.TestCase):
-    def rig(self, *peers, **more):
-        rig = Rig(*peers, **more)
-        self.addCleanup(rig.close)
-        return rig
-
-
 class Answers(Case):
     def test_answers_in_any_order_reach_the_request_that_they_are_for(self):
         scorer = ScorerPeer(copies=4)
@@ -171,19 +164,6 @@
         self.assertEqual(ended, [(End.REFUSED, False)])
 
 
-def attempt(worker, ended, id=b"12345678", body=b"", within_ms=8000.0):
-    return scorers.Attempt(
-        worker, lambda stream, end, answer: ended.append((end or answer.ending, stream.begun)), id=id,
-        kind="view", function=ROW, body=body, deadline_ms=scorers.monotonic_ms() + within_ms,
-    )  # fmt: skip
-
-
-def order(worker, ended, copies=1):
-    return scorers.Order(
-        worker, lambda stream, end, answer: ended.append((end or answer.ending, stream.begun)), ROW, copies
-    )
-
-
 class Drains(Case):
     def pool(self, scorer):
         rig = self.rig(scorer)
