Hear a withdrawal far behind its request, and the end of a client that is not read

Found by reading. A client that reads no answers was not read either (Client.on_flushed, read_on), so its withdrawal or end stayed unread while its open requests went on to be sent. And of a client that asks much and takes it back, one turn read 64 KiB (Connection._read): the requests in these were sent before their withdrawals behind them were read.

Mend: a client is read while something of it is open (what it makes the front end write stays under UNREAD_MOST), and a turn reads a connection up to four times where each read was full. Tests: two in test_crossings.UnreadEnds; both fail without the mend.

--- a/fawnwharf/net/clients.py
+++ b/fawnwharf/net/clients.py
@@ -186,9 +186,10 @@
         self.connection.write(data)
 
     def on_flushed(self) -> None:
-        """After the connection's own write of this turn: what is left is what the client does not read."""
+        """After the connection's own write of this turn: what is left is what the client does not read.
+        While something of it is open it is read all the same, as it may withdraw that or end."""
         left = self.connection.waiting_bytes
-        self.connection.read_on(left < UNREAD_STOP)
+        self.connection.read_on(left < UNREAD_STOP or bool(self.open))
         if left > UNREAD_MOST or (left > UNREAD_STOP and self.port.unread() > UNREAD_ALL_MOST):
             self.connection.close(End.STUFFED)
 
--- a/fawnwharf/net/connection.py
+++ b/fawnwharf/net/connection.py
@@ -14,7 +14,8 @@
 from fawnwharf.net.loop import READ, WRITE, Loop
 from fawnwharf.net.wheel import Timer, monotonic_ms
 
-READ_MOST = 64 * 1024  # bytes taken from one connection in a turn, so that none starves the others
+READ_MOST = 64 * 1024  # bytes taken at once
+READS_MOST = 4  # in a turn, so that none starves the others; what a peer takes back lies behind what it asks
 SO_TIMESTAMPNS = 35  # Linux: each read tells when its bytes came in
 STAMP = struct.Struct("@qq")
 NOTES_MOST = socket.CMSG_SPACE(STAMP.size)
@@ -222,18 +223,26 @@
         self.owner.on_up()
 
     def _read(self) -> None:
+        for _ in range(READS_MOST):
+            if self._read_once() < READ_MOST or self.closed or not self._reading:
+                return
+
+    def _read_once(self) -> int:
+        """Take in what has come, READ_MOST bytes at the most; how many there were."""
         try:
             data, notes, _, _ = self._sock.recvmsg(READ_MOST, NOTES_MOST)
         except BlockingIOError:
-            return
+            return 0
         except OSError as error:
             self.close(end_of(error))
-            return
+            return 0
         if not data:
             self.close(End.CLOSED_BY_PEER)
-            return
-        if self._finishing:
-            return
+        elif not self._finishing:
+            self._hand_over(data, notes)
+        return len(data)
+
+    def _hand_over(self, data: bytes, notes: list[tuple[int, int, bytes]]) -> None:
         self.heard_ms = self.used_ms = monotonic_ms()
         self.age_ms = self._age(notes)
         try:
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -1,11 +1,12 @@
 """Where two events cross, on real connections: each test brings the bad order about by explicit steps."""
 
+import socket
 from unittest import mock
 
 from peers import ROW, SETTINGS, Case, ScorerPeer, ready
 
 from fawnwharf import interface as io
-from fawnwharf.net import connection
+from fawnwharf.net import clients, connection
 from fawnwharf.net.endings import End
 from fawnwharf.net.loop import READ, WRITE
 
@@ -137,7 +138,41 @@
                     client.sock.sendall(more)
                     client.sock.close()
                     client.ended = True
-                    with mock.patch.object(connection, "READ_MOST", size):
+                    with (
+                        mock.patch.object(connection, "READ_MOST", size),
+                        mock.patch.object(connection, "READS_MOST", 1),
+                    ):
                         self.one_turn(rig, served)
                     rig.settle(rig.client())
                     self.assertEqual((len(scorer.runs), rig.front.table.open), (1, {}))
+
+    def test_a_withdrawal_far_behind_its_request_is_read_before_anything_is_sent(self):
+        rig, scorer = self.warm(settings=NO_CANCEL)
+        client, served = self.newcomer(rig)
+        for seqid in range(1, 11):
+            client.call(seqid=seqid, body=b"x" * 12_000)
+        for seqid in range(1, 11):
+            client.withdraw(seqid)
+        self.one_turn(rig, served)
+        rig.settle(rig.client())
+        self.assertEqual((len(scorer.runs), rig.front.table.open), (1, {}))
+
+    def test_one_that_reads_no_answers_is_still_heard_when_it_withdraws_or_ends(self):
+        for ends in (False, True):
+            with self.subTest(ends=ends):
+                rig = self.rig(ScorerPeer(copies=None))
+                client, served = self.newcomer(rig)
+                seqid = client.call()
+                rig.until(lambda rig=rig: rig.front.table.open, "it is taken")
+                client.pump = lambda: None  # it reads no more
+                with mock.patch.object(clients, "UNREAD_MOST", 16 * 1024 * 1024):
+                    served._write(b"x" * 12_000_000)
+                    rig.front.loop.turn(0)
+                    self.assertGreater(served.connection.waiting_bytes, clients.UNREAD_STOP)
+                    if ends:
+                        client.sock.shutdown(socket.SHUT_WR)
+                    else:
+                        client.withdraw(seqid)
+                    self.assertTrue(ready(served.connection._sock))
+                    rig.front.loop.turn(0)
+                    self.assertFalse(rig.front.table.open)
