Lose no event of the list to gaps or noise, and ask for none in a busy loop

In ChangeLog._take and _stumble: - a complete list past a gap was held useless, and each number before it cost a dial, without a pause; - noise that came twice counted as the event that was due, so that the real one was "told before" and dropped; - a number that was never reached was asked for again at once, as fast as dials go (hundreds in 0.8 s); - the time to speak ran from the dial, so a slow dial looked like silence.

Mend: a complete list stands for all before it, until the log says that it never got so far; what was asked for in vain is passed over, but taken when it comes after all; a log that answers with nothing of use is asked after a pause that doubles up to a second. A dial that fails keeps its pause of 0.2 s. Tests: test_crossings.Lists; five fail without the mend, the others force orders that were right already.

--- a/fawnwharf/net/changelog.py
+++ b/fawnwharf/net/changelog.py
@@ -14,6 +14,7 @@
 
 SILENCE_MS = 2_000.0  # it says its last number each second; what it holds back counts as told after 4 s
 PAUSE_MS = 200.0  # before the next dial; what a broken one would have told counts as told after 2 s
+PAUSE_MOST_MS = 1_000.0  # it doubles up to this where a log answers, but with nothing of use
 DIAL_MS = 1_000.0
 LINE_MOST = 4 * 1024 * 1024  # a complete list of some ten thousand scorers
 
@@ -22,32 +23,47 @@
     return isinstance(value, int) and not isinstance(value, bool) and value >= 0
 
 
+def _number_of(event: Any) -> int | None:
+    seq = event.get("seq") if isinstance(event, dict) else None
+    return seq if _is_number(seq) else None
+
+
+def _is_complete(event: dict[str, Any]) -> bool:
+    fleet = event.get("fleet")
+    return isinstance(fleet, dict) and fleet.get("complete") is True and bool(fleet.get("members"))
+
+
 class ChangeLog:
     """Follows the log: each event is told once and in order; what is missing or bad is asked for again."""
 
     def __init__(
         self, loop: Loop, address: Address, seq: int, told: Callable[[Fleet], None], log: Log
     ) -> None:
-        self.seq = seq  # of the last event that is done with
+        self.seq = seq  # of the last event that was told
         self._loop, self._address, self._told, self._log = loop, address, told, log
         self._connection: Connection | None = None
         self._planned: Timer | None = None
-        self._line_ms = monotonic_ms()  # when the last whole line came
+        self._line_ms = self._asked_ms = monotonic_ms()  # when the last whole line came; the last dial
+        self._pause_ms = PAUSE_MS
         self._unread = b""  # the line that is not whole yet
+        self._passed = 0  # up to this number, what is missing was asked for in vain: all that comes is taken
         self._stumbled_at: int | None = None  # a line of no use came here, and was asked for again
+        self._missed_at: int | None = None  # more was said to be there than came, and was asked for again
+        self._leapt_from: int | None = None  # a complete list came past a gap, its number not borne out yet
 
     # --- the connection -------------------------------------------------------------------------
 
     def connect(self) -> None:
-        self._planned, self._unread, self._line_ms = None, b"", monotonic_ms()
+        self._planned, self._unread = None, b""
+        self._line_ms = self._asked_ms = monotonic_ms()
         made = Connection.dial(self._loop, self._address, self, DIAL_MS)
         if isinstance(made, End):
             self._connect_later()
         else:
             self._connection = made
 
-    def _connect_later(self) -> None:
-        self._planned = self._loop.wheel.after(PAUSE_MS, self.connect)
+    def _connect_later(self, pause_ms: float = PAUSE_MS) -> None:
+        self._planned = self._loop.wheel.after(pause_ms, self.connect)
 
     def _drop(self, end: End) -> None:
         """End what there is, without the next dial that a broken connection brings."""
@@ -61,11 +77,16 @@
     def _ask_again(self, why: str) -> None:
         self._log(f"change log: {why}; asked again from {self.seq}")
         self._drop(End.BAD_BYTES)
-        self.connect()
+        if monotonic_ms() - self._asked_ms >= self._pause_ms:
+            self.connect()
+        else:  # a log that says nothing else brings no busy loop
+            self._connect_later(self._pause_ms)
+            self._pause_ms = min(PAUSE_MOST_MS, 2 * self._pause_ms)
 
     def move(self, address: Address) -> None:
         """Go on at another address, with the same numbers."""
-        self._address = address
+        self._address, self._pause_ms = address, PAUSE_MS
+        self._stumbled_at = self._missed_at = None
         self._drop(End.RETIRED)
         self.connect()
 
@@ -81,6 +102,7 @@
     # --- from the connection --------------------------------------------------------------------
 
     def on_up(self) -> None:
+        self._line_ms = monotonic_ms()
         self._connection.write(b"since %d\n" % self.seq)
 
     def on_flushed(self) -> None:
@@ -114,38 +136,57 @@
         if _is_number(read):
             self._last_is(read)
         elif not self.event(read):
-            self._stumble(line)
+            self._stumble(read, line)
 
     def _last_is(self, seq: int) -> None:
-        if seq > self.seq:
-            self._ask_again(f"it stands at {seq}")
-        else:
-            self._stumbled_at = None
-
-    def _stumble(self, line: bytes) -> None:
-        """A line of no use: ask once whether it comes better, then pass it over as the event that was due.
+        self._pause_ms = PAUSE_MS
+        if self._leapt_from is not None and seq < self.seq:
+            self.seq, self._passed, self._leapt_from = self._leapt_from, 0, None
+            self._ask_again(f"it stands at {seq}, before the complete list that it told")
+        elif seq > self._reached():
+            if self._missed_at != self.seq or monotonic_ms() - self._asked_ms > SILENCE_MS:
+                self._missed_at = self.seq
+                self._ask_again(f"it stands at {seq}")
+        else:  # what was passed over beyond its last number was no event
+            self._passed, self._stumbled_at, self._leapt_from = seq, None, None
+
+    def _reached(self) -> int:
+        return max(self.seq, self._passed)
+
+    def _stumble(self, event: Any, line: bytes) -> None:
+        """A line of no use: ask once whether it comes better, then pass over what was due.
         Guards the events behind it, which one bad line must not keep away for good."""
-        if self._stumbled_at != self.seq:
-            self._stumbled_at = self.seq
+        if self._stumbled_at != self._reached():
+            self._stumbled_at = self._reached()
             self._ask_again(f"not the next event: {line[:80]!r}")
             return
         self._stumbled_at = None
-        self.seq += 1
-        self._log(f"change log: event {self.seq} passed over")
+        seq = _number_of(event)
+        if seq is not None and seq > self._reached() and self._tell(event):
+            self._passed = seq  # but what may still come from before it is taken too
+        else:
+            self._passed = self._reached() + 1
+        self._log(f"change log: passed over up to {self._passed}")
 
     def event(self, event: Any, of_start: bool = False) -> bool:
-        """Take an event in; False where it is none, or not the next. Those of the start may leave gaps."""
-        seq = event.get("seq") if isinstance(event, dict) else None
-        if not _is_number(seq):
+        """Take an event in; False where it is none, or not the next. Those of the start may leave gaps, and
+        a complete list stands for all that came before it."""
+        seq = _number_of(event)
+        if seq is None:
             return False
         if seq <= self.seq:  # told before
             return True
-        if seq > self.seq + 1 and not of_start:
+        gap = seq > self._reached() + 1 and not of_start
+        if (gap and not _is_complete(event)) or not self._tell(event):
             return False
+        self._leapt_from = self.seq if gap else self._leapt_from
+        self.seq, self._stumbled_at, self._pause_ms = seq, None, PAUSE_MS
+        return True
+
+    def _tell(self, event: dict[str, Any]) -> bool:
         try:
             if "fleet" in event:
                 self._told(fleet_from(event["fleet"]))
         except ConfigError:
             return False
-        self.seq, self._stumbled_at = seq, None
         return True
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -3,10 +3,10 @@
 import socket
 from unittest import mock
 
-from peers import ROW, SETTINGS, Case, ScorerPeer, ready
+from peers import ROW, SETTINGS, Case, LogPeer, ScorerPeer, ready
 
 from fawnwharf import interface as io
-from fawnwharf.net import clients, connection
+from fawnwharf.net import changelog, clients, connection, front_end
 from fawnwharf.net.endings import End
 from fawnwharf.net.loop import READ, WRITE
 
@@ -176,3 +176,115 @@
                     self.assertTrue(ready(served.connection._sock))
                     rig.front.loop.turn(0)
                     self.assertFalse(rig.front.table.open)
+
+
+class Stuttering(LogPeer):
+    """A change log that says the same lines on every connection, as soon as it is asked."""
+
+    def __init__(self, *lines):
+        super().__init__()
+        self.lines, self.told = lines, set()
+
+    def pump(self):
+        super().pump()
+        for n, link in enumerate(self.links):
+            if link.data.endswith(b"\n") and n not in self.told and not link.ended:
+                self.told.add(n)
+                for line in self.lines:
+                    self.say(line, n)
+
+
+class Lists(Case):
+    def event(self, seq, *members, complete=False):
+        return {"seq": seq, "fleet": {"complete": complete, "members": list(members)}}
+
+    def state(self, rig, scorer):
+        known = rig.front.pool.scorers.get(front_end.worker_number(scorer.id))
+        return known and known.state
+
+    def test_a_complete_list_past_a_gap_is_taken_as_it_stands_for_all_before(self):
+        scorer, new = ScorerPeer("s-1"), ScorerPeer("s-2")
+        rig = self.rig(scorer)
+        rig.log.say(self.event(40, new.member(), complete=True))
+        rig.log.say(self.event(41, new.member("terminating")))
+        rig.until(lambda: self.state(rig, new) is io.State.DRAINING, "both are told")
+        rig.log.say(b"41")
+        rig.settle(rig.client())
+        self.assertEqual((len(rig.log.asked()), rig.front.changelog.seq), (1, 41))
+        self.assertIsNone(self.state(rig, scorer))
+
+    def test_a_complete_list_under_a_number_that_the_log_has_not_reached_hides_no_event(self):
+        scorer = ScorerPeer()
+        rig = self.rig(scorer)
+        rig.log.say(self.event(99_999_999, scorer.member(), complete=True))
+        rig.log.say(self.event(2, scorer.member("terminating")))
+        rig.log.say(b"2")
+        rig.until(lambda: len(rig.log.asked()) == 2, "it is asked again")
+        self.assertEqual(rig.log.asked()[1], ["since", "1"])
+        rig.log.say(self.event(2, scorer.member("terminating")))
+        rig.until(lambda: self.state(rig, scorer) is io.State.DRAINING, "the event is told")
+
+    def test_noise_told_twice_while_no_event_is_due_hides_not_the_next_one(self):
+        for number in (True, False):  # whether the log says in between where it stands
+            with self.subTest(number=number):
+                scorer = ScorerPeer()
+                rig = self.rig(scorer)
+                rig.log.say(b"noise")
+                rig.until(lambda rig=rig: len(rig.log.asked()) == 2, "it is asked again")
+                rig.log.say(b"noise")
+                if number:
+                    rig.log.say(b"1")
+                rig.log.say(self.event(2, scorer.member("terminating")))
+                done = lambda rig=rig, scorer=scorer: self.state(rig, scorer) is io.State.DRAINING  # noqa: E731
+                rig.until(done, "the event is told")
+
+    def test_a_gap_that_stays_is_passed_over_at_once_however_wide_it_is(self):
+        scorer = ScorerPeer()
+        rig = self.rig(scorer)
+        for asked in (2, 2):
+            rig.log.say(self.event(500, scorer.member("terminating")))
+            rig.until(lambda asked=asked: len(rig.log.asked()) >= asked, "it is asked again")
+        rig.until(lambda: self.state(rig, scorer) is io.State.DRAINING, "the event is told")
+        rig.log.say(self.event(501, scorer.member("in_service")))
+        rig.until(lambda: self.state(rig, scorer) is io.State.READY, "the one behind it too")
+        self.assertEqual((len(rig.log.asked()), rig.front.changelog.seq), (2, 501))
+
+    def test_a_log_that_says_nothing_of_use_is_not_asked_in_a_busy_loop(self):
+        for line in (b"9", b"noise", b'{"seq":9,"fleet":5}'):
+            with self.subTest(line):
+                rig, log = self.rig(ScorerPeer()), Stuttering(line, line, line)
+                self.addCleanup(log.close)
+                rig.scorers.append(log)
+                over = []
+                rig.front.changelog.move(address_of(log))
+                rig.front.loop.wheel.after(4 * changelog.PAUSE_MS, lambda over=over: over.append(1))
+                rig.until(lambda over=over: over, "some time passes")
+                self.assertTrue(2 <= len(log.links) <= 4, len(log.links))
+                log.lines = (b'{"seq":2,"fleet":{"members":[]}}', b"2")
+                rig.until(lambda rig=rig: rig.front.changelog.seq == 2, "an event gets through")
+
+    def test_a_log_whose_dial_took_long_has_its_whole_time_to_speak(self):
+        rig = self.rig(ScorerPeer())
+        log = rig.front.changelog
+        log._line_ms -= changelog.SILENCE_MS + 1  # the dial took that long
+        before = log._connection
+        log.on_up()
+        log.tidy()
+        self.assertIs(log._connection, before)
+
+    def test_a_move_while_a_dial_is_out_or_a_line_is_half_read_leaves_one_connection(self):
+        for half in (False, True):
+            with self.subTest(half=half):
+                rig, moved = self.rig(ScorerPeer(), start=half), LogPeer()
+                self.addCleanup(moved.close)
+                rig.scorers.append(moved)
+                if half:
+                    rig.log.links[0].sock.sendall(b'{"seq":2,"fl')
+                    log = rig.front.changelog
+                    rig.until(lambda log=log: log._unread, "half a line is read")
+                self.assertEqual(rig.front.changelog._connection.up, half)
+                rig.front.changelog.move(address_of(moved))
+                rig.until(lambda moved=moved: moved.asked(), "the new one is asked")
+                moved.say(self.event(2))
+                rig.until(lambda rig=rig: rig.front.changelog.seq == 2, "its event is told")
+                self.assertEqual((moved.asked(), len(moved.links)), ([["since", "1"]], 1))
