Take no second request under an id that is open: 200 of one raised the ration of loads

Ruled out: orders that wait for a dial and bunch (the module's own count, by decision time, shows the same excess).

Cause: Client._handle took every call whose fields could be read. PROTOCOL says that the id is new with every request, also with a retry, so a second one under an open id is out of range: it gets an exception now. Tests: test_crossings.SameIds; both fail without the mend.

--- a/fawnwharf/net/clients.py
+++ b/fawnwharf/net/clients.py
@@ -157,6 +157,8 @@
             if len(self.open) >= OPEN_MOST:
                 raise thrift.Malformed("too many open requests")
             fields = call_from(message, self.port.classes, self.port.tenants)
+            if self.port.table.is_open(fields["id"]):  # each request brings a new one, a retry too
+                raise thrift.Malformed("call: the id of an open request")
         except thrift.Malformed as error:
             error.seqid = seqid
             self._malformed(error)
--- a/fawnwharf/net/requests.py
+++ b/fawnwharf/net/requests.py
@@ -83,6 +83,7 @@
         self._classes, self._log = classes, log
         self._loop, self._pool, self._wire = loop, pool, wire
         self._bodies = 0
+        self._keys: dict[bytes, str] = {}  # by the id of an open request's call
         self._numbers = itertools.count(1)
         # Attempts that are out, also of requests that are over: the module may still call them off.
         self._out: dict[tuple[str, int], Attempt] = {}
@@ -99,6 +100,7 @@
             return None
         key = f"r{next(self._numbers)}"
         self._bodies += len(call.body)
+        self._keys[call.id] = key
         backstop = self._loop.wheel.after(call.budget_ms, lambda: self._overdue(key))
         self.open[key] = OpenRequest(key, call, self._loop.turn_ms + call.budget_ms, backstop)
         self._loop.tell(
@@ -109,6 +111,11 @@
         )  # fmt: skip
         return key
 
+    def is_open(self, id: bytes) -> bool:
+        """Whether a request of this id is open, and its client still there."""
+        key = self._keys.get(id)
+        return key is not None and self.open[key].call.waits()
+
     def withdraw(self, key: str) -> None:
         """The client waits no more: no answer is owed."""
         if self._close(key):
@@ -124,6 +131,7 @@
         if request:
             request.backstop.cancel()
             self._bodies -= len(request.call.body)
+            self._keys.pop(request.call.id, None)
             self._ended[key] = request
             self._take_back(key, request)
         return request
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -178,6 +178,41 @@
                     self.assertFalse(rig.front.table.open)
 
 
+class SameIds(Case):
+    def test_an_id_that_is_open_is_not_taken_a_second_time_whoever_sends_it(self):
+        scorer = ScorerPeer(copies=None)
+        rig = self.rig(scorer)
+        first, second = rig.client(), rig.client()
+        first.call(call="ab" * 8)
+        rig.until(lambda: rig.front.table.open, "the first one is taken")
+        for seqid in range(2, 32):
+            first.call(call="ab" * 8, seqid=seqid)
+        second.call(call="ab" * 8, body=b"another")
+        rig.until(lambda: len(first.answers) == 30 and second.answers, "all others are answered")
+        self.assertEqual(set(first.kinds().values()) | set(second.kinds().values()), {"exception"})
+        self.assertEqual((len(rig.front.table.open), len(rig.front.router.taken)), (1, 1))
+
+    def test_an_id_is_free_again_once_its_request_is_over_or_its_client_has_gone(self):
+        rig = self.rig(ScorerPeer(copies=None))
+        first, second, third = rig.client(), rig.client(), rig.client()
+        seqid = first.call(call="ab" * 8)
+        rig.until(lambda: rig.front.table.open, "the first one is taken")
+        first.withdraw(seqid)
+        rig.until(lambda: not rig.front.table.open, "it is withdrawn")
+        second.call(call="ab" * 8)
+        rig.until(lambda: rig.front.table.open, "the second one is taken")
+        [served] = [served for served in rig.front.port.clients if served.open]
+        second.sock.close()
+        second.ended = True
+        self.assertTrue(ready(served.connection._sock))
+        [other] = [other for other in rig.front.port.clients if not other.spoke]
+        third.call(call="ab" * 8)
+        self.assertTrue(ready(other.connection._sock))
+        other.connection._ready(READ)  # before the end of the second one is read
+        self.assertTrue(served.connection.closed)
+        self.assertEqual(list(other.open), [1])
+
+
 class Stuttering(LogPeer):
     """A change log that says the same lines on every connection, as soon as it is asked."""
 
