Count no call towards the ration of loads that its client took back

Calls that clients give up early are not counted either, which is on the safe side.

Test: test_calls_that_were_taken_back_allow_no_loads, fails without the mend.

--- a/fawnwharf/policy.py
+++ b/fawnwharf/policy.py
@@ -23,8 +23,7 @@
 ASK_FACTOR = 2.0  # past this multiple another place is asked: past the other one, chance alone takes many
 STALE_MS = 1_000.0  # a copy with no sign for this long may have given way
 RATE_MS = 5_000.0  # stretch over which arrivals are counted, and pause between questions for an empty place
-BOUND_FACTOR = 1.5  # a worker takes this multiple of its fair share of own requests (bounded loads)
-BOUND_FLOOR = 2.0  # and never fewer than these, else a quiet function would wander
+BOUND_FACTOR, BOUND_FLOOR = 1.5, 2.0  # own requests for a worker: so many times its fair share, and these
 SHARE_FACTOR, SHARE_LEAST = 1.3, 0.5  # and a multiple of its share of own sends over the window
 SURVEY_WIDTH = 4  # workers asked after an unknown function where few front ends share the fleet
 ASK_WAIT_MS = 12.0  # answers to questions come within a round trip; a load waits no longer for them
@@ -34,9 +33,7 @@
 BLOCK_MS = 1_000.0  # a worker that had no room for a function, or failed to load it, rests this long
 COLD_SAFETY = 0.6  # part of a cold worker's budget that is used: capacity and other front ends are guesses
 WINDOW_MARGIN_MS = 100.0  # a keyed repeat must arrive inside the window, not just leave inside it
-LOADS_START = 8.0  # own loads under way at once, at the start; moves between the next two
-LOADS_LEAST = 2.0
-LOADS_MOST = 24.0
+LOADS_START, LOADS_LEAST, LOADS_MOST = 8.0, 2.0, 24.0  # own loads under way at once: first, and between these
 LOAD_SLOW = 2.5  # a load this many times slower than told says that the store is crowded
 RUN_GAIN = 0.02  # weight of one run in the mean run of workers that are not crowded
 ROOM_SPREAD = 1.5  # room for chance in a worker's limit, in square roots of its mean requests
@@ -49,8 +46,7 @@
 LOST_RUNS = 8.0  # and is held lost after this many, while its worker answers others: few calls run so long
 LOSSES, LOSS_KEPT = 2.0, 0.7  # so many lost rest a class at a worker; each answer takes part of them back
 REST_MS, REST_MOST_MS = 2_000.0, 8_000.0  # then one call tries it, and after each try it rests for longer
-HEDGE_SHARE = 0.1  # second attempts a request; those that came first are given back
-HEDGES_MOST = 3.0  # tokens saved up at the most
+HEDGE_SHARE, HEDGES_MOST = 0.1, 3.0  # second attempts a request, and saved up; first comers are free
 STRAINED = 1.8  # runs this many times the usual: others load the worker; forgotten over the window
 YIELD = 0.35  # part of a worker's limit open to requests beyond a share or past their time
 LATE_RUNS = 2.0  # a request with less time left than this many runs will hardly be on time
@@ -293,6 +289,8 @@
 
     def _on_left(self, event: io.ClientLeft) -> None:
         if request := self.requests.get(event.request):
+            if request.arrived_ms in self.taken:  # what was taken back allows no load: it may be hundreds
+                self.taken.remove(request.arrived_ms)
             self._close(request)
 
     def _on_attempt(self, event: io.AttemptEnded) -> None:
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -291,6 +291,20 @@
 # --- around it -----------------------------------------------------------------------------
 
 
+def test_calls_that_were_taken_back_allow_no_loads():
+    d = Drive(workers=8, load_window_ms=5000.0, free_loads=2.0, load_part=0.3)
+    for n in range(200):
+        d.ask(f"gone{n}", fn="gone")
+    d.feed(*(io.ClientLeft(f"gone{n}") for n in range(200)))
+    d.now += 100.0
+    before = len(d.log)
+    for n in range(10):
+        d.ask(f"r{n}", fn=f"f{n}")
+        d.sweep(d.now + 60)
+    loads = [action for _, action in d.log[before:] if isinstance(action, io.Hold) and action.copies]
+    assert 0 < len(loads) <= 2 + 0.3 * 10
+
+
 def test_silent_worker_is_asked_then_left_and_its_requests_go_elsewhere():
     d = Drive()
     home = d.warm()
