Take a call's lanes and class from the call, not from its function's first caller

Found by reading. Function.kind and .lanes were set once by the first caller (Router._on_request) and used for all: a first caller's `lanes:4096` made every later call believe in as many free lanes, a new version with other lanes kept the old ones, and a class's lapses were booked under another one (_lose, _found, _rests by fn.kind).

Mend: a request carries its lanes and an attempt its class; what a function keeps is the newest call's, for estimates. Tests: two in test_policy, both fail without the mend.

--- a/fawnwharf/policy.py
+++ b/fawnwharf/policy.py
@@ -27,30 +27,25 @@
 SHARE_FACTOR, SHARE_LEAST = 1.3, 0.5  # and a multiple of its share of own sends over the window
 SURVEY_WIDTH = 4  # workers asked after an unknown function where few front ends share the fleet
 ASK_WAIT_MS = 12.0  # answers to questions come within a round trip; a load waits no longer for them
-SILENT_MS = 300.0  # nothing heard for this long with something owed: ask the worker for a sign
-SIGN_WAIT_MS = 80.0  # a sign takes a round trip; none by then makes the worker suspect
+SILENT_MS, SIGN_WAIT_MS = 300.0, 80.0  # a worker that owes and says nothing is asked for a sign, then suspect
 TRIAL_MS = 1_000.0  # pause between questions to a suspect worker
 BLOCK_MS = 1_000.0  # a worker that had no room for a function, or failed to load it, rests this long
 COLD_SAFETY = 0.6  # part of a cold worker's budget that is used: capacity and other front ends are guesses
 WINDOW_MARGIN_MS = 100.0  # a keyed repeat must arrive inside the window, not just leave inside it
 LOADS_START, LOADS_LEAST, LOADS_MOST = 8.0, 2.0, 24.0  # own loads under way at once: first, and between these
 LOAD_SLOW = 2.5  # a load this many times slower than told says that the store is crowded
-RUN_GAIN = 0.02  # weight of one run in the mean run of workers that are not crowded
+RUN_GAIN, ANSWER_GAIN = 0.02, 0.4  # weight of one uncrowded run in their mean; of one answer on others' load
 ROOM_SPREAD = 1.5  # room for chance in a worker's limit, in square roots of its mean requests
-SPREAD_LANES = 1.2  # part of a copy's lanes that a wide function's calls are to fill on one worker
-SPREAD_PART = 0.6  # and of what the worker can take in flight: several functions meet there
+SPREAD_LANES, SPREAD_PART = 1.2, 0.6  # of a copy's lanes a wide function is to fill, and of a worker's room
 FADE_MS = 30_000.0  # a function's width forgets over this: one call may be all a front end sees in seconds
 RUSH = 3  # so many arrivals close together tell of a function turned hot before that
-ANSWER_GAIN = 0.4  # weight of one answer in what answers tell of others' load: they are rare
-OVERDUE_RUNS = 3.0  # an attempt out for this many runs deserves a second
-LOST_RUNS = 8.0  # and is held lost after this many, while its worker answers others: few calls run so long
+OVERDUE_RUNS, LOST_RUNS = 3.0, 8.0  # out for so many runs, an attempt deserves a second, and is held lost
 LOSSES, LOSS_KEPT = 2.0, 0.7  # so many lost rest a class at a worker; each answer takes part of them back
 REST_MS, REST_MOST_MS = 2_000.0, 8_000.0  # then one call tries it, and after each try it rests for longer
 HEDGE_SHARE, HEDGES_MOST = 0.1, 3.0  # second attempts a request, and saved up; first comers are free
 STRAINED = 1.8  # runs this many times the usual: others load the worker; forgotten over the window
 YIELD = 0.35  # part of a worker's limit open to requests beyond a share or past their time
-LATE_RUNS = 2.0  # a request with less time left than this many runs will hardly be on time
-LATE_MOST = 0.5  # but not while it has more than this part of the promised time
+LATE_RUNS, LATE_MOST = 2.0, 0.5  # late: less time left than so many runs, and than this part of the promise
 HELD_PART = 0.5  # of a request's time: one that is late by then and was never sent is given up
 TENANT_BURST_S = 1.0  # seconds of its share that a tenant may use at once
 
@@ -140,6 +135,7 @@
     request: str
     worker: int
     function: "Function"
+    kind: str  # class of its request
     sent_ms: float
     alone: bool  # the worker was not crowded when it left
     among: int  # warm workers that it was drawn from
@@ -158,6 +154,7 @@
     over_share: bool
     held_ms: float
     draw: int  # where in a wide function's first workers it starts
+    lanes: int
     attempts: list[Attempt] = field(default_factory=list)
 
     def first_run(self) -> Attempt | None:  # the first that may have run
@@ -167,8 +164,8 @@
 @dataclass(slots=True, eq=False)
 class Function:
     name: str
-    kind: str  # class of its calls
-    lanes: int
+    kind: str  # class of its newest call
+    lanes: int  # as that one tells: a new version may have others
     load_told_ms: float | None
     mark: int
     queue: list[Request] = field(default_factory=list)
@@ -235,8 +232,7 @@
             if entry.worker not in self.workers:
                 self.workers[entry.worker] = Worker(entry.worker, entry, _mark(str(entry.worker)))
             worker = self.workers[entry.worker]
-            worker.entry = entry
-            worker.gone_ms = None
+            worker.entry, worker.gone_ms = entry, None
             if entry.up_since_ms is not None and entry.up_since_ms > (worker.started_ms or -math.inf):
                 worker.started_ms = entry.up_since_ms
         self.ready = [worker for worker in self.workers.values() if worker.entry.state == State.READY]
@@ -252,13 +248,14 @@
         if name not in self.functions:
             if len(self.functions) >= FUNCTIONS_MOST:
                 self._forget()
-            facts = max(1, event.lanes), event.load_ms, _mark(name)
-            self.functions[name] = Function(name, event.class_name, *facts)
+            self.functions[name] = Function(name, event.class_name, event.lanes, None, _mark(name))
         fn = self.functions[name]
+        fn.kind, fn.lanes = event.class_name, max(1, event.lanes)
+        fn.load_told_ms = event.load_ms or fn.load_told_ms
         spec = self.settings.classes.get(event.class_name) or io.ClassSpec(event.class_name)
         over = self._over_share(event.tenant)
         self.seed, draw, deadline = self.seed + 1, _mix(_mix(self.seed)), self.now + event.budget_ms
-        request = Request(event.request, fn, spec, self.now, deadline, over, self.now, draw)
+        request = Request(event.request, fn, spec, self.now, deadline, over, self.now, draw, fn.lanes)
         self._measure(fn)
         self.hedges = min(HEDGES_MOST, self.hedges + HEDGE_SHARE)
         self.requests[request.id] = request
@@ -317,7 +314,7 @@
         elif event.ending is Ending.MISS or event.warmth is Warmth.LOAD_FAILED:
             instance.copies = 0
         elif event.ending is Ending.ERROR and fn.runs.timed:  # else the call itself may be at fault
-            self._lose(worker, fn)
+            self._lose(worker, attempt.kind)
         elif event.ending is Ending.FULL:
             instance.blocked_ms = self.now + self._te(fn)
             self._strain(worker, 2 * STRAINED)
@@ -475,10 +472,10 @@
                 self._again(request)
                 self._dispatch(attempt.function)
 
-    def _usable(self, worker: Worker, fn: Function) -> bool:  # ready, and not suspect unless most are
+    def _usable(self, worker: Worker, kind: str) -> bool:  # ready, and not suspect unless most are
         trusted = worker.suspect_ms is None or self.suspects * 2 > len(self.ready)
         ready = worker.entry.state == State.READY and trusted
-        return ready and not (worker.lapses and self._rests(worker, fn))
+        return ready and not (worker.lapses and self._rests(worker, kind))
 
     def _urgency(self, request: Request) -> tuple[bool, bool, float, str]:
         return request.over_share, self._late(request), request.arrived_ms, request.id
@@ -511,20 +508,21 @@
         if held or (self.wide and self._asking(fn)):
             return None  # one question at a time; the drawn place is to answer first
         for worker in self._places(fn, request):
-            if self._free(fn, fn.instances[worker.id], worker) and self._may_send_here(request, worker, part):
+            if self._free(request, worker) and self._may_send_here(request, worker, part):
                 if worker.own < self._bound(worker):
                     return worker
                 spare.append(worker)
         return min(spare, key=lambda worker: worker.own, default=None)
 
-    def _free(self, fn: Function, instance: Instance, worker: Worker) -> bool:
+    def _free(self, request: Request, worker: Worker) -> bool:
         """A free warm lane; where calls come often, copies with no sign for a while are asked after first."""
-        if self.now < instance.blocked_ms or self._copies(instance, worker) * fn.lanes <= instance.own:
+        fn, lanes, instance = request.function, request.lanes, request.function.instances[worker.id]
+        if self.now < instance.blocked_ms or self._copies(instance, worker) * lanes <= instance.own:
             return False
-        most = max(-(-instance.own // fn.lanes), self.now - instance.seen_ms < STALE_MS) * fn.lanes
+        most = max(-(-instance.own // lanes), self.now - instance.seen_ms < STALE_MS) * lanes
         sure = most > instance.own or self.wide or self.now - instance.counted_ms < STALE_MS
         sure = sure or not self.settings.may_order
-        if not sure and not instance.asks and self._usable(worker, fn):
+        if not sure and not instance.asks and self._usable(worker, fn.kind):
             self._ask(fn, worker)
         return sure
 
@@ -532,7 +530,7 @@
         fn = request.function
         instance = self._instance(fn, worker)
         among = max(1, sum(w.id in fn.instances for w in fn.order[: fn.width]))
-        attempt = Attempt(request.id, worker.id, fn, self.now, worker.own < 2, among)
+        attempt = Attempt(request.id, worker.id, fn, request.spec.name, self.now, worker.own < 2, among)
         self.attempts[request.id, len(request.attempts)] = attempt
         self.flying.append(attempt)
         request.attempts.append(attempt)
@@ -545,7 +543,7 @@
         if worker.started_ms is not None:
             worker.sent.append(self.now)
         self._owe(worker)
-        if (lapse := worker.lapses.get(fn.kind)) and lapse.losses >= LOSSES:
+        if (lapse := worker.lapses.get(attempt.kind)) and lapse.losses >= LOSSES:
             lapse.rest_ms = min(REST_MOST_MS, 2 * lapse.rest_ms)  # this one tries it
             lapse.rests_ms = self.now + lapse.rest_ms
         if instance.unused_ms is not None and instance.own > instance.lanes_before:
@@ -555,37 +553,37 @@
     def _miss_answers(self) -> None:
         """Hold overdue answers lost, try their calls elsewhere, and rest a class where several were lost."""
         for attempt in list(self.attempts.values()):
-            fn, worker = attempt.function, self.workers[attempt.worker]
-            lapse = worker.lapses.get(fn.kind)
+            fn, worker, kind = attempt.function, self.workers[attempt.worker], attempt.kind
+            lapse = worker.lapses.get(kind)
             runs = OVERDUE_RUNS if lapse and lapse.losses >= LOSSES else LOST_RUNS
             due_ms = attempt.sent_ms + runs * max(self._te(fn), self.runs.median(self.now) or 0.0)
             if attempt.lost or worker.suspect_ms is not None or self.now < due_ms:
                 continue
-            attempt.lost, request, rests = True, self.requests.get(attempt.request), self._lose(worker, fn)
+            attempt.lost, request, rests = True, self.requests.get(attempt.request), self._lose(worker, kind)
             if rests and request and request not in fn.queue and self._may_send_again(request):
                 fn.queue.append(request)
                 self._fill(fn)
                 if request in fn.queue:  # no warm lane is free: not worth a wait or a load
                     fn.queue.remove(request)
 
-    def _lose(self, worker: Worker, fn: Function) -> bool:
-        lapse = worker.lapses.setdefault(fn.kind, Lapse())
+    def _lose(self, worker: Worker, kind: str) -> bool:
+        lapse = worker.lapses.setdefault(kind, Lapse())
         lapse.losses += 1
         if lapse.losses >= LOSSES:
             lapse.rests_ms = max(lapse.rests_ms, self.now + lapse.rest_ms)
         return lapse.losses >= LOSSES
 
     def _found(self, worker: Worker, attempt: Attempt) -> None:
-        if lapse := worker.lapses.get(attempt.function.kind):
+        if lapse := worker.lapses.get(attempt.kind):
             lapse.losses = lapse.losses - 1 if attempt.lost else lapse.losses * LOSS_KEPT  # it was but slow
             if lapse.losses < 1:
-                del worker.lapses[attempt.function.kind]
+                del worker.lapses[attempt.kind]
 
-    def _rests(self, worker: Worker, fn: Function) -> bool:  # unless most of the fleet would
-        lapse = worker.lapses.get(fn.kind)
+    def _rests(self, worker: Worker, kind: str) -> bool:  # unless most of the fleet would
+        lapse = worker.lapses.get(kind)
         if lapse is None or lapse.losses < LOSSES or self.now >= lapse.rests_ms:
             return False
-        resting = sum(fn.kind in w.lapses and w.lapses[fn.kind].rests_ms > self.now for w in self.ready)
+        resting = sum(kind in w.lapses and w.lapses[kind].rests_ms > self.now for w in self.ready)
         return resting * 2 <= len(self.ready)
 
     def _hasten(self, request: Request, attempt: Attempt) -> None:
@@ -605,7 +603,7 @@
             self._finish(request)
 
     def _may_send_here(self, request: Request, worker: Worker, part: float) -> bool:  # now?
-        usable = self._usable(worker, request.function)
+        usable = self._usable(worker, request.spec.name)
         if worker.own >= worker.limit * part or not usable or not self._warm_enough(worker):
             return False
         if any(attempt.worker == worker.id and attempt.may_have_run for attempt in request.attempts):
@@ -686,9 +684,8 @@
         self.limit = most if self.wide and sold > 0 else math.inf
 
     def _late(self, request: Request) -> bool:  # hardly to be answered in time any more
-        promise = request.spec.promise_ms
-        left = request.arrived_ms + promise - self.now
-        return left < min(LATE_RUNS * self._te(request.function), promise * LATE_MOST)
+        most, promise = LATE_RUNS * self._te(request.function), request.spec.promise_ms
+        return request.arrived_ms + promise - self.now < min(most, promise * LATE_MOST)
 
     def _units(self, worker: Worker) -> float:
         return max(worker.entry.units, 0.01) if self.settings.weights_fixed else 1.0
@@ -744,14 +741,16 @@
         fn.last_ms.append(self.now)
 
     def _is_warm(self, fn: Function, fit: bool = False) -> bool:  # on a worker far from its share?
-        warm = (w for w in self._known(fn) if self._copies(fn.instances[w.id], w) and self._usable(w, fn))
+        able = (w for w in self._known(fn) if self._usable(w, fn.kind))
+        warm = (w for w in able if self._copies(fn.instances[w.id], w))
         return any(not fit or self._fit(w, ASK_FACTOR) for w in warm)
 
     def _race(self, fn: Function) -> None:  # the loads that held requests need, one for the lanes of a copy
         if self._asking(fn):
             return
         warm = self._is_warm(fn)
-        pending = sum(fn.instances[w.id].order_ms is not None for w in self._known(fn) if self._usable(w, fn))
+        able = (fn.instances[w.id] for w in self._known(fn) if self._usable(w, fn.kind))
+        pending = sum(instance.order_ms is not None for instance in able)
         held = sum(not (warm and (r.over_share or (self.wide and self._late(r)))) for r in fn.queue)
         if warm and (len(self.flying) >= self.limit or not self._load_path(fn)):
             return
@@ -769,7 +768,7 @@
 
     def _spread(self, fn: Function, worker: Worker) -> None:  # ask at a drawn place, load if empty
         instance = self._instance(fn, worker)
-        if self._copies(instance, worker) or not self._usable(worker, fn) or not self.settings.may_order:
+        if self._copies(instance, worker) or not self._usable(worker, fn.kind) or not self.settings.may_order:
             return
         warm = self._is_warm(fn)
         idle = self.wide and not instance.asks and (not warm or self._load_path(fn))
@@ -806,7 +805,7 @@
     def _may_load(self, fn: Function, warm: bool, worker: Worker | None) -> bool:  # or anywhere?
         instance, window = fn.instances.get(worker.id) if worker else None, self.settings.load_window_ms
         busy = instance and (instance.order_ms is not None or self.now < instance.blocked_ms)
-        if busy or (worker and not self._usable(worker, fn)):
+        if busy or (worker and not self._usable(worker, fn.kind)):
             return False
         if worker and warm and (worker.own >= worker.limit or not self._warm_enough(worker)):
             return False
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -305,6 +305,24 @@
     assert 0 < len(loads) <= 2 + 0.3 * 10
 
 
+def test_each_call_is_counted_by_its_own_lanes_not_by_the_first_callers():
+    d = Drive()
+    home = d.warm(lanes=4)
+    [one] = of(d.ask("one", lanes=1), io.Send)
+    assert one.worker == home
+    assert not of(d.ask("two", lanes=1), io.Send)  # a copy that runs one at a time is taken
+    assert [send.worker for send in of(d.ask("three", lanes=4), io.Send)] == [home]  # one of four is not
+
+
+def test_a_class_rests_at_a_worker_by_its_own_answers_not_by_those_of_the_functions_first_class():
+    d = Drive(workers=1)
+    home = d.warm(lanes=4, spec="unsafe")
+    sends = of(d.ask("r1", spec="safe", lanes=4) + d.ask("r2", spec="safe", lanes=4), io.Send)
+    for send in sends:
+        d.end(send, Ending.ERROR, closed=True)
+    assert len(sends) == 2 and list(d.router.workers[home].lapses) == ["safe"]
+
+
 def test_silent_worker_is_asked_then_left_and_its_requests_go_elsewhere():
     d = Drive()
     home = d.warm()
@@ -357,7 +375,7 @@
         d.end(send, Ending.CANCELLED, closed=True)
     d.now += 2000
     assert [(send.request, send.worker) for send in of(d.count(home, 1), io.Send)] == [("r3", home)]
-    assert not router._usable(worker, fn)
+    assert not router._usable(worker, fn.kind)
     assert not of(d.ask("r4", lanes=2), io.Send)
 
 
@@ -371,7 +389,7 @@
         sends = of(d.ask("r1", spec="unsafe", lanes=4) + d.ask("r2", spec="unsafe", lanes=4), io.Send)
         for send in sends:
             d.end(send, Ending.ERROR, closed=False)
-        assert len(sends) == 2 and d.router._usable(worker, fn) is not served
+        assert len(sends) == 2 and d.router._usable(worker, fn.kind) is not served
 
 
 def test_answers_that_come_after_all_take_their_losses_back():
