Let no send renew the belief in a copy, and an answer that began a load take it away

Found by reading, against the term that what is believed about a copy must not outlive it. Router._send set instance.seen_ms, so a call sent after a restart and before its telling made the old process's copy look seen since (_copies compares seen_ms with started_ms). And an answer that began a load, or waited for one, with fewer calls there than a copy has lanes proves that none stood, but _on_attempt kept a belief in several (max(1, copies)).

Mend: only answers are signs; such an answer leaves a belief in the one copy that it loaded, unless a count came later. Tests: two in test_policy, both fail without the mend.

--- a/fawnwharf/policy.py
+++ b/fawnwharf/policy.py
@@ -47,6 +47,7 @@
 YIELD = 0.35  # part of a worker's limit open to requests beyond a share or past their time
 LATE_RUNS, LATE_MOST = 2.0, 0.5  # late: less time left than so many runs, and than this part of the promise
 HELD_PART = 0.5  # of a request's time: one that is late by then and was never sent is given up
+LOADED = (Warmth.BEGAN_LOAD, Warmth.WAITED_FOR_LOAD)  # answers of calls that found no free lane
 TENANT_BURST_S = 1.0  # seconds of its share that a tenant may use at once
 
 
@@ -304,7 +305,9 @@
         if event.ending in (Ending.GOOD, Ending.ERROR, Ending.FULL, Ending.MISS):
             self._heard(worker)
         if event.ending is Ending.GOOD:
-            instance.copies, instance.seen_ms = max(1, instance.copies), self.now
+            none = event.crowd is not None and event.crowd < fn.lanes and event.warmth in LOADED  # stood
+            none = none and instance.counted_ms < attempt.sent_ms
+            instance.copies, instance.seen_ms = 1 if none else max(1, instance.copies), self.now
             if event.warmth in (Warmth.UNTOLD, Warmth.FOUND):
                 fn.runs.timed.append((self.now, event.took_ms))
                 self.runs.timed.append((self.now, event.took_ms))
@@ -537,7 +540,7 @@
         fn.queue.remove(request)
         if self.now > request.held_ms:
             fn.waits.timed.append((self.now, self.now - request.held_ms))
-        instance.own, worker.own, instance.seen_ms = instance.own + 1, worker.own + 1, self.now
+        instance.own, worker.own = instance.own + 1, worker.own + 1
         self.sends.add(self.now)
         worker.sends.add(self.now)
         if worker.started_ms is not None:
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -277,6 +277,33 @@
 # --- rule 5: loads are rationed ------------------------------------------------------------
 
 
+def test_a_call_sent_to_a_restarted_worker_before_it_was_told_renews_no_belief():
+    d = Drive()
+    home = d.warm()
+    d.now += 100.0
+    started = d.now
+    d.now += 100.0
+    [send] = of(d.ask("r"), io.Send)  # the roster is late: it still counts on the copy of the process before
+    d.end(send, Ending.RESET, closed=False)
+    d.feed(io.RosterChanged([io.WorkerEntry(home, up_since_ms=started)], complete=False))
+    worker, fn = d.router.workers[home], d.router.functions["f"]
+    assert d.router._copies(fn.instances[home], worker) == 0
+
+
+def test_a_call_that_found_no_copy_takes_the_belief_in_several_away():
+    for crowd, counted, left in ((0, False, 1), (1, False, 1), (2, False, 3), (None, False, 3), (0, True, 3)):
+        d = Drive()
+        home = d.warm(lanes=2)
+        d.count(home, 3)
+        d.now += 1.0
+        [send] = of(d.ask("r", lanes=2), io.Send)
+        if counted:  # after it was sent: newer than what its answer tells
+            d.now += 1.0
+            d.count(home, 3)
+        d.end(send, warmth=io.Warmth.BEGAN_LOAD, crowd=crowd)
+        assert d.router.functions["f"].instances[home].copies == left
+
+
 def test_ration_of_loads_at_its_edge():
     d = Drive(load_window_ms=5000.0, free_loads=2.0, load_part=0.2)
     for n in range(9):
