Let no burst and no lost workers raise the budget of a cold worker

Found by reading, against the term that the ramp holds for the fleet's sum. Router._warm_enough took the own arrivals of 5 s over the workers that are ready as what a worker can do: in a burst, or while half of the workers are gone, every front end at once took a cold worker for a larger one. In a test of 100 front ends the fleet's sum passed N + 2 sqrt N + 2 in both cases. And worker.sent grew for good once a late starter was warm (_send kept what only _warm_enough clears, while cold).

Mend: the rate is no higher than the usual one (the own mean since the start, or the part of what is sold), and a worker's part is its part of the largest fleet seen. Sends are kept while a worker is cold only. Tests: two in test_fleet, both fail without the mend.

--- a/fawnwharf/policy.py
+++ b/fawnwharf/policy.py
@@ -16,8 +16,7 @@
 WINDOW_MS = 10_000.0  # samples of Te, Tp and Td older than this are forgotten (the design's window)
 SWEEP_MS = 40.0  # pace of the timer for deadlines, waits and silent workers; well under a run
 LEAD_MS = 20.0  # a final answer goes out this long before the client leaves: room for a starved process
-FUNCTIONS_MOST = 2_000  # kept in mind; far more than are called within a keep-alive
-FORGET_MS = 60_000.0  # a function not called, or a worker gone, for this long is forgotten
+FUNCTIONS_MOST, FORGET_MS = 2_000, 60_000.0  # kept in mind, and without a call; a worker gone too
 SAMPLES_MOST = 64  # samples kept for one median: more would not move it, and cost 100 bytes each
 REFRESH_MS = 1_000.0  # pace of what depends on the whole fleet; no rate is taken over less
 ASK_FACTOR = 2.0  # past this multiple another place is asked: past the other one, chance alone takes many
@@ -205,7 +204,8 @@
         self.tokens: dict[str, tuple[float, float]] = {}
         self.total, self.fleet = 1.0, 0.01  # size of the ready fleet, cold workers in part; the largest seen
         self.wide = False  # this front end's part of what a worker can take is below one request
-        self.limit = math.inf  # own attempts in flight, in all
+        self.limit, self.came = math.inf, 0  # own attempts in flight, in all; requests that came
+        self.peers, self.sold = max(1, settings.fleet_size), sum(settings.quotas_rps.values()) / 1000
         self.worker_most = 0.0  # what a worker can take of all front ends, in flight
         self.promise_ms = min((spec.promise_ms for spec in settings.classes.values()), default=1000.0)
         self.runs, self.run_ms, self.sweeping = Samples(), self.promise_ms / 5, False
@@ -245,7 +245,7 @@
 
     def _on_request(self, event: io.RequestArrived) -> None:
         self.taken.append(self.now)
-        name = event.function
+        self.came, name = self.came + 1, event.function
         if name not in self.functions:
             if len(self.functions) >= FUNCTIONS_MOST:
                 self._forget()
@@ -543,7 +543,7 @@
         instance.own, worker.own = instance.own + 1, worker.own + 1
         self.sends.add(self.now)
         worker.sends.add(self.now)
-        if worker.started_ms is not None:
+        if self._warmth(worker) < 1.0:
             worker.sent.append(self.now)
         self._owe(worker)
         if (lapse := worker.lapses.get(attempt.kind)) and lapse.losses >= LOSSES:
@@ -633,12 +633,13 @@
         dropped = request.spec.effect is Effect.KEYED and request.spec.group is io.Group.ALL
         return not request.first_run() or request.spec.effect is Effect.SAFE or dropped
 
-    def _warm_enough(self, worker: Worker) -> bool:  # a just-started worker has a budget
+    def _warm_enough(self, worker: Worker) -> bool:  # a budget that no burst or lost workers raise
         if (share := self._warmth(worker)) >= 1.0:
             return True
         while worker.sent and worker.sent[0] <= self.now - self.settings.fall_ms:
             worker.sent.popleft()
-        rate = self._rate() / max(1, len(self.ready))
+        usual = max(self.sold / self.peers, self.came / max(RATE_MS, self.now - self.began_ms))
+        rate = min(self._rate(), usual) * self._units(worker) / self.fleet
         budget = COLD_SAFETY * self.settings.fall_multiple * share * self.settings.fall_ms * rate
         # Guards against a least send for each front end: a part below one falls to as many of them by chance.
         chance = _mix(_mix(self.chance ^ worker.mark)) / 2**64
@@ -674,17 +675,16 @@
             self._forget()
         self.total, most = sum(self._size(worker) for worker in self.ready) or 1.0, 0.0
         self.fleet = max(self.fleet, sum(self._units(worker) for worker in self.ready))
-        peers, sold = max(1, self.settings.fleet_size), sum(self.settings.quotas_rps.values()) / 1000
         for worker in self.ready:
-            mean = sold * self.run_ms * self._size(worker) / self.fleet  # of all front ends
+            mean = self.sold * self.run_ms * self._size(worker) / self.fleet  # of all front ends
             most += mean + ROOM_SPREAD * math.sqrt(mean)
-            own = mean / peers + ROOM_SPREAD * math.sqrt(mean / peers)
-            worker.limit = max(2.0 if self.wide else 1.0, own) if sold > 0 else math.inf
-        self.worker_most = most / max(1, len(self.ready)) if sold > 0 else 2 * BOUND_FLOOR
-        self.wide = self.worker_most < peers
+            own = mean / self.peers + ROOM_SPREAD * math.sqrt(mean / self.peers)
+            worker.limit = max(2.0 if self.wide else 1.0, own) if self.sold > 0 else math.inf
+        self.worker_most = most / max(1, len(self.ready)) if self.sold > 0 else 2 * BOUND_FLOOR
+        self.wide = self.worker_most < self.peers
         alive = sum(self._size(worker) for worker in self.ready if worker.suspect_ms is None) / self.fleet
-        most = alive * sold * self.promise_ms * LATE_MOST / peers  # beyond that all would come late
-        self.limit = most if self.wide and sold > 0 else math.inf
+        most = alive * self.sold * self.promise_ms * LATE_MOST / self.peers  # beyond that all would come late
+        self.limit = most if self.wide and self.sold > 0 else math.inf
 
     def _late(self, request: Request) -> bool:  # hardly to be answered in time any more
         most, promise = LATE_RUNS * self._te(request.function), request.spec.promise_ms
@@ -737,7 +737,7 @@
         rate = fn.arrived / min(FADE_MS, self.now - self.began_ms + REFRESH_MS)
         if len(fn.last_ms) == RUSH:
             rate = max(rate, RUSH / max(self.now - fn.last_ms[0], REFRESH_MS))
-        demand = max(rate * self.settings.fleet_size * self._te(fn), fn.crowd)
+        demand = max(rate * self.peers * self._te(fn), fn.crowd)
         share = min(SPREAD_LANES * fn.lanes, SPREAD_PART * self.worker_most)
         fn.width = min(max(1, math.ceil(demand / share)), max(1, len(self.ready)))
         fn.arrived += 1
@@ -823,7 +823,7 @@
         quota = self.settings.quotas_rps.get(tenant)
         if quota is None:
             return False
-        rate = quota / max(1, self.settings.fleet_size)  # with room for chance, as few calls come unevenly
+        rate = quota / self.peers  # with room for chance, as few calls come unevenly
         most = rate * TENANT_BURST_S + self.wide * 2 * math.sqrt(rate * WINDOW_MS / 1000)
         tokens, since = self.tokens.get(tenant, (most, self.now))
         tokens = min(most, tokens + rate * (self.now - since) / 1000)
@@ -832,8 +832,8 @@
         return over
 
     def _finish(self, request: Request) -> None:  # the one final answer that this front end gives itself
-        unsent = not request.attempts  # there was no room for it, and soon there will hardly be any
-        advice = self.settings.max_retry_after_ms if request.over_share or unsent else 0.0
+        no_room = request.over_share or not request.attempts  # and soon there will hardly be any
+        advice = self.settings.max_retry_after_ms * no_room
         final = io.Refuse(request.id, advice) if self._may_refuse(request) else io.Fail(request.id)
         self._close(request)
         self.actions.append(final)
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -170,6 +170,36 @@
     assert 0 < most <= 2.0 * 0.28 * rate
 
 
+def test_neither_a_burst_nor_a_fleet_half_gone_raises_a_cold_workers_budget():
+    rules = {"cold_ms": 10_000.0, "cold_share": 0.2, "fall_ms": 3000.0, "fall_multiple": 4.0}
+    for burst, left in ((6, 20), (2, 5)):  # calls a second at each, of 1 sold; workers left, cold
+        drives, sent = fleet(100, **rules), []
+        for drive in drives:
+            for n in range(10):
+                drive.now += 2000.0
+                for send in standing(drive, drive.ask(f"a{n}", f"f{n}", tenant="t")):
+                    drive.end(send)
+            cold = [io.WorkerEntry(n, up_since_ms=drive.now) for n in range(1, left + 1)]
+            drive.feed(io.RosterChanged(cold, complete=True))
+            for n in range(3 * burst):
+                drive.now += 1000.0 / burst
+                for send in standing(drive, drive.ask(f"r{n}", f"f{n % 10}", tenant="t")):
+                    sent.append(send.worker)
+                    drive.end(send)
+        allowed = 4.0 * (0.2 + 0.8 * 0.3) * 3.0 * 100 / 20  # by the end, at the rate sold
+        assert 0 < Counter(sent).most_common(1)[0][1] <= allowed + 2 * allowed**0.5 + 2
+
+
+def test_what_was_sent_to_a_worker_is_not_kept_once_it_is_warm():
+    [drive, *_] = fleet(40, cold_ms=1000.0)
+    drive.feed(io.RosterChanged([io.WorkerEntry(n, up_since_ms=1.0) for n in range(1, 21)], complete=False))
+    for n in range(50):
+        drive.now += 2000.0
+        for send in standing(drive, drive.ask(f"r{n}", tenant="t")):
+            drive.end(send)
+    assert not any(worker.sent for worker in drive.router.ready)
+
+
 def test_a_worker_that_is_full_is_passed_over_for_a_while():
     drive = fleet(100)[0]
     [send] = standing(drive, drive.ask("first", tenant="t"))
