Take every request that came before the end, also unread, half read or not accepted yet

FrontEnd._look_to_leave ended the loop 0.8 s after SIGTERM where no request was open: it did not see a request that lay unread on an open connection, a connection with its request in the accept queue, or a request half read. The close then reset or discarded them, and to the client all were taken. A process that is held up, as many on one core are, meets this at the very look that ends it.

Ruled out: a list event or SIGHUP while leaving; both are taken as before (a test forces them). Mend: the look accepts what is queued and asks each connection whether something is unread or half read. Tests: test_crossings.Leaving; three fail without the mend, two force what was right already.

--- a/fawnwharf/net/clients.py
+++ b/fawnwharf/net/clients.py
@@ -142,6 +142,10 @@
         self.connection.close(End.IDLE if self.spoke else End.SILENT)
         return True
 
+    def arriving(self) -> bool:
+        """Whether something it sent is unread or half read."""
+        return not self.connection.finishing and (self._reader.waits or bool(self.connection.unread()))
+
     def overdue(self, now_ms: float) -> bool:
         """Guards descriptors against peers that say nothing, or half a message."""
         if self.open or (self.spoke and not self._reader.waits):
@@ -283,6 +287,12 @@
     def unwritten(self) -> bool:
         return any(client.connection.waiting_bytes for client in self.clients)
 
+    def arriving(self) -> bool:
+        """Whether anything of a client lies unread, also on connections that were yet to be accepted."""
+        if not self._paused:
+            self._accept(READ)
+        return any(client.arriving() for client in self.clients)
+
     def ended(self, client: Client) -> None:
         self.clients.pop(client, None)
 
--- a/fawnwharf/net/front_end.py
+++ b/fawnwharf/net/front_end.py
@@ -113,12 +113,16 @@
 
     def _look_to_leave(self) -> None:
         since = monotonic_ms() - self._leaving_ms
-        busy = bool(self.table.open) or self.port.unwritten()
-        if since > LINGER_MS or (since > LATE_ARRIVALS_MS and not busy):
+        if since > LINGER_MS or (since > LATE_ARRIVALS_MS and not self._busy()):
             self.loop.running = False
         else:
             self.loop.wheel.after(LEAVE_LOOK_MS, self._look_to_leave)
 
+    def _busy(self) -> bool:
+        """Whether a request is open, unanswered on the wire, or has come and was not taken yet: to a client
+        all of these were taken once its connection was."""
+        return bool(self.table.open) or self.port.unwritten() or self.port.arriving()
+
     def close(self) -> None:
         self.port.close()
         self.changelog.close()
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -116,6 +116,7 @@
     def __init__(self, address):
         super().__init__(socket.create_connection(address))
         self.answers, self.seqid, self.last_frame = [], 0, b""
+        self.withheld = b""
 
     def pump(self):
         super().pump()
@@ -123,14 +124,21 @@
             self.answers.append(reply_from(bytes(self.data[4 : 4 + size])))
             del self.data[: 4 + size]
 
-    def call(self, op="view", body=b"", seqid=None, **fields):
+    def call(self, op="view", body=b"", seqid=None, withhold=0, **fields):
         self.seqid = seqid or self.seqid + 1
         base = {"op": op, "call": f"{self.seqid:016x}", "ttl": "8000", "org": "acme", "row": ROW}
         base |= {"dedupe": "5c0f"} if op == "save" else {}
         self.last_frame = handle_frame(self.seqid, base | fields, body)
-        self.sock.sendall(self.last_frame)
+        self.withheld = self.last_frame[len(self.last_frame) - withhold :]
+        self.sock.sendall(self.last_frame[: len(self.last_frame) - withhold])
         return self.seqid
 
+    def send_rest(self, most=None):
+        """What was withheld of the last call, or a piece of it."""
+        most = len(self.withheld) if most is None else most
+        self.sock.sendall(self.withheld[:most])
+        self.withheld = self.withheld[most:]
+
     def withdraw(self, seqid):
         payload = struct.pack(">bhib", thrift.I32, 1, seqid, 0)
         self.sock.sendall(thrift._frame(thrift.ONEWAY, b"withdraw", 99, payload))
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -6,7 +6,7 @@
 from peers import ROW, SETTINGS, Case, LogPeer, ScorerPeer, ready
 
 from fawnwharf import interface as io
-from fawnwharf.net import changelog, clients, connection, front_end
+from fawnwharf.net import changelog, clients, connection, front_end, wheel
 from fawnwharf.net.endings import End
 from fawnwharf.net.loop import READ, WRITE
 
@@ -323,3 +323,86 @@
                 moved.say(self.event(2))
                 rig.until(lambda rig=rig: rig.front.changelog.seq == 2, "its event is told")
                 self.assertEqual((moved.asked(), len(moved.links)), ([["since", "1"]], 1))
+
+
+class Leaving(Case):
+    """SIGTERM: what has come by the end of the late arrivals is taken, however late the process looks."""
+
+    def leave(self, *peers):
+        """A front end that leaves, and whose time for late arrivals has passed."""
+        rig = self.rig(*(peers or [ScorerPeer()]))
+        client = rig.client()
+        rig.settle(client)
+        return rig, client
+
+    def look(self, rig):
+        """The look that would end it."""
+        rig.front.leave()
+        rig.front._leaving_ms -= front_end.LATE_ARRIVALS_MS + 1
+        rig.front._look_to_leave()
+
+    def expect_answered(self, rig, scorer, client):
+        self.assertTrue(rig.front.loop.running)
+        rig.until(lambda: scorer.runs, "it runs")
+        scorer.answer(scorer.runs[0], body=b"late")
+        rig.until(lambda: client.answers and not rig.front.loop.running, "it is answered, and all ends")
+        self.assertEqual(client.answers[-1][1:], ("answer", {1: b"late", 2: {}, 3: True}))
+
+    def test_a_request_that_lies_unread_is_taken(self):
+        scorer = ScorerPeer()
+        rig, client = self.leave(scorer)
+        [served] = rig.front.port.clients
+        client.call()
+        self.assertTrue(ready(served.connection._sock))
+        self.look(rig)
+        self.expect_answered(rig, scorer, client)
+
+    def test_a_request_on_a_connection_that_is_not_accepted_yet_is_taken(self):
+        scorer = ScorerPeer()
+        rig, _ = self.leave(scorer)
+        client = rig.client()
+        client.call()
+        self.assertTrue(ready(rig.front.port._listener))
+        self.look(rig)
+        self.expect_answered(rig, scorer, client)
+
+    def test_a_request_that_is_half_read_is_taken(self):
+        scorer = ScorerPeer()
+        rig, client = self.leave(scorer)
+        [served] = rig.front.port.clients
+        client.call(withhold=9)
+        rig.until(lambda: served._reader.waits, "half of it is read")
+        self.look(rig)
+        client.send_rest()
+        self.expect_answered(rig, scorer, client)
+
+    def test_one_that_has_nothing_on_its_way_keeps_nothing_from_ending(self):
+        rig, _ = self.leave()
+        rig.client()
+        self.look(rig)
+        self.assertFalse(rig.front.loop.running)
+
+    def test_a_drain_told_while_leaving_is_kept_and_a_reload_moves_the_list(self):
+        scorer, other, moved = ScorerPeer("s-1", copies=None), ScorerPeer("s-2", copies=None), LogPeer()
+        self.addCleanup(moved.close)
+        rig, client = self.leave(scorer, other)
+        config = rig.front.deployment
+        rig.front._reread = lambda: type(config)(
+            **{name: getattr(config, name) for name in config.__struct_fields__ if name != "changelog"},
+            changelog=address_of(moved),
+        )
+        rig.scorers.append(moved)
+        client.call()
+        rig.until(lambda: rig.front.table.open, "it is taken")
+        self.look(rig)
+        rig.front.reload()
+        rig.until(lambda: moved.asked(), "the new log is asked")
+        moved.say({"seq": 2, "fleet": {"members": [peer.member("terminating") for peer in (scorer, other)]}})
+        rig.until(lambda: rig.front.changelog.seq == 2, "the drain is told")
+        [key] = rig.front.table.open
+        rig.front.table.send(io.Send(key, front_end.worker_number("s-1")))
+        rig.settle(client)
+        self.assertEqual(scorer.runs + other.runs, [])
+        self.assertTrue(rig.front.loop.running)
+        client.withdraw(1)
+        rig.until(lambda: not rig.front.loop.running, "it ends")
