Close no idle connection on a request that lies unread

Found by reading. ClientPort.tidy closed a client that was idle for 30 s without a look at its socket, and Connection._part read and discarded what lay there: a request that came in the same turn, before the close, got none of its answers. The other closes of idle clients look first (close_unheard); this one does now. Test: test_crossings.IdleCloses, fails without the mend.

--- a/fawnwharf/net/clients.py
+++ b/fawnwharf/net/clients.py
@@ -301,7 +301,7 @@
         for client in list(self.clients):
             idle = not client.open and now - client.connection.used_ms > IDLE_MS
             if idle:
-                client.connection.close(End.IDLE)
+                client.close_unheard()  # but not on a request that has come and is yet to be read
             elif client.overdue(now):
                 client.end_overdue()
 
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -6,7 +6,7 @@
 from peers import ROW, SETTINGS, Case, LogPeer, ScorerPeer, ready
 
 from fawnwharf import interface as io
-from fawnwharf.net import changelog, clients, connection, front_end, wheel
+from fawnwharf.net import changelog, clients, connection, front_end
 from fawnwharf.net.endings import End
 from fawnwharf.net.loop import READ, WRITE
 
@@ -406,3 +406,17 @@
         self.assertTrue(rig.front.loop.running)
         client.withdraw(1)
         rig.until(lambda: not rig.front.loop.running, "it ends")
+
+
+class IdleCloses(Case):
+    def test_a_request_that_crosses_the_close_of_an_idle_connection_is_taken(self):
+        rig = self.rig(ScorerPeer(copies=None))
+        client = rig.client()
+        rig.settle(client)
+        [served] = rig.front.port.clients
+        client.call()
+        self.assertTrue(ready(served.connection._sock))
+        with mock.patch.object(clients, "IDLE_MS", -1.0):
+            rig.front.port.tidy()  # before it is read
+            rig.until(lambda: rig.front.table.open, "it is taken")
+        self.assertFalse(served.connection.closed)
