Take a request in pieces as long as it keeps coming, and let the silent give way first

Client.overdue closed whatever was not whole 2.3 s after it began, also while pieces kept coming, and ClientPort._make_room closed half a request like silence.

Mend: what is half read is given 0.7 s after its last piece, 2.3 s once three pieces have come, 30 s in all; half a request that stops still ends within 3 s. Under pressure, those that said nothing give way before half a request.

--- a/fawnwharf/net/clients.py
+++ b/fawnwharf/net/clients.py
@@ -23,6 +23,9 @@
 IDLE_MS = 30_000.0  # clients close after 4 s; one that asked and is still here holds its connection for good
 # A peer is owed an answer or a close within 3 s of connecting; what a client sends comes within a round trip.
 SPEAK_MS = 2_300.0  # for a first message, and for the rest of one that has begun
+PIECE_MS = 700.0  # and as long as it keeps coming: so long after its last piece, with SPEAK_MS 3 s
+PIECES_SURE = 3  # of so many, the next may take SPEAK_MS: one that stops short sends less
+PIECES_MOST_MS = 30_000.0  # but no longer than this in all
 SKIP_MS = 6_000.0  # for the rest of an oversized one, which was refused when its head came
 YOUNG_MS = 250.0  # a connection that said nothing yet may be about to: others give way first
 TTL_ROOM = 1.1  # a client waits for its class's time at the most; room for rounding
@@ -90,6 +93,7 @@
         self.connection = Connection.accepted(port.loop, sock, self)
         self._reader = thrift.FrameReader()
         self.spoke = False  # a whole message has come
+        self._pieces = 0  # that have come of the one that is not whole yet
         self._since_ms = monotonic_ms()  # it connected, or the message that is not whole yet began
 
     def on_up(self) -> None:
@@ -101,6 +105,7 @@
         if items or not before:
             self._since_ms = monotonic_ms() if items or self.spoke else self._since_ms
         self.spoke = self.spoke or bool(items)
+        self._pieces = 1 if items else self._pieces + 1
         for item in items:
             if self.connection.closed or self.connection.finishing:
                 return
@@ -129,6 +134,9 @@
             self._reply(seqid, Failed())
         self.connection.finish(end)
 
+    def silent_since(self, at_ms: float) -> bool:
+        return not self.spoke and not self._reader.waits and self.connection.used_ms < at_ms
+
     def end_overdue(self) -> None:
         if self.spoke or self._reader.waits:
             self._finish(End.SILENT)
@@ -150,8 +158,16 @@
         """Guards descriptors against peers that say nothing, or half a message."""
         if self.open or (self.spoke and not self._reader.waits):
             return False
-        most = SKIP_MS if self._reader.skips else SPEAK_MS
-        return now_ms - self._since_ms > most
+        if self._reader.skips:
+            return now_ms - self._since_ms > SKIP_MS
+        pause_ms = PIECE_MS if self._pieces < PIECES_SURE else SPEAK_MS
+        comes = self._reader.waits and now_ms - self.connection.heard_ms <= pause_ms
+        return now_ms - self._since_ms > (PIECES_MOST_MS if comes else SPEAK_MS)
+
+    def giving_way(self) -> tuple[bool, bool, float]:
+        """The least of all clients with nothing open gives way first: finished with, then nothing half read,
+        then idle for longest."""
+        return not self.connection.finishing, self._reader.waits, self.connection.used_ms
 
     def _handle(self, message: thrift.Handle) -> None:
         seqid = message.seqid
@@ -261,10 +277,10 @@
         else the one that has been idle for longest. What has something unread is about to ask."""
         idle = [client for client in self.clients if not client.open and not client.connection.waiting_bytes]
         since = monotonic_ms() - YOUNG_MS
-        silent = [client for client in idle if not client.spoke and client.connection.used_ms < since]
+        silent = [client for client in idle if client.silent_since(since)]
         closed = [client for client in silent if client.close_unheard()]
         while idle and not closed:
-            last = min(idle, key=lambda client: (not client.connection.finishing, client.connection.used_ms))
+            last = min(idle, key=Client.giving_way)
             idle.remove(last)
             closed = [last] if last.close_unheard() else []
         return bool(closed)
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -6,7 +6,7 @@
 from peers import ROW, SETTINGS, Case, LogPeer, ScorerPeer, ready
 
 from fawnwharf import interface as io
-from fawnwharf.net import changelog, clients, connection, front_end
+from fawnwharf.net import changelog, clients, connection, front_end, wheel
 from fawnwharf.net.endings import End
 from fawnwharf.net.loop import READ, WRITE
 
@@ -420,3 +420,60 @@
             rig.front.port.tidy()  # before it is read
             rig.until(lambda: rig.front.table.open, "it is taken")
         self.assertFalse(served.connection.closed)
+
+    def test_a_request_in_pieces_is_a_good_one_as_long_as_it_keeps_coming(self):
+        for spoke in (False, True):
+            with self.subTest(spoke=spoke):
+                rig = self.rig(ScorerPeer(copies=None))
+                client = rig.client()
+                if spoke:
+                    rig.settle(client)
+                rig.until(lambda rig=rig: rig.front.port.clients, "it is accepted")
+                [served] = rig.front.port.clients
+                client.call(withhold=50)
+                for _ in range(5):
+                    rig.until(lambda served=served: served.connection.unread() is None, "a piece is read")
+                    served._since_ms -= clients.SPEAK_MS  # so long ago did it begin
+                    rig.front.port.tidy()
+                    client.send_rest(10)
+                rig.until(lambda rig=rig: rig.front.table.open, "it is taken")
+
+    def test_one_that_has_come_in_several_pieces_may_pause_for_longer(self):
+        rig = self.rig(ScorerPeer(copies=None))
+        client = rig.client()
+        client.call(withhold=50)
+        rig.until(lambda: rig.front.port.clients, "it is accepted")
+        [served] = rig.front.port.clients
+        overdue = []
+        for _ in range(3):
+            rig.until(lambda: served.connection.unread() is None, "a piece is read")
+            overdue.append(served.overdue(served.connection.heard_ms + clients.SPEAK_MS))
+            served._since_ms = served.connection.heard_ms - clients.SPEAK_MS
+            client.send_rest(10)
+        self.assertEqual(overdue, [True, True, False])
+
+    def test_half_a_request_that_goes_no_further_is_closed_in_time(self):
+        rig = self.rig(ScorerPeer(copies=None))
+        client = rig.client()
+        rig.until(lambda: rig.front.port.clients, "it is accepted")
+        [served] = rig.front.port.clients
+        client.call(withhold=50)
+        rig.until(lambda: served._reader.waits, "half of it is read")
+        now = wheel.monotonic_ms()
+        self.assertFalse(served.overdue(now))
+        self.assertTrue(served.overdue(served._since_ms + 3000.0 - front_end.TIDY_MS))
+
+    def test_one_whose_request_is_half_read_gives_way_after_those_that_say_nothing(self):
+        rig = self.rig(ScorerPeer(copies=None), limits={"sockets": 32})
+        client = rig.client()
+        client.call(withhold=9)
+        rig.until(lambda: rig.front.port.clients, "it is accepted")
+        [served] = rig.front.port.clients
+        rig.until(lambda: served._reader.waits, "half of it is read")
+        served.connection.used_ms -= 10 * clients.YOUNG_MS
+        for _ in range(30):
+            other = rig.client()
+            other.status()
+            rig.until(lambda other=other: other.answers, "each is answered")
+        client.send_rest()
+        rig.until(lambda: rig.front.table.open, "it is taken")
