Dial a moved scorer anew at once, and let idle links give way to a called one

Found by reading. A dial that was out when its scorer moved or started anew was still waited for (Scorer.dialling counted retired links): where the old address was dead, the calls ended with it as CONNECT_FAILED and the new process was held suspect. Links that only see an older process's calls out counted against LINKS_MOST, so that six of these kept every new link away. And where all links that descriptors allow stood idle, a scorer that had none could not be reached at all (_dial: NO_DESCRIPTOR); with 120 scorers and 256 descriptors that is so.

Mend: what waits is dialled anew at the telling; only links to the present process count; the link that was idle for longest is closed where there is no room for another. Tests: test_crossings.HandOvers; three fail without the mend, one forces what was right already.

--- a/fawnwharf/net/scorers.py
+++ b/fawnwharf/net/scorers.py
@@ -230,7 +230,7 @@
         able = [link for link in self.links if link.up and not link.retired and link.takes(id)]
         able = [link for link in able if link.idle_ms() <= trust_ms]
         lively = [link for link in able if not link.quiet()]
-        if not lively and len(self.links) >= LINKS_MOST:
+        if not lively and len(self.current()) >= LINKS_MOST:
             lively = able
         # Of links that are as empty, the one used last: one long idle may be about to be closed.
         best = min(lively, key=lambda link: (len(link.streams), -link.connection.used_ms), default=None)
@@ -242,10 +242,15 @@
 
     def crowded(self) -> bool:
         """Whether the next call would share a link, while there may be more of them."""
-        return len(self.links) < LINKS_SPREAD and all(link.up and link.streams for link in self.links)
+        current = self.current()
+        return len(current) < LINKS_SPREAD and all(link.up and link.streams for link in current)
+
+    def current(self) -> list[Link]:
+        """Links to the process that there is now: not those that only see an older one's calls out."""
+        return [link for link in self.links if not link.retired]
 
     def dialling(self) -> int:
-        return sum(not link.up for link in self.links)
+        return sum(not link.up for link in self.current())
 
 
 class ScorerPool:
@@ -269,12 +274,15 @@
                 self.scorers[id] = Scorer(id, address, state, up_since_ms)
             return
         moved = address is not None and address != scorer.address
-        if moved or up_since_ms > scorer.up_since_ms:
+        renewed = moved or up_since_ms > scorer.up_since_ms
+        if renewed:
             self._retire(scorer)
         scorer.address = address or scorer.address
         scorer.state, scorer.up_since_ms = state, max(up_since_ms, scorer.up_since_ms)
         if state is not State.READY:
             self._pull_back(scorer)
+        if renewed and scorer.waiting:  # for a dial to the process before
+            self._dial(scorer)
         if state is State.GONE:
             self._retire(scorer)
             self._drop_if_empty(scorer)
@@ -342,7 +350,8 @@
     def _dial(self, scorer: Scorer) -> None:
         """As many dials as the waiting streams need; they wait for no longer than a dial takes."""
         while scorer.dialling() * self.wire.streams_per_conn < len(scorer.waiting):
-            if self._links >= self._links_most or len(scorer.links) >= LINKS_MOST:
+            room = self._links < self._links_most or self._make_room()
+            if not room or len(scorer.current()) >= LINKS_MOST:
                 failed = End.NO_DESCRIPTOR
             else:
                 failed = self._dial_one(scorer)
@@ -351,6 +360,16 @@
                     self._fail_waiting(scorer, failed)
                 return
 
+    def _make_room(self) -> bool:
+        """Close the link that has been idle for longest. Guards scorers that are called against those that
+        were: with more scorers than links, all would else be taken by the first."""
+        links = [link for scorer in self.scorers.values() for link in scorer.links]
+        idle = [link for link in links if link.up and not link.streams]
+        longest = max(idle, key=Link.idle_ms, default=None)
+        if longest is not None:
+            longest.connection.close(End.IDLE)
+        return longest is not None
+
     def _dial_one(self, scorer: Scorer) -> End | None:
         link = Link(self, scorer)
         made = Connection.dial(self.loop, scorer.address, link, self.wire.dial_timeout_ms)
@@ -368,11 +387,12 @@
             self._end(stream, end)
 
     def link_up(self, link: Link) -> None:
+        if link.retired:  # its scorer went, moved or started anew while it was dialled
+            link.connection.close(End.RETIRED)
+            return
         waiting, link.scorer.waiting = link.scorer.waiting, deque()
         for stream in waiting:
             self._place(stream)
-        if link.retired and not link.streams:  # its scorer went while it was dialled
-            link.connection.close(End.RETIRED)
 
     # --- ends ---------------------------------------------------------------------------------
 
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -3,10 +3,10 @@
 import socket
 from unittest import mock
 
-from peers import ROW, SETTINGS, Case, LogPeer, ScorerPeer, ready
+from peers import ROW, SETTINGS, Case, LogPeer, ScorerPeer, attempt, order, ready
 
 from fawnwharf import interface as io
-from fawnwharf.net import changelog, clients, connection, front_end, wheel
+from fawnwharf.net import changelog, clients, connection, front_end, scorers, wheel
 from fawnwharf.net.endings import End
 from fawnwharf.net.loop import READ, WRITE
 
@@ -477,3 +477,73 @@
             rig.until(lambda other=other: other.answers, "each is answered")
         client.send_rest()
         rig.until(lambda: rig.front.table.open, "it is taken")
+
+
+class HandOvers(Case):
+    """A scorer that moves or starts anew, and links where descriptors are few."""
+
+    def dead_end(self):
+        """An address that no dial comes up at: a listener whose queue is full."""
+        full = socket.socket()
+        full.bind(("127.0.0.1", 0))
+        full.listen(0)
+        fillers = [socket.socket() for _ in range(4)]
+        for filler in fillers:
+            filler.setblocking(False)
+            filler.connect_ex(full.getsockname())
+        for sock in (full, *fillers):
+            self.addCleanup(sock.close)
+        return full.getsockname()
+
+    def test_what_waits_for_a_dial_to_the_old_address_goes_to_the_new_one(self):
+        for moved in (True, False):  # or started anew where it was
+            with self.subTest(moved=moved):
+                scorer, ended = ScorerPeer("s-9", copies=None), []
+                rig = self.rig()
+                rig.scorers.append(scorer)
+                self.addCleanup(scorer.close)
+                pool, old = rig.front.pool, self.dead_end() if moved else address_of(scorer)
+                pool.update(PLACE, old, io.State.READY, 0.0)
+                pool.send(attempt(PLACE, ended))
+                [first] = pool.scorers[PLACE].links
+                pool.update(PLACE, address_of(scorer), io.State.READY, 5.0)
+                first.connection.close(End.DIAL_TIMED_OUT)  # the one to the process before
+                rig.until(lambda scorer=scorer: scorer.runs, "it runs")
+                self.assertEqual(ended, [])
+
+    def test_a_dial_to_the_process_before_that_comes_up_carries_nothing_new(self):
+        scorer, ended = ScorerPeer("s-9", copies=None), []
+        rig = self.rig(scorer)
+        pool = rig.front.pool
+        pool.update(PLACE, address_of(scorer), io.State.READY, 0.0)
+        pool.send(attempt(PLACE, ended))
+        [first] = pool.scorers[PLACE].links
+        pool.update(PLACE, None, io.State.READY, 5.0)
+        rig.until(lambda: scorer.runs, "it runs")
+        self.assertTrue(first.connection.closed)
+        self.assertEqual((len(scorer.runs), ended), (1, []))
+
+    def test_calls_that_old_links_still_owe_keep_no_new_link_from_a_process(self):
+        scorer, ended = ScorerPeer("s-9", copies=None), []
+        rig = self.rig(scorer, settings={"bounds": {"streams_per_conn": 1}})
+        pool = rig.front.pool
+        pool.update(PLACE, address_of(scorer), io.State.READY, 0.0)
+        for n in range(scorers.LINKS_MOST):
+            pool.send(attempt(PLACE, ended, id=b"%08d" % n))
+            rig.until(lambda n=n: len(scorer.runs) > n, "it runs")
+        pool.update(PLACE, None, io.State.READY, 5.0)
+        pool.send(attempt(PLACE, ended, id=b"abcdefgh"))
+        rig.until(lambda: len(scorer.runs) > scorers.LINKS_MOST or ended, "the next one runs")
+        self.assertEqual(ended, [])
+
+    def test_idle_links_give_way_to_a_scorer_that_is_called(self):
+        rig, ended = self.rig(limits={"sockets": 32}), []
+        peers = [ScorerPeer(f"s-{n}") for n in range(20)]
+        rig.scorers += peers
+        for n, peer in enumerate(peers):
+            self.addCleanup(peer.close)
+            rig.front.pool.update(n, address_of(peer), io.State.READY, 0.0)
+            rig.front.pool.order(order(n, ended, copies=0))
+            rig.until(lambda n=n: len(ended) > n, "it is reached")
+        self.assertEqual({end for end, _ in ended}, {io.Ending.GOOD})
+        self.assertLessEqual(rig.front.pool._links, 32 * front_end.SCORER_SHARE)
