Send no keyed repeat that waited for a connection past the window

Found by reading, against the rule on side effects. Router._may_send_again looks at the window when it decides; the attempt may then wait for a dial (250 ms and more) while scorers forget the first one. RequestTable._may_begin now asks at the first byte, for keyed classes, whether the first attempt that may have run still lies inside the window. Test: test_crossings.KeyedRepeats, with a dial that is late and one that is not; fails without the mend.

--- a/fawnwharf/net/requests.py
+++ b/fawnwharf/net/requests.py
@@ -5,6 +5,7 @@
 """
 
 import itertools
+import math
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 
@@ -19,6 +20,8 @@
 BODIES_MOST = 32 * 1024 * 1024  # bytes of open requests' bodies: part of the memory limit
 FULL_PUSHBACK_MS = 250.0  # advice where this front end can hold no more; the module never saw the request
 CROWD_MOST = 30
+REPEAT_MARGIN_MS = 50.0  # a keyed repeat must arrive inside the window, not just leave inside it
+NEVER_RAN = (io.Ending.FULL, io.Ending.CONNECT_FAILED, io.Ending.NOT_SENT, io.Ending.MISS)
 STORY_MOST = 24  # steps told of one request
 
 
@@ -65,6 +68,7 @@
     deadline_ms: float  # of the monotonic clock
     backstop: Timer
     attempts: int = 0  # sent so far; the module numbers them in the same order
+    ran_ms: float = math.inf  # when the first ended attempt that may have run began
     taken_ms: float = field(default_factory=monotonic_ms)
     story: list[str] = field(default_factory=list)  # what happened to it, for the log
 
@@ -146,7 +150,16 @@
     def _may_begin(self, key: str) -> bool:
         """Asked when an attempt's first byte is to leave, which may be long after it was decided on."""
         request = self.open.get(key)
-        return request is not None and request.call.waits()
+        return request is not None and self._in_window(key, request) and request.call.waits()
+
+    def _in_window(self, key: str, request: OpenRequest) -> bool:
+        """Whether scorers still know the first attempt of a keyed request, if any may have run."""
+        spec = self._classes.get(request.call.class_name)
+        if spec is None or spec.effect is not io.Effect.KEYED:
+            return True
+        out = (self._out.get((key, number)) for number in range(request.attempts))
+        first_ms = min([request.ran_ms, *(attempt.began_ms for attempt in out if attempt and attempt.begun)])
+        return monotonic_ms() - first_ms < spec.dedup_window_ms - REPEAT_MARGIN_MS
 
     def _finish(self, key: str, outcome: Outcome) -> None:
         if request := self._close(key):
@@ -216,6 +229,8 @@
         if request := self.open.get(key):
             what = end.name if end else f"{ending.name} {warmth.name} crowd {crowd}"
             request.note(f"{attempt.worker}: {what} link {attempt.link_ms:.0f}")
+            if ending not in NEVER_RAN:
+                request.ran_ms = min(request.ran_ms, attempt.began_ms)
         if answer is not None and ending is io.Ending.GOOD:
             self._finish(key, Served(answer.body))
         took = monotonic_ms() - attempt.began_ms
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -6,7 +6,7 @@
 from peers import ROW, SETTINGS, Case, LogPeer, ScorerPeer, attempt, order, ready
 
 from fawnwharf import interface as io
-from fawnwharf.net import changelog, clients, connection, front_end, scorers, wheel
+from fawnwharf.net import changelog, clients, connection, front_end, scorer_frames, scorers, wheel
 from fawnwharf.net.endings import End
 from fawnwharf.net.loop import READ, WRITE
 
@@ -547,3 +547,30 @@
             rig.until(lambda n=n: len(ended) > n, "it is reached")
         self.assertEqual({end for end, _ in ended}, {io.Ending.GOOD})
         self.assertLessEqual(rig.front.pool._links, 32 * front_end.SCORER_SHARE)
+
+
+class KeyedRepeats(Case):
+    def test_a_repeat_that_waited_for_a_dial_past_the_window_is_not_sent(self):
+        for late in (False, True):
+            with self.subTest(late=late):
+                first, second = ScorerPeer("s-9", copies=None), ScorerPeer("s-10", copies=None)
+                rig = self.rig(ScorerPeer(copies=None))
+                rig.scorers += [first, second]
+                for place, peer in ((PLACE, first), (10, second)):
+                    self.addCleanup(peer.close)
+                    rig.front.pool.update(place, address_of(peer), io.State.READY, 0.0)
+                rig.client().call("save")
+                rig.until(lambda rig=rig: rig.front.table.open, "it is taken")
+                [key] = rig.front.table.open
+                rig.front.table.send(io.Send(key, PLACE))
+                rig.until(lambda first=first: first.runs, "the first one runs")
+                rig.front.table.send(io.Send(key, 10))
+                [link] = rig.front.pool.scorers[10].links
+                self.assertFalse(link.up)
+                [sent] = [attempt for attempt in rig.front.table._out.values() if attempt.begun]
+                sent.began_ms -= 1500.0 * late  # the dial takes that long
+                rig.until(lambda link=link: link.up, "the dial comes up")
+                rig.front.table.order(io.Hold(10, ROW, 0))
+                asked = lambda second=second: second.of(scorer_frames.ENSURE)  # noqa: E731
+                rig.until(asked, "what is sent after it arrives")
+                self.assertEqual(len(second.runs), not late)
