--- a/fawnwharf/net/clients.py
+++ b/fawnwharf/net/clients.py
@@ -307,7 +307,7 @@
         """Whether anything of a client lies unread, also on connections that were yet to be accepted."""
         if not self._paused:
             self._accept(READ)
-        return any(client.arriving() for client in self.clients)
+        return self._paused or any(client.arriving() for client in self.clients)
 
     def ended(self, client: Client) -> None:
         self.clients.pop(client, None)
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -376,6 +376,16 @@
         client.send_rest()
         self.expect_answered(rig, scorer, client)
 
+    def test_a_connection_that_waits_while_accepting_pauses_is_taken(self):
+        scorer = ScorerPeer()
+        rig, _ = self.leave(scorer)
+        client = rig.client()
+        client.call()
+        self.assertTrue(ready(rig.front.port._listener))
+        rig.front.port._pause()
+        self.look(rig)
+        self.expect_answered(rig, scorer, client)
+
     def test_one_that_has_nothing_on_its_way_keeps_nothing_from_ending(self):
         rig, _ = self.leave()
         rig.client()
