Read a line or a configuration that is nested too deep as a bad one

Found by reading: msgspec raises RecursionError there, which ChangeLog._take and config.load let through. The list's connection was closed and dialled again every 0.2 s, and no later event got past that line; a reload logged a traceback and no key. Both are taken as what can't be read now. Tests: the bad lines and the faulty reloads of test_rules, each with one more; both fail without the mend.

--- a/fawnwharf/config.py
+++ b/fawnwharf/config.py
@@ -284,7 +284,7 @@
         data = msgspec.json.decode(Path(place).read_bytes())
     except OSError as error:
         raise ConfigError(f"ROUTER_CONFIG: {error.strerror}: {place}") from None
-    except msgspec.DecodeError as error:
+    except (msgspec.DecodeError, RecursionError) as error:
         raise ConfigError(f"ROUTER_CONFIG: not JSON: {error}") from None
     return deployment_from(data, environment)
 
--- a/fawnwharf/net/changelog.py
+++ b/fawnwharf/net/changelog.py
@@ -131,7 +131,7 @@
     def _take(self, line: bytes) -> None:
         try:
             read = msgspec.json.decode(line)
-        except (msgspec.DecodeError, UnicodeDecodeError):
+        except (msgspec.DecodeError, RecursionError):
             read = None
         if _is_number(read):
             self._last_is(read)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -621,7 +621,7 @@
             self.assertEqual(rig.log.asked()[1], ["since", "1"])
 
     def test_a_bad_line_is_asked_for_again_and_then_passed_over(self):
-        bad = [b"{", b"\xff\xfe", b'"text"', b"[1]", b'{"seq":"x"}', b"true"]
+        bad = [b"{", b"\xff\xfe", b"[" * 100_000, b'"text"', b"[1]", b'{"seq":"x"}', b"true"]
         bad += [b'{"seq":2,"fleet":{"members":5}}', b'{"seq":99999999999,"fleet":{"members":[]}}']
         for line in bad:
             with self.subTest(line):
@@ -744,7 +744,8 @@
             self.assertIn("serving", program.stderr.readline())
             self.feed(path, second)
             self.assertIn("read again", program.stderr.readline())
-            for bad, key in ((b"{", "JSON"), ({**first, "changelog": "x"}, "changelog"), ({}, "settings")):
+            faulty = [(b"{", "JSON"), (b"[" * 50_000, "JSON"), ({}, "settings")]
+            for bad, key in [*faulty, ({**first, "changelog": "x"}, "changelog")]:
                 program.send_signal(signal.SIGHUP)
                 self.feed(path, bad)
                 line = program.stderr.readline()
