Read KNOWN-RED.txt in the tests: those it names must fail, and are printed

The list is for failing tests of real faults that can't be mended yet (test, cause, issue; three lines at most). There is none today. A test that is named and passes, a name that no test has, or a fourth line fails the run.

--- a/tests/test_repository.py
+++ b/tests/test_repository.py
@@ -4,6 +4,7 @@
 import re
 import shutil
 import subprocess
+import sys
 from pathlib import Path
 
 ROOT = Path(__file__).parent.parent
@@ -67,3 +68,17 @@
     assert build(root, tools) == "2\n"
     (root / ".venv" / "bin" / "python").unlink()  # its interpreter is gone
     assert build(root, tools) == "3\n"
+
+
+def test_only_what_known_red_names_may_fail_and_it_must(tmp_path):
+    (tmp_path / "tests").mkdir()
+    shutil.copy(ROOT / "tests" / "conftest.py", tmp_path / "tests")
+    (tmp_path / "pytest.ini").write_text("[pytest]\ntestpaths = tests\n")
+    (tmp_path / "tests" / "test_one.py").write_text("def test_red(): assert 0\ndef test_good(): pass\n")
+    red, good = (f"tests/test_one.py::test_{name}, the cause, in short, 5\n" for name in ("red", "good"))
+    for text, status in (("", 1), (red, 0), (good, 1), (red + good, 1), (4 * red, 4), ("tests/no, x, 5", 4)):
+        (tmp_path / "KNOWN-RED.txt").write_text(text)
+        command = [sys.executable, "-m", "pytest", "-q", "-p", "no:cacheprovider"]
+        run = subprocess.run(command, cwd=tmp_path, capture_output=True, text=True)
+        assert run.returncode == status, run.stdout
+        assert (text != red) or "the cause, in short (issue 5)" in run.stdout
