Refuse lanes that are out of range, and force idle clients against a list that is away

lanes:0 and lanes:0.5 were taken as 1, against the term on figures out of range (call_from); they get an exception now. Test: test_rules.Clients, fails without the mend. test_crossings.Descriptors fills 64 descriptors with idle and silent clients while the list is down: list, scorer and a usual client's first request are still reached, as before. What starts the program for a test moves to peers.

--- a/fawnwharf/net/clients.py
+++ b/fawnwharf/net/clients.py
@@ -67,9 +67,9 @@
         raise thrift.Malformed("ttl: missing, or not a time to wait")
     parts = (part.partition(":") for part in fields.get("props", "").split(";") if part)
     props = {name: value for name, _, value in parts}
-    lanes = _number(props.get("lanes"), "lanes") or 1
-    if lanes > LANES_MOST:
-        raise thrift.Malformed("lanes: too many")
+    lanes = _number(props.get("lanes", "1"), "lanes")
+    if not 1 <= lanes <= LANES_MOST:
+        raise thrift.Malformed("lanes: out of range")
     return {
         "id": bytes.fromhex(fields["call"]),
         "class_name": spec.name,
@@ -78,7 +78,7 @@
         "budget_ms": budget,
         "body": message.body,
         "token": token,
-        "lanes": max(1, int(lanes)),
+        "lanes": int(lanes),
         "memory_mb": _number(props.get("memory_mb"), "memory_mb"),
         "load_ms": _number(props.get("load_ms"), "load_ms"),
     }
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -1,16 +1,24 @@
 """The other ends of a front end's sockets, driven from the test's own thread on loopback port 0."""
 
 import json
+import os
 import selectors
 import socket
 import struct
+import subprocess
+import sys
+import tempfile
 import time
 import unittest
+from pathlib import Path
+
+import msgspec
 
 from fawnwharf.config import deployment_from
 from fawnwharf.net import scorer_frames, scorers, thrift
 from fawnwharf.net.front_end import FrontEnd
 
+ROOT = Path(__file__).parent.parent
 PATIENCE_S = 20.0
 ROW = "7f3a9c21e0b4d655"
 CLASSES = [
@@ -48,8 +56,8 @@
 class Listening:
     """A peer that listens; `links` are its connections, oldest first."""
 
-    def __init__(self):
-        self.listener = socket.create_server(("127.0.0.1", 0))
+    def __init__(self, port=0):
+        self.listener = socket.create_server(("127.0.0.1", port))
         self.listener.setblocking(False)
         self.links = []
         self.host_port = f"127.0.0.1:{self.listener.getsockname()[1]}"
@@ -259,3 +267,38 @@
     return scorers.Order(
         worker, lambda stream, end, answer: ended.append((end or answer.ending, stream.begun)), ROW, copies
     )
+
+
+class ProgramCase(unittest.TestCase):
+    """The program itself, started on a configuration."""
+
+    def launch(self, config, *words):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        path = Path(folder.name, "config.json")
+        path.write_bytes(msgspec.json.encode(config))
+        env = {**os.environ, "ROUTER_CONFIG": str(path), "PYTHONPATH": str(ROOT)}
+        env = {name: value for name, value in env.items() if name not in ("ROUTER_LISTEN", "ROUTER_NAME")}
+        command = [sys.executable, "-m", "fawnwharf", *(words or ["serve"])]
+        program = subprocess.Popen(command, env=env, cwd=ROOT, stdout=-1, stderr=-1, text=True)
+        self.addCleanup(program.stderr.close)
+        self.addCleanup(program.stdout.close)
+        self.addCleanup(program.wait)
+        self.addCleanup(program.kill)
+        return program
+
+    def config(self, *members, **more):
+        self.log = LogPeer()
+        self.addCleanup(self.log.close)
+        event = {"seq": 1, "fleet": {"complete": True, "members": list(members)}}
+        return {"listen": "127.0.0.1:0", "changelog": self.log.host_port, "settings": SETTINGS, "seed": "1",
+                "known": {"seq": 1, "results": [event]}, **more}  # fmt: skip
+
+    def pump(self, client, condition, *others):
+        for _ in range(4000):
+            for peer in (client, *others):
+                peer.pump()
+            if condition():
+                return
+            ready(client.sock, 0.005)
+        self.fail("waited in vain")
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -1,9 +1,21 @@
 """Where two events cross, on real connections: each test brings the bad order about by explicit steps."""
 
+import resource
 import socket
 from unittest import mock
 
-from peers import ROW, SETTINGS, Case, LogPeer, ScorerPeer, attempt, order, ready
+from peers import (
+    ROW,
+    SETTINGS,
+    Case,
+    ClientPeer,
+    LogPeer,
+    ProgramCase,
+    ScorerPeer,
+    attempt,
+    order,
+    ready,
+)
 
 from fawnwharf import interface as io
 from fawnwharf.net import changelog, clients, connection, front_end, scorer_frames, scorers, wheel
@@ -584,3 +596,36 @@
                 asked = lambda second=second: second.of(scorer_frames.ENSURE)  # noqa: E731
                 rig.until(asked, "what is sent after it arrives")
                 self.assertEqual(len(second.runs), not late)
+
+
+class Descriptors(ProgramCase):
+    def test_idle_clients_that_fill_them_while_the_list_is_away_keep_nobody_out(self):
+        scorer = ScorerPeer()
+        self.addCleanup(scorer.close)
+        program = self.launch(self.config(limits={"sockets": 64}))
+        host, port = program.stderr.readline().rsplit(" ", 1)[1].strip().split(":")
+        resource.prlimit(program.pid, resource.RLIMIT_NOFILE, (64, 64))
+        crowd = [self.client(host, port) for _ in range(1)]
+        self.pump(crowd[0], self.log.asked, self.log)
+        log_port = int(self.log.host_port.split(":")[1])
+        self.log.close()
+        for n in range(80):
+            crowd.append(self.client(host, port))
+            if n % 2:  # it says something, gets its answer and stays
+                crowd[-1].status()
+                self.pump(crowd[-1], lambda: crowd[-1].answers)
+        self.log = LogPeer(log_port)
+        self.addCleanup(self.log.close)
+        self.pump(crowd[-1], self.log.asked, self.log)
+        self.log.say({"seq": 2, "fleet": {"members": [scorer.member()]}})
+        usual = self.client(host, port)
+        usual.call()
+        self.pump(usual, lambda: scorer.runs, scorer, self.log)
+        scorer.answer(scorer.runs[0], body=b"served")
+        self.pump(usual, lambda: usual.answers)
+        self.assertEqual(usual.answers[0][1:], ("answer", {1: b"served", 2: {}, 3: True}))
+
+    def client(self, host, port):
+        client = ClientPeer((host, int(port)))
+        self.addCleanup(client.sock.close)
+        return client
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -4,8 +4,6 @@
 import os
 import signal
 import socket
-import subprocess
-import sys
 import tempfile
 import time
 import unittest
@@ -14,7 +12,18 @@
 from unittest import mock
 
 import msgspec
-from peers import ROW, SETTINGS, Case, ClientPeer, LogPeer, ScorerPeer, attempt, handle_frame, order, ready
+from peers import (
+    ROW,
+    Case,
+    ClientPeer,
+    LogPeer,
+    ProgramCase,
+    ScorerPeer,
+    attempt,
+    handle_frame,
+    order,
+    ready,
+)
 
 from fawnwharf import interface as io
 from fawnwharf.net import changelog, clients, front_end, loop, requests, scorer_frames, scorers, wheel
@@ -439,9 +448,11 @@
         client.sock.sendall(handle_frame(4, {}, b"x" * 100_000))
         client.call(org="nobody", seqid=6)
         client.call(ttl="9999999", seqid=7)
+        for seqid, lanes in enumerate(("0", "-1", "0.5", "5000", "x", ""), 8):
+            client.call(props=f"memory_mb:512;lanes:{lanes}", seqid=seqid)
         client.call(seqid=5)
-        rig.until(lambda: len(client.answers) >= 6 and rig.front.table.open, "all are read")
-        self.assertEqual(client.kinds(), dict.fromkeys((1, 2, 3, 4, 6, 7), "exception"))
+        rig.until(lambda: len(client.answers) >= 12 and rig.front.table.open, "all are read")
+        self.assertEqual(client.kinds(), dict.fromkeys((1, 2, 3, 4, *range(6, 14)), "exception"))
         self.assertEqual(len(rig.front.table.open), 1)
 
     def test_bytes_without_a_number_end_the_connection_only(self):
@@ -671,29 +682,7 @@
         self.assertEqual(list(rig.front.pool.scorers), [front_end.worker_number("s-2")])
 
 
-class Program(unittest.TestCase):
-    def launch(self, config, *words):
-        folder = tempfile.TemporaryDirectory()
-        self.addCleanup(folder.cleanup)
-        path = Path(folder.name, "config.json")
-        path.write_bytes(msgspec.json.encode(config))
-        env = {**os.environ, "ROUTER_CONFIG": str(path), "PYTHONPATH": str(ROOT)}
-        env = {name: value for name, value in env.items() if name not in ("ROUTER_LISTEN", "ROUTER_NAME")}
-        command = [sys.executable, "-m", "fawnwharf", *(words or ["serve"])]
-        program = subprocess.Popen(command, env=env, cwd=ROOT, stdout=-1, stderr=-1, text=True)
-        self.addCleanup(program.stderr.close)
-        self.addCleanup(program.stdout.close)
-        self.addCleanup(program.wait)
-        self.addCleanup(program.kill)
-        return program
-
-    def config(self, *members, **more):
-        self.log = LogPeer()
-        self.addCleanup(self.log.close)
-        event = {"seq": 1, "fleet": {"complete": True, "members": list(members)}}
-        return {"listen": "127.0.0.1:0", "changelog": self.log.host_port, "settings": SETTINGS, "seed": "1",
-                "known": {"seq": 1, "results": [event]}, **more}  # fmt: skip
-
+class Program(ProgramCase):
     def test_sigterm_lets_late_arrivals_in_answers_all_and_exits_0(self):
         scorer = ScorerPeer()
         self.addCleanup(scorer.close)
@@ -757,15 +746,6 @@
             program.send_signal(signal.SIGTERM)
             self.assertEqual(program.wait(20), 0)
 
-    def pump(self, client, condition, *others):
-        for _ in range(4000):
-            for peer in (client, *others):
-                peer.pump()
-            if condition():
-                return
-            ready(client.sock, 0.005)
-        self.fail("waited in vain")
-
     def test_the_other_commands(self):
         cases = [
             (["version"], 0, "fawnwharf 0.2.0"),
