Answer what is open when leaving before SIGKILL may come, not when its client gives up

Cause: PROTOCOL lets SIGKILL come 0.7 s after the longest deadline, counted as 3 s where it is longer. FrontEnd._look_to_leave waited for the clients' own deadlines.

Mend: at SIGTERM the module is told by when all must be answered (a new event, Leaving), 0.2 s before SIGKILL may come; what comes later has no more time than that. Which answer is right stays the module's decision.

--- a/fawnwharf/interface.py
+++ b/fawnwharf/interface.py
@@ -160,7 +160,14 @@
     token: int
 
 
-Event = RosterChanged | RequestArrived | ClientLeft | AttemptEnded | OrderAnswered | TimerDue
+@dataclass(slots=True)
+class Leaving:
+    """This front end ends: what is open has its answer within so long, whatever its client would wait."""
+
+    within_ms: float
+
+
+Event = RosterChanged | RequestArrived | ClientLeft | AttemptEnded | OrderAnswered | TimerDue | Leaving
 
 
 # --- actions --------------------------------------------------------------------------------
--- a/fawnwharf/net/front_end.py
+++ b/fawnwharf/net/front_end.py
@@ -21,6 +21,8 @@
 LATE_ARRIVALS_MS = 800.0  # after SIGTERM, connections and requests keep coming for 0.6 s
 LINGER_MS = 20_000.0  # and never longer than this, whatever is still open
 LEAVE_LOOK_MS = 20.0
+# SIGKILL may follow once the longest deadline, counted as 3 s where it is longer, and 0.7 s have passed.
+KILL_WAIT_MS, KILL_AFTER_MS, KILL_MARGIN_MS = 3_000.0, 700.0, 200.0
 CLIENT_SHARE = 0.4  # of the descriptors; clients hold a third at most
 SCORER_SHARE = 0.4
 AT_START = ("name", "listen", "memory_mb", "sockets", "settings", "wire")  # keys that a reload leaves alone
@@ -109,6 +111,9 @@
             self.log("leaving")
             self._leaving_ms = monotonic_ms()
             self.port.ready = False
+            classes = self.deployment.settings.classes.values()
+            longest = max((spec.give_up_ms for spec in classes), default=0.0)
+            self.table.leave(min(longest, KILL_WAIT_MS) + KILL_AFTER_MS - KILL_MARGIN_MS)
             self._look_to_leave()
 
     def _look_to_leave(self) -> None:
--- a/fawnwharf/net/requests.py
+++ b/fawnwharf/net/requests.py
@@ -87,6 +87,7 @@
         self._classes, self._log = classes, log
         self._loop, self._pool, self._wire = loop, pool, wire
         self._bodies = 0
+        self._ends_ms = math.inf  # when this front end may be ended from outside
         self._keys: dict[bytes, str] = {}  # by the id of an open request's call
         self._numbers = itertools.count(1)
         # Attempts that are out, also of requests that are over: the module may still call them off.
@@ -105,16 +106,24 @@
         key = f"r{next(self._numbers)}"
         self._bodies += len(call.body)
         self._keys[call.id] = key
-        backstop = self._loop.wheel.after(call.budget_ms, lambda: self._overdue(key))
-        self.open[key] = OpenRequest(key, call, self._loop.turn_ms + call.budget_ms, backstop)
+        budget_ms = max(0.0, min(call.budget_ms, self._ends_ms - self._loop.turn_ms))
+        backstop = self._loop.wheel.after(budget_ms, lambda: self._overdue(key))
+        self.open[key] = OpenRequest(key, call, self._loop.turn_ms + budget_ms, backstop)
         self._loop.tell(
             io.RequestArrived(
-                key, call.function, call.class_name, call.tenant, call.budget_ms, call.lanes,
+                key, call.function, call.class_name, call.tenant, budget_ms, call.lanes,
                 call.memory_mb, call.load_ms,
             )
         )  # fmt: skip
         return key
 
+    def leave(self, within_ms: float) -> None:
+        """This front end may be ended from outside by then: what is open then would have no answer at all."""
+        self._ends_ms = self._loop.turn_ms + within_ms
+        for request in self.open.values():
+            request.deadline_ms = min(request.deadline_ms, self._ends_ms)
+        self._loop.tell(io.Leaving(within_ms))
+
     def is_open(self, id: bytes) -> bool:
         """Whether a request of this id is open, and its client still there."""
         key = self._keys.get(id)
--- a/fawnwharf/policy.py
+++ b/fawnwharf/policy.py
@@ -24,11 +24,9 @@
 RATE_MS = 5_000.0  # stretch over which arrivals are counted, and pause between questions for an empty place
 BOUND_FACTOR, BOUND_FLOOR = 1.5, 2.0  # own requests for a worker: so many times its fair share, and these
 SHARE_FACTOR, SHARE_LEAST = 1.3, 0.5  # and a multiple of its share of own sends over the window
-SURVEY_WIDTH = 4  # workers asked after an unknown function where few front ends share the fleet
-ASK_WAIT_MS = 12.0  # answers to questions come within a round trip; a load waits no longer for them
+SURVEY_WIDTH, ASK_WAIT_MS = 4, 12.0  # workers asked at once in small fleets; for that long a load waits
 SILENT_MS, SIGN_WAIT_MS = 300.0, 80.0  # a worker that owes and says nothing is asked for a sign, then suspect
-TRIAL_MS = 1_000.0  # pause between questions to a suspect worker
-BLOCK_MS = 1_000.0  # a worker that had no room for a function, or failed to load it, rests this long
+TRIAL_MS, BLOCK_MS = 1_000.0, 1_000.0  # between questions to a suspect; after a load that failed
 COLD_SAFETY = 0.75  # part of a cold worker's budget that is used: capacity and other front ends are guesses
 WINDOW_MARGIN_MS = 100.0  # a keyed repeat must arrive inside the window, not just leave inside it
 LOADS_START, LOADS_LEAST, LOADS_MOST = 8.0, 2.0, 24.0  # own loads under way at once: first, and between these
@@ -36,8 +34,7 @@
 RUN_GAIN, ANSWER_GAIN = 0.02, 0.4  # weight of one uncrowded run in their mean; of one answer on others' load
 ROOM_SPREAD = 1.5  # room for chance in a worker's limit, in square roots of its mean requests
 SPREAD_LANES, SPREAD_PART = 1.2, 0.6  # of a copy's lanes a wide function is to fill, and of a worker's room
-FADE_MS = 30_000.0  # a function's width forgets over this: one call may be all a front end sees in seconds
-RUSH = 3  # so many arrivals close together tell of a function turned hot before that
+FADE_MS, RUSH = 30_000.0, 3  # a function's width forgets over this; so many arrivals at once count more
 OVERDUE_RUNS, LOST_RUNS = 3.0, 8.0  # out for so many runs, an attempt deserves a second, and is held lost
 LOSSES, LOSS_KEPT = 2.0, 0.7  # so many lost rest a class at a worker; each answer takes part of them back
 REST_MS, REST_MOST_MS = 2_000.0, 8_000.0  # then one call tries it, and after each try it rests for longer
@@ -211,8 +208,8 @@
         self.runs, self.run_ms, self.sweeping = Samples(), self.promise_ms / 5, False
         self.refreshed_ms = self.forgot_ms = -math.inf
         self.handlers = {io.RosterChanged: self._on_roster, io.RequestArrived: self._on_request,
-                         io.ClientLeft: self._on_left, io.AttemptEnded: self._on_attempt,
-                         io.OrderAnswered: self._on_order, io.TimerDue: self._on_timer}  # fmt: skip
+            io.ClientLeft: self._on_left, io.AttemptEnded: self._on_attempt, io.Leaving: self._on_leaving,
+            io.OrderAnswered: self._on_order, io.TimerDue: self._on_timer}  # fmt: skip
 
     def handle(self, now_ms: float, events: list[io.Event]) -> list[io.Action]:
         """Take the events of one moment, in order; the actions take effect at that moment."""
@@ -291,6 +288,10 @@
                 self.taken.remove(request.arrived_ms)
             self._close(request)
 
+    def _on_leaving(self, event: io.Leaving) -> None:
+        for request in self.requests.values():
+            request.deadline_ms = min(request.deadline_ms, self.now + event.within_ms)
+
     def _on_attempt(self, event: io.AttemptEnded) -> None:
         attempt = self.attempts.pop((event.request, event.attempt), None)
         if attempt is None:
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -404,6 +404,22 @@
         self.look(rig)
         self.assertFalse(rig.front.loop.running)
 
+    def test_what_would_be_open_when_the_end_is_forced_is_answered_before(self):
+        scorer = ScorerPeer()
+        rig, client = self.leave(scorer)
+        for seqid, op in enumerate(("view", "settle"), 1):
+            client.call(op, seqid=seqid, row=f"{seqid:016x}")
+            rig.until(lambda seqid=seqid: len(scorer.runs) == seqid, "it runs")
+        begun = wheel.monotonic_ms()
+        with mock.patch.object(front_end, "KILL_WAIT_MS", 0.0):  # 0.5 s are left of what would be 9 s
+            rig.front.leave()
+        client.call("view", seqid=3, row="ff" * 8)
+        rig.until(lambda: len(client.kinds()) == 4, "all are answered")
+        self.assertLess(wheel.monotonic_ms() - begun, 4000.0)  # their clients would wait for twice that
+        kinds = {seqid: kind for seqid, kind in client.kinds().items() if seqid < 10}
+        self.assertEqual(kinds, {1: "throttled", 2: "broken", 3: "throttled"})
+        rig.until(lambda: not rig.front.loop.running, "it ends")
+
     def test_a_drain_told_while_leaving_is_kept_and_a_reload_moves_the_list(self):
         scorer, other, moved = ScorerPeer("s-1", copies=None), ScorerPeer("s-2", copies=None), LogPeer()
         self.addCleanup(moved.close)
