--- a/fawnwharf/net/requests.py
+++ b/fawnwharf/net/requests.py
@@ -238,7 +238,7 @@
         if request := self.open.get(key):
             what = end.name if end else f"{ending.name} {warmth.name} crowd {crowd}"
             request.note(f"{attempt.worker}: {what} link {attempt.link_ms:.0f}")
-            if ending not in NEVER_RAN:
+            if attempt.begun and ending not in NEVER_RAN:
                 request.ran_ms = min(request.ran_ms, attempt.began_ms)
         if answer is not None and ending is io.Ending.GOOD:
             self._finish(key, Served(answer.body))
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -1,5 +1,6 @@
 """Where two events cross, on real connections: each test brings the bad order about by explicit steps."""
 
+import math
 import resource
 import socket
 from unittest import mock
@@ -225,6 +226,21 @@
         self.assertEqual(list(other.open), [1])
 
 
+    def test_one_that_sent_an_id_twice_and_closed_leaves_nothing_open(self):
+        rig = self.rig(ScorerPeer(copies=None))
+        client = rig.client()
+        rig.settle(client)
+        [served] = rig.front.port.clients
+        client.call(call="ab" * 8, seqid=1)
+        client.call(call="ab" * 8, seqid=2)
+        client.sock.close()
+        client.ended = True
+        self.assertTrue(ready(served.connection._sock))
+        with mock.patch.object(connection, "READS_MOST", 1):
+            served.connection._ready(READ)
+        self.assertEqual((rig.front.table.open, rig.front.table._keys), ({}, {}))
+
+
 class Stuttering(LogPeer):
     """A change log that says the same lines on every connection, as soon as it is asked."""
 
@@ -575,6 +591,16 @@
 
 
 class KeyedRepeats(Case):
+    def test_one_that_was_called_off_before_its_first_byte_starts_no_window(self):
+        rig = self.rig(ScorerPeer(copies=None))
+        rig.client().call("save")
+        rig.until(lambda: rig.front.table.open, "it is taken")
+        [(key, request)] = rig.front.table.open.items()
+        rig.front.pool.update(PLACE, self.dead_end(), io.State.READY, 0.0)
+        rig.front.table.send(io.Send(key, PLACE))
+        rig.front.table.cancel(io.Cancel(key, 0))
+        self.assertEqual(request.ran_ms, math.inf)
+
     def test_a_repeat_that_waited_for_a_dial_past_the_window_is_not_sent(self):
         for late in (False, True):
             with self.subTest(late=late):
