Let the scorer that started last stand alone at an address that two are told to have

Where the start of a new one is told before the end of the one that it follows, FrontEnd._on_fleet kept both in service. Calls for the old one reached the new process as well, which is cold, past its budget, from front ends that had been told of its start.

Mend: of two at one address, the one started last stands; the other counts as gone, also when it is told in service again with no later start. Tests: test_crossings.HandOvers, two; both fail without the mend.

--- a/fawnwharf/net/front_end.py
+++ b/fawnwharf/net/front_end.py
@@ -3,6 +3,7 @@
 import hashlib
 import signal
 from collections.abc import Callable
+from dataclasses import replace
 from typing import Any
 
 from fawnwharf import interface as io
@@ -46,6 +47,7 @@
         self.deployment, self._reread = deployment, reread
         self.log = log or Log(deployment.name or "fawnwharf")
         settings, wire, sockets = deployment.settings, deployment.wire, deployment.sockets
+        self._entries: dict[int, io.WorkerEntry] = {}  # as told last of those that are not gone
         self.loop = Loop(self._decide, self.log)
         self.router = Router(settings, deployment.seed)
         links_most = max(4, int(sockets * SCORER_SHARE))
@@ -155,12 +157,33 @@
         self.changelog.seq = max(self.changelog.seq, self.deployment.known_seq)
 
     def _on_fleet(self, fleet: Fleet) -> None:
-        entries = [self._entry(member) for member in fleet.members]
+        entries, told = [self._entry(member) for member in fleet.members], []
+        if fleet.complete:
+            named = {entry.worker for entry, _ in entries}
+            self.pool.gone_but(named)
+            self._entries = {id: entry for id, entry in self._entries.items() if id in named}
         for entry, address in entries:
+            told += [*self._displaced(entry, address), entry]
             self.pool.update(entry.worker, address, entry.state, entry.up_since_ms or 0.0)
-        if fleet.complete:
-            self.pool.gone_but({entry.worker for entry, _ in entries})
-        self.loop.tell(io.RosterChanged([entry for entry, _ in entries], fleet.complete))
+            self._entries[entry.worker] = entry
+        self._entries = {id: entry for id, entry in self._entries.items() if entry.state is not io.State.GONE}
+        self.loop.tell(io.RosterChanged(told, fleet.complete))
+
+    def _displaced(self, entry: io.WorkerEntry, address: Address | None) -> list[io.WorkerEntry]:
+        """Of scorers at one address the one started last stands there; the others are gone, though the list
+        may tell so later. Guards a new process, cold as it is, against what is meant for the one before."""
+        if entry.state is not io.State.READY or address is None:
+            return []
+        rivals = [id for id in self.pool.at(address) if id != entry.worker and id in self._entries]
+        started_ms = entry.up_since_ms or 0.0
+        if any((self._entries[id].up_since_ms or 0.0) > started_ms for id in rivals):
+            entry.state = io.State.GONE
+            return []
+        gone = [replace(self._entries[id], state=io.State.GONE) for id in rivals]
+        for rival in gone:
+            self.pool.update(rival.worker, None, rival.state, 0.0)
+            self._entries[rival.worker] = rival
+        return gone
 
     def _entry(self, member: Member) -> tuple[io.WorkerEntry, Address | None]:
         address = address_from(member.host_port, "host_port") if member.host_port else None
--- a/fawnwharf/net/scorers.py
+++ b/fawnwharf/net/scorers.py
@@ -287,6 +287,11 @@
             self._retire(scorer)
             self._drop_if_empty(scorer)
 
+    def at(self, address: Address) -> list[int]:
+        """The scorers at an address that are not gone."""
+        scorers = self.scorers.values()
+        return [s.id for s in scorers if s.address == address and s.state is not State.GONE]
+
     def gone_but(self, named: set[int]) -> None:
         """A complete list was told: whoever it does not name is gone."""
         for id in [id for id in self.scorers if id not in named]:
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -577,6 +577,39 @@
         rig.until(lambda: len(scorer.runs) > scorers.LINKS_MOST or ended, "the next one runs")
         self.assertEqual(ended, [])
 
+    def test_a_new_scorer_at_an_address_whose_old_one_is_not_told_gone_yet_stands_there_alone(self):
+        old, ids = ScorerPeer("s-1"), [front_end.worker_number(name) for name in ("s-1", "s-2")]
+        rig = self.rig(old)
+        workers = rig.front.router.workers
+        rig.until(lambda: ids[0] in workers, "the old one is known")
+        member = old.member(up_since_ms=1000.0) | {"id": "s-2", "locality": "east"}
+        rig.log.say({"seq": 2, "fleet": {"members": [member]}})
+        rig.until(lambda: ids[1] in workers, "the new one is told")
+        for seq, phase in ((3, "in_service"), (4, "terminated")):  # what is told late of the old one
+            states = [workers[id].entry.state for id in ids]
+            self.assertEqual(states, [io.State.GONE, io.State.READY])
+            self.assertEqual(list(rig.front.pool.scorers), [ids[1]])
+            rig.log.say({"seq": seq, "fleet": {"members": [old.member(phase)]}})
+            rig.until(lambda seq=seq: rig.front.changelog.seq == seq, "it is told")
+            rig.front.loop.turn(0)
+        rig.client().call()
+        rig.until(lambda: old.runs, "a call runs")
+        self.assertTrue(all(attempt.worker == ids[1] for attempt in rig.front.table._out.values()))
+        self.assertEqual(workers[ids[1]].started_ms, 1000.0)
+
+    def test_a_complete_list_with_two_at_one_address_keeps_the_one_started_last(self):
+        for order_told in (1, -1):
+            with self.subTest(order_told=order_told):
+                scorer = ScorerPeer("s-2")
+                rig = self.rig()
+                self.addCleanup(scorer.close)
+                members = [scorer.member() | {"id": "s-1"}, scorer.member(up_since_ms=9.0)][::order_told]
+                rig.log.say({"seq": 2, "fleet": {"complete": True, "members": members}})
+                rig.until(lambda rig=rig: rig.front.router.ready, "it is told")
+                ready_ones = [worker.id for worker in rig.front.router.ready]
+                self.assertEqual(ready_ones, [front_end.worker_number("s-2")])
+                self.assertEqual(list(rig.front.pool.scorers), ready_ones)
+
     def test_idle_links_give_way_to_a_scorer_that_is_called(self):
         rig, ended = self.rig(limits={"sockets": 32}), []
         peers = [ScorerPeer(f"s-{n}") for n in range(20)]
