--- a/fawnwharf/net/requests.py
+++ b/fawnwharf/net/requests.py
@@ -22,7 +22,7 @@
 CROWD_MOST = 30
 REPEAT_MARGIN_MS = 50.0  # a keyed repeat must arrive inside the window, not just leave inside it
 NEVER_RAN = (io.Ending.FULL, io.Ending.CONNECT_FAILED, io.Ending.NOT_SENT, io.Ending.MISS)
-STORY_MOST = 24  # steps told of one request
+TRACE_MOST = 24  # steps told of one request
 
 
 @dataclass(slots=True)
@@ -70,11 +70,11 @@
     attempts: int = 0  # sent so far; the module numbers them in the same order
     ran_ms: float = math.inf  # when the first ended attempt that may have run began
     taken_ms: float = field(default_factory=monotonic_ms)
-    story: list[str] = field(default_factory=list)  # what happened to it, for the log
+    trace: list[str] = field(default_factory=list)  # what happened to it, for the log
 
     def note(self, text: str) -> None:
-        if len(self.story) < STORY_MOST:
-            self.story.append(f"+{monotonic_ms() - self.taken_ms:.0f} {text}")
+        if len(self.trace) < TRACE_MOST:
+            self.trace.append(f"+{monotonic_ms() - self.taken_ms:.0f} {text}")
 
 
 class RequestTable:
@@ -173,16 +173,16 @@
     def _finish(self, key: str, outcome: Outcome) -> None:
         if request := self._close(key):
             request.call.reply(outcome)
-            self._tell_story(request, outcome)
+            self._log_trace(request, outcome)
 
-    def _tell_story(self, request: OpenRequest, outcome: Outcome) -> None:
+    def _log_trace(self, request: OpenRequest, outcome: Outcome) -> None:
         """A line on each request that was not served in time: what it waited for, step by step."""
         call, took = request.call, monotonic_ms() - request.taken_ms
         spec = self._classes.get(call.class_name)
         if spec is None or (isinstance(outcome, Served) and took <= spec.promise_ms):
             return
         what = type(outcome).__name__.lower()
-        steps = "; ".join(request.story) or "never sent"
+        steps = "; ".join(request.trace) or "never sent"
         line = f"{call.id.hex()} {call.class_name} of {call.function} {what} after {took:.0f} ms"
         self._log(f"{line} of {call.budget_ms:.0f}: {steps}", "requests")
 
--- a/fawnwharf/policy.py
+++ b/fawnwharf/policy.py
@@ -101,11 +101,11 @@
     sent: deque[float] = field(default_factory=deque)  # sends while cold
     last: "Function | None" = None  # the function last seen there
     gone_ms: float | None = None  # since when
-    lapses: dict[str, "Lapse"] = field(default_factory=dict)  # by class
+    breakers: dict[str, "Breaker"] = field(default_factory=dict)  # by class
 
 
 @dataclass(slots=True, eq=False)
-class Lapse:  # answers of a class that a worker lost or turned to errors, though it answers others
+class Breaker:  # answers of a class that a worker lost or turned to errors, though it answers others
     losses: float = 0.0
     rests_ms: float = -math.inf  # until then
     rest_ms: float = REST_MS
@@ -479,7 +479,7 @@
     def _usable(self, worker: Worker, kind: str) -> bool:  # ready, and not suspect unless most are
         trusted = worker.suspect_ms is None or self.suspects * 2 > len(self.ready)
         ready = worker.entry.state == State.READY and trusted
-        return ready and not (worker.lapses and self._rests(worker, kind))
+        return ready and not (worker.breakers and self._rests(worker, kind))
 
     def _urgency(self, request: Request) -> tuple[bool, bool, float, str]:
         return request.over_share, self._late(request), request.arrived_ms, request.id
@@ -547,9 +547,9 @@
         if self._warmth(worker) < 1.0:
             worker.sent.append(self.now)
         self._owe(worker)
-        if (lapse := worker.lapses.get(attempt.kind)) and lapse.losses >= LOSSES:
-            lapse.rest_ms = min(REST_MOST_MS, 2 * lapse.rest_ms)  # this one tries it
-            lapse.rests_ms = self.now + lapse.rest_ms
+        if (breaker := worker.breakers.get(attempt.kind)) and breaker.losses >= LOSSES:
+            breaker.rest_ms = min(REST_MOST_MS, 2 * breaker.rest_ms)  # this one tries it
+            breaker.rests_ms = self.now + breaker.rest_ms
         if instance.unused_ms is not None and instance.own > instance.lanes_before:
             fn.idle_ms, instance.unused_ms = self.now - instance.unused_ms, None
         self.actions.append(io.Send(request.id, worker.id))
@@ -558,8 +558,8 @@
         """Hold overdue answers lost, try their calls elsewhere, and rest a class where several were lost."""
         for attempt in list(self.attempts.values()):
             fn, worker, kind = attempt.function, self.workers[attempt.worker], attempt.kind
-            lapse = worker.lapses.get(kind)
-            runs = OVERDUE_RUNS if lapse and lapse.losses >= LOSSES else LOST_RUNS
+            breaker = worker.breakers.get(kind)
+            runs = OVERDUE_RUNS if breaker and breaker.losses >= LOSSES else LOST_RUNS
             due_ms = attempt.sent_ms + runs * max(self._te(fn), self.runs.median(self.now) or 0.0)
             if attempt.lost or worker.suspect_ms is not None or self.now < due_ms:
                 continue
@@ -571,23 +571,23 @@
                     fn.queue.remove(request)
 
     def _lose(self, worker: Worker, kind: str) -> bool:
-        lapse = worker.lapses.setdefault(kind, Lapse())
-        lapse.losses += 1
-        if lapse.losses >= LOSSES:
-            lapse.rests_ms = max(lapse.rests_ms, self.now + lapse.rest_ms)
-        return lapse.losses >= LOSSES
+        breaker = worker.breakers.setdefault(kind, Breaker())
+        breaker.losses += 1
+        if breaker.losses >= LOSSES:
+            breaker.rests_ms = max(breaker.rests_ms, self.now + breaker.rest_ms)
+        return breaker.losses >= LOSSES
 
     def _found(self, worker: Worker, attempt: Attempt) -> None:
-        if lapse := worker.lapses.get(attempt.kind):
-            lapse.losses = lapse.losses - 1 if attempt.lost else lapse.losses * LOSS_KEPT  # it was but slow
-            if lapse.losses < 1:
-                del worker.lapses[attempt.kind]
+        if breaker := worker.breakers.get(attempt.kind):
+            breaker.losses = breaker.losses - 1 if attempt.lost else breaker.losses * LOSS_KEPT  # but slow
+            if breaker.losses < 1:
+                del worker.breakers[attempt.kind]
 
     def _rests(self, worker: Worker, kind: str) -> bool:  # unless most of the fleet would
-        lapse = worker.lapses.get(kind)
-        if lapse is None or lapse.losses < LOSSES or self.now >= lapse.rests_ms:
+        breaker = worker.breakers.get(kind)
+        if breaker is None or breaker.losses < LOSSES or self.now >= breaker.rests_ms:
             return False
-        resting = sum(kind in w.lapses and w.lapses[kind].rests_ms > self.now for w in self.ready)
+        resting = sum(kind in w.breakers and w.breakers[kind].rests_ms > self.now for w in self.ready)
         return resting * 2 <= len(self.ready)
 
     def _hasten(self, request: Request, attempt: Attempt) -> None:
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -347,7 +347,7 @@
     sends = of(d.ask("r1", spec="safe", lanes=4) + d.ask("r2", spec="safe", lanes=4), io.Send)
     for send in sends:
         d.end(send, Ending.ERROR, closed=True)
-    assert len(sends) == 2 and list(d.router.workers[home].lapses) == ["safe"]
+    assert len(sends) == 2 and list(d.router.workers[home].breakers) == ["safe"]
 
 
 def test_silent_worker_is_asked_then_left_and_its_requests_go_elsewhere():
@@ -423,7 +423,7 @@
     d, home, lost, _ = lose_two()
     for send in lost:
         d.end(send)
-    assert not d.router.workers[home].lapses
+    assert not d.router.workers[home].breakers
 
 
 def test_silent_worker_that_answers_is_used_again():
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -562,7 +562,7 @@
         self.assertFalse(first.ended)
 
 
-class Stories(Case):
+class Traces(Case):
     def test_a_request_that_was_not_served_is_told_step_by_step_under_its_id(self):
         scorer = ScorerPeer(copies=None)
         rig = self.rig(scorer)
