--- a/fawnwharf/policy.py
+++ b/fawnwharf/policy.py
@@ -4,7 +4,6 @@
 Without one it is held, and a busy warm instance races one new load for it; the first takes it (`_race`).
 """
 
-import hashlib
 import math
 from collections import deque
 from dataclasses import dataclass, field
@@ -12,6 +11,7 @@
 
 from fawnwharf import interface as io
 from fawnwharf.interface import Effect, Ending, State, Warmth
+from fawnwharf.statistics import DecayingCounter, SlidingMedian, hash64, mix64
 
 WINDOW_MS = 10_000.0  # samples of Te, Tp and Td older than this are forgotten (the design's window)
 SWEEP_MS = 40.0  # pace of the timer for deadlines, waits and silent workers; well under a run
@@ -47,41 +47,12 @@
 TENANT_BURST_S = 1.0  # seconds of its share that a tenant may use at once
 
 
-def _mix(bits: int) -> int:  # 64 bits, well mixed (the end of splitmix64)
-    bits = (bits ^ (bits >> 30)) * 0xBF58476D1CE4E5B9 % 2**64
-    bits = (bits ^ (bits >> 27)) * 0x94D049BB133111EB % 2**64
-    return bits ^ (bits >> 31)
+def _samples() -> SlidingMedian:
+    return SlidingMedian(WINDOW_MS, SAMPLES_MOST, SWEEP_MS)
 
 
-def _mark(name: str) -> int:
-    return int.from_bytes(hashlib.blake2b(name.encode(), digest_size=8).digest(), "big")
-
-
-@dataclass(slots=True)
-class Samples:  # timed, of the window; their median is worked out anew once a sweep at the most
-    timed: deque[tuple[float, float]] = field(default_factory=lambda: deque(maxlen=SAMPLES_MOST))
-    value: float | None = None
-    at_ms: float = -math.inf
-
-    def median(self, now_ms: float) -> float | None:
-        if now_ms - self.at_ms >= SWEEP_MS:
-            while self.timed and self.timed[0][0] < now_ms - WINDOW_MS:
-                self.timed.popleft()
-            values = sorted(value for _, value in self.timed)
-            self.value, self.at_ms = values[len(values) // 2] if values else None, now_ms
-        return self.value
-
-
-@dataclass(slots=True)
-class Recent:  # a count that forgets over the window
-    count: float = 0.0
-    at_ms: float = 0.0
-
-    def at(self, now_ms: float) -> float:
-        return self.count * math.exp((self.at_ms - now_ms) / WINDOW_MS)
-
-    def add(self, now_ms: float) -> None:
-        self.count, self.at_ms = self.at(now_ms) + 1, now_ms
+def _recent() -> DecayingCounter:
+    return DecayingCounter(WINDOW_MS)
 
 
 @dataclass(slots=True, eq=False)
@@ -90,7 +61,7 @@
     entry: io.WorkerEntry
     mark: int  # its number as 64 well-mixed bits, for the hash orders
     own: int = 0  # own attempts out
-    sends: Recent = field(default_factory=Recent)
+    sends: DecayingCounter = field(default_factory=_recent)
     started_ms: float | None = None  # told, or guessed when a silent worker came back empty
     owed_ms: float | None = None  # since when an answer is owed with nothing heard
     strain: float = 1.0  # its runs, as a multiple of what the function's take elsewhere
@@ -170,9 +141,9 @@
     order: list[Worker] = field(default_factory=list)  # workers in hash order
     order_members: dict[int, float] | None = None  # that it was made of
     known: list[Worker] | None = None  # those with an instance, in hash order
-    runs: Samples = field(default_factory=Samples)  # for Te
-    loads: Samples = field(default_factory=Samples)  # for Tp
-    waits: Samples = field(default_factory=Samples)  # for Td
+    runs: SlidingMedian = field(default_factory=_samples)  # for Te
+    loads: SlidingMedian = field(default_factory=_samples)  # for Tp
+    waits: SlidingMedian = field(default_factory=_samples)  # for Td
     idle_ms: float = 0.0  # Ti, of the last raced load that was used
     load_path: bool = True
     asked_ms: float = -math.inf
@@ -196,7 +167,7 @@
         self.requests, self.attempts = dict[str, Request](), dict[tuple[str, int], Attempt]()
         self.flying: deque[Attempt] = deque()  # attempts out for less than the promise
         self.hedges = HEDGES_MOST  # tokens for second attempts
-        self.sends, self.taken, self.ordered = Recent(), deque[float](), deque[float]()
+        self.sends, self.taken, self.ordered = _recent(), deque[float](), deque[float]()
         self.loads_limit, self.loading = LOADS_START, 0  # own orders under way
         self.tokens: dict[str, tuple[float, float]] = {}
         self.total, self.fleet = 1.0, 0.01  # size of the ready fleet, cold workers in part; the largest seen
@@ -205,7 +176,7 @@
         self.peers, self.sold = max(1, settings.fleet_size), sum(settings.quotas_rps.values()) / 1000
         self.worker_most = 0.0  # what a worker can take of all front ends, in flight
         self.promise_ms = min((spec.promise_ms for spec in settings.classes.values()), default=1000.0)
-        self.runs, self.run_ms, self.sweeping = Samples(), self.promise_ms / 5, False
+        self.runs, self.run_ms, self.sweeping = _samples(), self.promise_ms / 5, False
         self.refreshed_ms = self.forgot_ms = -math.inf
         self.handlers = {io.RosterChanged: self._on_roster, io.RequestArrived: self._on_request,
             io.ClientLeft: self._on_left, io.AttemptEnded: self._on_attempt, io.Leaving: self._on_leaving,
@@ -228,7 +199,7 @@
                 self.workers[missing].entry.state = State.GONE
         for entry in event.entries:
             if entry.worker not in self.workers:
-                self.workers[entry.worker] = Worker(entry.worker, entry, _mark(str(entry.worker)))
+                self.workers[entry.worker] = Worker(entry.worker, entry, hash64(str(entry.worker)))
             worker = self.workers[entry.worker]
             worker.entry, worker.gone_ms = entry, None
             if entry.up_since_ms is not None and entry.up_since_ms > (worker.started_ms or -math.inf):
@@ -246,13 +217,13 @@
         if name not in self.functions:
             if len(self.functions) >= FUNCTIONS_MOST:
                 self._forget()
-            self.functions[name] = Function(name, event.class_name, event.lanes, None, _mark(name))
+            self.functions[name] = Function(name, event.class_name, event.lanes, None, hash64(name))
         fn = self.functions[name]
         fn.kind, fn.lanes = event.class_name, max(1, event.lanes)
         fn.load_told_ms = event.load_ms or fn.load_told_ms
         spec = self.settings.classes.get(event.class_name) or io.ClassSpec(event.class_name)
         over = self._over_share(event.tenant)
-        self.seed, draw, deadline = self.seed + 1, _mix(_mix(self.seed)), self.now + event.budget_ms
+        self.seed, draw, deadline = self.seed + 1, mix64(mix64(self.seed)), self.now + event.budget_ms
         request = Request(event.request, fn, spec, self.now, deadline, over, self.now, draw, fn.lanes)
         self._measure(fn)
         self.hedges = min(HEDGES_MOST, self.hedges + HEDGE_SHARE)
@@ -310,14 +281,14 @@
             none = none and instance.counted_ms < attempt.sent_ms
             instance.copies, instance.seen_ms = 1 if none else max(1, instance.copies), self.now
             if event.warmth in (Warmth.UNTOLD, Warmth.FOUND):
-                fn.runs.timed.append((self.now, event.took_ms))
-                self.runs.timed.append((self.now, event.took_ms))
+                fn.runs.add(self.now, event.took_ms)
+                self.runs.add(self.now, event.took_ms)
                 self.run_ms += RUN_GAIN * (event.took_ms - self.run_ms) * attempt.alone
                 self._strain(worker, event.took_ms / self._te(fn))
             self._found(worker, attempt)
         elif event.ending is Ending.MISS or event.warmth is Warmth.LOAD_FAILED:
             instance.copies = 0
-        elif event.ending is Ending.ERROR and fn.runs.timed:  # else the call itself may be at fault
+        elif event.ending is Ending.ERROR and fn.runs:  # else the call itself may be at fault
             self._lose(worker, attempt.kind)
         elif event.ending is Ending.FULL:
             instance.blocked_ms = self.now + self._te(fn)
@@ -367,7 +338,7 @@
         took, told = self.now - instance.order_ms, fn.load_told_ms or self._tp(fn)
         instance.order_ms, self.loading = None, self.loading - 1
         if event.ending is Ending.GOOD:
-            fn.loads.timed.append((self.now, took))
+            fn.loads.add(self.now, took)
         else:
             instance.blocked_ms = self.now + BLOCK_MS
         # Guards the store: slow or failed loads lower the number under way. Harm: so does a slow worker.
@@ -540,7 +511,7 @@
         request.attempts.append(attempt)
         fn.queue.remove(request)
         if self.now > request.held_ms:
-            fn.waits.timed.append((self.now, self.now - request.held_ms))
+            fn.waits.add(self.now, self.now - request.held_ms)
         instance.own, worker.own = instance.own + 1, worker.own + 1
         self.sends.add(self.now)
         worker.sends.add(self.now)
@@ -643,7 +614,7 @@
         rate = min(self._rate(), usual) * self._units(worker) / self.fleet
         budget = COLD_SAFETY * self.settings.fall_multiple * share * self.settings.fall_ms * rate
         # Guards against a least send for each front end: a part below one falls to as many of them by chance.
-        chance = _mix(_mix(self.chance ^ worker.mark)) / 2**64
+        chance = mix64(mix64(self.chance ^ worker.mark)) / 2**64
         return len(worker.sent) + 1 <= budget + chance
 
     def _warmth(self, worker: Worker) -> float:  # the part of its capacity that a worker has at the least
@@ -664,8 +635,8 @@
 
     def _fit(self, worker: Worker, factor: float = SHARE_FACTOR) -> bool:
         """Not strained, silent or past its share: functions meet there, and all front ends' calls add up."""
-        fair = self.sends.at(self.now) * self._size(worker) / self.total
-        past = worker.sends.at(self.now) > max(SHARE_LEAST, factor * fair)
+        fair = self.sends.value(self.now) * self._size(worker) / self.total
+        past = worker.sends.value(self.now) > max(SHARE_LEAST, factor * fair)
         return not past and worker.strained_ms <= self.now and not self._silent(worker, OVERDUE_RUNS)
 
     def _refresh(self) -> None:
@@ -701,7 +672,7 @@
         if fn.order_members is not self.members:
 
             def rank(worker: Worker) -> tuple[float, int]:
-                return -math.log((_mix(fn.mark ^ worker.mark) + 1) / 2**64) / self._units(worker), worker.id
+                return -math.log((mix64(fn.mark ^ worker.mark) + 1) / 2**64) / self._units(worker), worker.id
 
             fn.order = sorted(self.ready, key=rank)
             fn.order_members, fn.known = self.members, None
@@ -801,24 +772,27 @@
             oldest = self.now - min((request.held_ms for request in fn.queue), default=self.now)
             flip = max(oldest, fn.waits.median(self.now) or 0.0) > self._tp(fn)
         if flip:
-            fn.load_path, fn.idle_ms, fn.waits = not fn.load_path, 0.0, Samples()
+            fn.load_path, fn.idle_ms, fn.waits = not fn.load_path, 0.0, _samples()
             for instance in fn.instances.values():
                 instance.unused_ms = None
         return fn.load_path
 
     def _may_load(self, fn: Function, warm: bool, worker: Worker | None) -> bool:  # or anywhere?
-        instance, window = fn.instances.get(worker.id) if worker else None, self.settings.load_window_ms
+        instance = fn.instances.get(worker.id) if worker else None
         busy = instance and (instance.order_ms is not None or self.now < instance.blocked_ms)
         if busy or (worker and not self._usable(worker, fn.kind)):
             return False
         if worker and warm and (worker.own >= worker.limit or not self._warm_enough(worker)):
             return False
+        return self.loading < self.loads_limit and self.settings.may_order and not self._rationed()
+
+    def _rationed(self) -> bool:  # would one more order that leaves now be too many?
+        window = self.settings.load_window_ms
         while self.ordered and self.ordered[0] < self.now - window - self.settings.tick_ms:
             self.ordered.popleft()
         self._rate()  # forgets old arrivals
         ration = self.settings.free_loads + self.settings.load_part * len(self.taken)
-        rationed = window > 0 and len(self.ordered) + 1 > ration
-        return self.loading < self.loads_limit and self.settings.may_order and not rationed
+        return window > 0 and len(self.ordered) + 1 > ration
 
     def _over_share(self, tenant: str) -> bool:  # a token bucket of its share, in part
         quota = self.settings.quotas_rps.get(tenant)
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -7,7 +7,8 @@
 
 from fawnwharf import interface as io
 from fawnwharf.interface import Ending
-from fawnwharf.policy import ASK_FACTOR, Function, Router, _mark
+from fawnwharf.policy import ASK_FACTOR, Function, Router
+from fawnwharf.statistics import hash64
 
 SOLD = {"t": 100.0}
 
@@ -46,7 +47,7 @@
     [drive, *_] = fleet(40)
     router = drive.router
     for name in (f"f{n}" for n in range(400)):  # those whose first worker is the same
-        router.functions[name] = Function(name, "safe", 2, None, _mark(name))
+        router.functions[name] = Function(name, "safe", 2, None, hash64(name))
     first = router._ordered(router.functions["f0"])[0]
     meeting = [fn.name for fn in router.functions.values() if router._ordered(fn)[0] is first]
     router.functions.clear()
@@ -62,8 +63,8 @@
 
 def test_the_switch_goes_off_at_te_here_too():
     [drive, *_] = fleet(40)
-    fn = Function("f", "safe", 2, None, _mark("f"))
-    drive.router.runs.timed.append((0.0, 100.0))
+    fn = Function("f", "safe", 2, None, hash64("f"))
+    drive.router.runs.add(0.0, 100.0)
     fn.idle_ms = 150.0  # longer than a run
     assert not drive.router._load_path(fn)
 
@@ -96,11 +97,10 @@
     [send] = standing(drive, drive.ask("first", lanes=2, tenant="t"))
     drive.end(send)
     router, worker = drive.router, drive.router.workers[send.worker]
-    router.sends.count = 60.0  # a share of three
     asked = []
     for count in (4.5, 8.0):
-        worker.sends.count, worker.sends.at_ms = count, drive.now
-        router.sends.at_ms = drive.now
+        worker.sends.reset(drive.now, count)
+        router.sends.reset(drive.now, 60.0)  # a share of three
         assert not router._fit(worker)
         asked.append(bool(of(drive.ask(f"r{count}", lanes=2, tenant="t"), io.Hold)))
     assert asked == [False, True]
@@ -109,10 +109,11 @@
 def test_a_silent_worker_is_passed_over_before_it_is_asked():
     [drive, *_] = fleet(40)
     router = drive.router
-    router.runs.timed.extend((0.0, 200.0) for _ in range(5))
+    for _ in range(5):
+        router.runs.add(0.0, 200.0)
     [send] = standing(drive, drive.ask("long", tenant="t"))
     worker = router.workers[send.worker]
-    worker.sends.count = 0.0
+    worker.sends.reset(drive.now)
     signs, fit = [], []
     for ms in (540, 200, 1000):  # three runs, and eight
         signs.append([h for h in of(drive.sweep(drive.now + ms), io.Hold) if not h.copies])
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -412,7 +412,7 @@
         home = d.warm(lanes=4, spec="unsafe")
         worker, fn = d.router.workers[home], d.router.functions["f"]
         if not served:
-            fn.runs.timed.clear()
+            fn.runs.clear()
         sends = of(d.ask("r1", spec="unsafe", lanes=4) + d.ask("r2", spec="unsafe", lanes=4), io.Send)
         for send in sends:
             d.end(send, Ending.ERROR, closed=False)
--- a/tests/test_repository.py
+++ b/tests/test_repository.py
@@ -7,8 +7,11 @@
 import sys
 from pathlib import Path
 
+import pytest
+
 ROOT = Path(__file__).parent.parent
 POLICY = (ROOT / "fawnwharf" / "policy.py").read_text()
+STATISTICS = (ROOT / "fawnwharf" / "statistics.py").read_text()
 
 
 def test_policy_keeps_its_limits():
@@ -17,8 +20,9 @@
     assert max(len(line) for line in lines) <= 110
 
 
-def test_policy_has_no_clock_no_random_source_and_no_builtin_hash():
-    tree = ast.parse(POLICY)
+@pytest.mark.parametrize("source", [POLICY, STATISTICS], ids=["policy", "statistics"])
+def test_policy_has_no_clock_no_random_source_and_no_builtin_hash(source):
+    tree = ast.parse(source)
     modules = set()
     for node in ast.walk(tree):
         if isinstance(node, ast.Import):
@@ -26,7 +30,7 @@
         elif isinstance(node, ast.ImportFrom):
             modules.add(node.module)
     allowed = {"hashlib", "math", "collections", "dataclasses", "itertools"}
-    allowed |= {"fawnwharf", "fawnwharf.interface"}
+    allowed |= {"fawnwharf", "fawnwharf.interface", "fawnwharf.statistics"}
     assert modules <= allowed
     calls = {n.func.id for n in ast.walk(tree) if isinstance(n, ast.Call) and isinstance(n.func, ast.Name)}
     assert "hash" not in calls
