--- a/fawnwharf/interface.py
+++ b/fawnwharf/interface.py
@@ -126,11 +126,14 @@
     memory_mb: float | None = None
     load_ms: float | None = None
     hint_ms: float | None = None
+    client_id: str = ""  # the client's own id, where several requests may bring the same
+    age_ms: float = 0.0  # how long ago it came
 
 
 @dataclass(slots=True)
 class ClientLeft:
     request: str
+    client_id: str = ""
 
 
 @dataclass(slots=True)
--- a/fawnwharf/net/clients.py
+++ b/fawnwharf/net/clients.py
@@ -186,7 +186,8 @@
         if self.connection.closed:  # the look at who has that id found the end of this very client
             return
         fields["budget_ms"] = max(0.0, fields["budget_ms"] - self.connection.age_ms)
-        call = Call(reply=lambda outcome: self._reply(seqid, outcome), waits=self._waits, **fields)
+        reply, age_ms = (lambda outcome: self._reply(seqid, outcome)), self.connection.age_ms
+        call = Call(reply=reply, age_ms=age_ms, waits=self._waits, **fields)
         if (key := self.port.table.take(call)) is not None:
             self.open[seqid] = key
 
--- a/fawnwharf/net/requests.py
+++ b/fawnwharf/net/requests.py
@@ -58,6 +58,7 @@
     memory_mb: float | None
     load_ms: float | None
     reply: Callable[[Outcome], None]
+    age_ms: float  # how long its last bytes had lain unread
     waits: Callable[[], bool]  # whether its client is still there; one that is not is taken off by the asking
 
 
@@ -112,7 +113,7 @@
         self._loop.tell(
             io.RequestArrived(
                 key, call.function, call.class_name, call.tenant, budget_ms, call.lanes,
-                call.memory_mb, call.load_ms,
+                call.memory_mb, call.load_ms, client_id=call.id.hex(), age_ms=call.age_ms,
             )
         )  # fmt: skip
         return key
@@ -131,13 +132,14 @@
 
     def withdraw(self, key: str) -> None:
         """The client waits no more: no answer is owed."""
-        if self._close(key):
-            self._loop.tell(io.ClientLeft(key))
+        if request := self._close(key):
+            self._loop.tell(io.ClientLeft(key, request.call.id.hex()))
 
     def _overdue(self, key: str) -> None:
         """Guards the one final answer against any fault in the decisions; they end a request earlier."""
+        request = self.open[key]
         self._finish(key, Failed())
-        self._loop.tell(io.ClientLeft(key))
+        self._loop.tell(io.ClientLeft(key, request.call.id.hex()))
 
     def _close(self, key: str) -> OpenRequest | None:
         request = self.open.pop(key, None)
--- a/fawnwharf/policy.py
+++ b/fawnwharf/policy.py
@@ -5,7 +5,7 @@
 """
 
 import math
-from collections import deque
+from collections import OrderedDict, deque
 from dataclasses import dataclass, field
 from itertools import islice
 
@@ -167,7 +167,9 @@
         self.requests, self.attempts = dict[str, Request](), dict[tuple[str, int], Attempt]()
         self.flying: deque[Attempt] = deque()  # attempts out for less than the promise
         self.hedges = HEDGES_MOST  # tokens for second attempts
-        self.sends, self.taken, self.ordered = _recent(), deque[float](), deque[float]()
+        self.sends = _recent()
+        self.ordered = deque[float]()  # when orders left, in the ration's window
+        self.taken = OrderedDict[str, float]()  # when requests came in it, by their clients' ids
         self.loads_limit, self.loading = LOADS_START, 0  # own orders under way
         self.tokens: dict[str, tuple[float, float]] = {}
         self.total, self.fleet = 1.0, 0.01  # size of the ready fleet, cold workers in part; the largest seen
@@ -212,7 +214,7 @@
         self._dispatch_all()
 
     def _on_request(self, event: io.RequestArrived) -> None:
-        self.taken.append(self.now)
+        self.taken.setdefault(event.client_id or event.request, self.now - event.age_ms)
         self.came, name = self.came + 1, event.function
         if name not in self.functions:
             if len(self.functions) >= FUNCTIONS_MOST:
@@ -254,9 +256,8 @@
                 del self.workers[worker.id]
 
     def _on_left(self, event: io.ClientLeft) -> None:
+        self.taken.pop(event.client_id or event.request, None)  # allows no load, also if it was answered
         if request := self.requests.get(event.request):
-            if request.arrived_ms in self.taken:  # what was taken back allows no load: it may be hundreds
-                self.taken.remove(request.arrived_ms)
             self._close(request)
 
     def _on_leaving(self, event: io.Leaving) -> None:
@@ -625,8 +626,8 @@
 
     def _rate(self) -> float:  # own arrivals a millisecond
         stretch = self.settings.load_window_ms or RATE_MS
-        while self.taken and self.taken[0] <= self.now - stretch:
-            self.taken.popleft()
+        while self.taken and next(iter(self.taken.values())) <= self.now - stretch:
+            self.taken.popitem(last=False)
         return len(self.taken) / stretch
 
     def _bound(self, worker: Worker) -> float:  # own requests: a multiple of a fair share
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -662,6 +662,31 @@
                 self.assertEqual(len(second.runs), not late)
 
 
+RATION = {"family_info": {**SETTINGS["family_info"], "load_window": 5000.0, "free_loads": 2.0}}
+
+
+class LoadRation(Case):
+    """Orders to load are rationed by when they arrive, and by the calls that clients did not take back."""
+
+    def test_calls_given_up_at_once_and_then_withdrawn_allow_no_loads(self):
+        rig = self.rig(ScorerPeer(copies=None), settings=RATION)
+        client = rig.client()
+        for seqid in range(1, 41):
+            client.call(call="ab" * 8, seqid=seqid, ttl="52")
+            client.withdraw(seqid)
+        rig.settle(client)
+        self.assertEqual(rig.front.router.taken, {})
+
+    def test_an_id_that_comes_again_each_time_that_it_is_turned_away_counts_once(self):
+        rig = self.rig(ScorerPeer(copies=None), settings=RATION)
+        client = rig.client()
+        for seqid in range(1, 11):
+            client.call(call="ab" * 8, seqid=seqid, ttl="52")
+            rig.until(lambda seqid=seqid: seqid in client.kinds(), "it is turned away")
+        self.assertEqual(set(client.kinds().values()), {"throttled"})
+        self.assertEqual(list(rig.front.router.taken), ["ab" * 8])
+
+
 class Descriptors(ProgramCase):
     def test_idle_clients_that_fill_them_while_the_list_is_away_keep_nobody_out(self):
         scorer = ScorerPeer()
