--- a/fawnwharf/net/changelog.py
+++ b/fawnwharf/net/changelog.py
@@ -108,6 +108,9 @@
     def on_flushed(self) -> None:
         pass
 
+    def on_writable(self) -> None:
+        pass
+
     def on_end(self, end: End) -> None:
         if self._connection is None:  # ended here
             return
--- a/fawnwharf/net/clients.py
+++ b/fawnwharf/net/clients.py
@@ -218,6 +218,9 @@
         if left > UNREAD_MOST or (left > UNREAD_STOP and self.port.unread() > UNREAD_ALL_MOST):
             self.connection.close(End.STUFFED)
 
+    def on_writable(self) -> None:
+        pass
+
     def on_end(self, end: End) -> None:
         keys, self.open = list(self.open.values()), {}
         for key in keys:
--- a/fawnwharf/net/connection.py
+++ b/fawnwharf/net/connection.py
@@ -48,6 +48,8 @@
 
     def on_flushed(self) -> None: ...
 
+    def on_writable(self) -> None: ...
+
     def on_end(self, end: End) -> None: ...
 
 
@@ -61,6 +63,8 @@
 
     def on_flushed(self) -> None: ...
 
+    def on_writable(self) -> None: ...
+
     def on_end(self, end: End) -> None: ...
 
 
@@ -206,6 +210,7 @@
             return
         if mask & WRITE:
             self._blocked = False
+            self.owner.on_writable()
             self.loop.flush_later(self)
         if mask & READ:
             self._read()
--- a/fawnwharf/net/front_end.py
+++ b/fawnwharf/net/front_end.py
@@ -52,7 +52,9 @@
         self.router = Router(settings, deployment.seed)
         links_most = max(4, int(sockets * SCORER_SHARE))
         self.pool = ScorerPool(self.loop, wire, links_most, deployment.seed, self.log)
-        self.table = RequestTable(self.loop, self.pool, wire, settings.classes, self.log)
+        self.table = RequestTable(
+            self.loop, self.pool, wire, settings.classes, self.router.order_leaves, self.log
+        )
         self.changelog = ChangeLog(self.loop, deployment.changelog, 0, self._on_fleet, self.log)
         self._known()
         clients_most = max(4, int(sockets * CLIENT_SHARE))
@@ -200,7 +202,7 @@
     # --- decisions ------------------------------------------------------------------------------
 
     def _decide(self, now_ms: float, events: list[io.Event]) -> None:
-        self.table.begin_batch()
+        self.table.begin_batch(now_ms)
         try:
             actions: list[Any] = self.router.handle(now_ms, events)
         except Exception:
--- a/fawnwharf/net/requests.py
+++ b/fawnwharf/net/requests.py
@@ -82,11 +82,19 @@
     """Owns every open request, and sees to it that each gets exactly one outcome."""
 
     def __init__(
-        self, loop: Loop, pool: ScorerPool, wire: Wire, classes: Mapping[str, io.ClassSpec], log: Log
+        self,
+        loop: Loop,
+        pool: ScorerPool,
+        wire: Wire,
+        classes: Mapping[str, io.ClassSpec],
+        order_leaves: Callable[[float, float], float | None],
+        log: Log,
     ) -> None:
         self.open: dict[str, OpenRequest] = {}
         self._classes, self._log = classes, log
         self._loop, self._pool, self._wire = loop, pool, wire
+        self._order_leaves = order_leaves  # asks the module when the first byte of an order is to leave
+        self._batch_ms = 0.0  # the moment of the batch that is being carried out
         self._bodies = 0
         self._ends_ms = math.inf  # when this front end may be ended from outside
         self._keys: dict[bytes, str] = {}  # by the id of an open request's call
@@ -190,7 +198,8 @@
 
     # --- from the module ----------------------------------------------------------------------
 
-    def begin_batch(self) -> None:
+    def begin_batch(self, now_ms: float) -> None:
+        self._batch_ms = now_ms
         self._ended_before, self._ended = self._ended, {}
 
     def send(self, action: io.Send) -> None:
@@ -255,7 +264,20 @@
 
     def order(self, action: io.Hold) -> None:
         self._note_order(action.function, f"order {action.copies} at {action.worker}")
-        self._pool.order(Order(action.worker, self._order_ended, action.function, action.copies))
+        may_begin = self._asked_anew() if action.copies else lambda: True
+        self._pool.order(Order(action.worker, self._order_ended, action.function, action.copies, may_begin))
+
+    def _asked_anew(self) -> Callable[[], bool]:
+        """Asks whether an order may leave, each time that its first byte could."""
+        counted_ms: float | None = self._batch_ms
+
+        def may_begin() -> bool:
+            nonlocal counted_ms
+            if counted_ms is not None:
+                counted_ms = self._order_leaves(counted_ms, self._loop.clock.now_ms())
+            return counted_ms is not None
+
+        return may_begin
 
     def _note_order(self, function: str, text: str) -> None:
         for request in self.open.values():
--- a/fawnwharf/net/scorers.py
+++ b/fawnwharf/net/scorers.py
@@ -94,9 +94,7 @@
 class Order(Stream):
     function: str = ""
     copies: int = 0
-
-    def may_begin(self) -> bool:
-        return True
+    may_begin: Callable[[], bool] = lambda: True  # asked when its first byte is to leave
 
     @property
     def is_new_work(self) -> bool:  # a question is none
@@ -211,6 +209,12 @@
     def on_flushed(self) -> None:
         pass
 
+    def on_writable(self) -> None:
+        """The scorer reads again: what waited for that is asked once more whether it may begin."""
+        for stream in self.unwritten():
+            if not stream.may_begin():
+                self.pool.take_back(stream)
+
     def on_end(self, end: End) -> None:
         self.pool.link_ended(self, end)
 
--- a/fawnwharf/policy.py
+++ b/fawnwharf/policy.py
@@ -28,6 +28,7 @@
 SILENT_MS, SIGN_WAIT_MS = 300.0, 80.0  # a worker that owes and says nothing is asked for a sign, then suspect
 TRIAL_MS, BLOCK_MS = 1_000.0, 1_000.0  # between questions to a suspect; after a load that failed
 COLD_SAFETY = 0.75  # part of a cold worker's budget that is used: capacity and other front ends are guesses
+LATE_LEAVE_MS = 20.0  # an order that leaves this long after it was decided is looked at once more
 WINDOW_MARGIN_MS = 100.0  # a keyed repeat must arrive inside the window, not just leave inside it
 LOADS_START, LOADS_LEAST, LOADS_MOST = 8.0, 2.0, 24.0  # own loads under way at once: first, and between these
 LOAD_SLOW = 2.5  # a load this many times slower than told says that the store is crowded
@@ -625,7 +626,7 @@
         return min(1.0, self.settings.cold_share + (1 - self.settings.cold_share) * age)
 
     def _rate(self) -> float:  # own arrivals a millisecond
-        stretch = self.settings.load_window_ms or RATE_MS
+        stretch = max(LATE_LEAVE_MS, (self.settings.load_window_ms or RATE_MS) - LATE_LEAVE_MS)
         while self.taken and next(iter(self.taken.values())) <= self.now - stretch:
             self.taken.popitem(last=False)
         return len(self.taken) / stretch
@@ -789,12 +790,24 @@
 
     def _rationed(self) -> bool:  # would one more order that leaves now be too many?
         window = self.settings.load_window_ms
-        while self.ordered and self.ordered[0] < self.now - window - self.settings.tick_ms:
+        while self.ordered and self.ordered[0] < self.now - window - self.settings.tick_ms - LATE_LEAVE_MS:
             self.ordered.popleft()
         self._rate()  # forgets old arrivals
         ration = self.settings.free_loads + self.settings.load_part * len(self.taken)
         return window > 0 and len(self.ordered) + 1 > ration
 
+    def order_leaves(self, counted_ms: float, now_ms: float) -> float | None:
+        """The moment that an order counts from, whose first byte may leave now; None where it must not."""
+        if now_ms - counted_ms <= LATE_LEAVE_MS:
+            return counted_ms
+        self.now = max(self.now, now_ms)
+        if counted_ms in self.ordered:
+            self.ordered.remove(counted_ms)
+        if self._rationed():
+            return None
+        self.ordered.append(self.now)
+        return self.now
+
     def _over_share(self, tenant: str) -> bool:  # a token bucket of its share, in part
         quota = self.settings.quotas_rps.get(tenant)
         if quota is None:
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -668,6 +668,27 @@
 class LoadRation(Case):
     """Orders to load are rationed by when they arrive, and by the calls that clients did not take back."""
 
+    def shift(self, rig, ms):
+        """So much time passes on the clock that the module is shown."""
+        clock = rig.front.loop.clock
+        now_ms = clock.now_ms
+        clock.now_ms = lambda: now_ms() + ms
+
+    def fill(self, rig, count):
+        """So many orders leave now."""
+        now_ms = rig.front.loop.clock.now_ms()
+        for _ in range(count):
+            rig.front.router.ordered.append(now_ms)
+
+    def order_that_waits(self, rig, peer):
+        """An order to a scorer to which no connection is up yet, decided now."""
+        rig.scorers.append(peer)
+        rig.front.pool.update(PLACE, address_of(peer), io.State.READY, 0.0)
+        now_ms = rig.front.loop.clock.now_ms()
+        rig.front.table.begin_batch(now_ms)
+        rig.front.router.ordered.append(now_ms)
+        rig.front.table.order(io.Hold(PLACE, ROW, 1))
+
     def test_calls_given_up_at_once_and_then_withdrawn_allow_no_loads(self):
         rig = self.rig(ScorerPeer(copies=None), settings=RATION)
         client = rig.client()
@@ -686,6 +707,54 @@
         self.assertEqual(set(client.kinds().values()), {"throttled"})
         self.assertEqual(list(rig.front.router.taken), ["ab" * 8])
 
+    def test_an_order_whose_connection_comes_up_late_keeps_to_the_ration_of_then(self):
+        for others in (1, 2):  # how many orders have left by then: one leaves room, two do not
+            with self.subTest(others=others):
+                rig, peer = self.rig(settings=RATION), ScorerPeer("s-9", copies=None)
+                self.order_that_waits(rig, peer)
+                self.shift(rig, 4500.0)
+                self.fill(rig, others)
+                [link] = rig.front.pool.scorers[PLACE].links
+                rig.until(lambda link=link: link.up, "the dial comes up")
+                rig.front.table.order(io.Hold(PLACE, ROW, 0))
+                rig.until(lambda peer=peer: peer.frames, "what is sent after it arrives")
+                counts = [frame.fields["slots_up"] for _, frame in peer.of(scorer_frames.ENSURE)]
+                self.assertEqual("1" in counts, others == 1)
+                ordered = list(rig.front.router.ordered)
+                self.assertEqual(len(ordered), 2)
+                then_ms = rig.front.loop.clock.now_ms() - 1000.0
+                self.assertGreater(min(ordered), then_ms)
+
+    def test_an_order_behind_bytes_that_the_scorer_does_not_read_is_looked_at_again(self):
+        rig, peer = self.rig(settings=RATION), ScorerPeer("s-9", copies=None)
+        self.order_that_waits(rig, peer)
+        rig.until(lambda: peer.frames, "a connection stands")
+        [link, *_] = rig.front.pool.scorers[PLACE].links
+        rig.front.router.ordered.clear()
+        pump, peer.pump = peer.pump, lambda: None  # it reads no more
+        filler = link.connection.write(b"")
+        while not link.connection._blocked:
+            filler = link.connection.write(scorer_frames.give_up(b"nobody00") * 50_000)
+            link.connection.flush()
+        with mock.patch.object(scorers, "WAITING_BYTES_MOST", 1 << 30):
+            now_ms = rig.front.loop.clock.now_ms()
+            rig.front.table.begin_batch(now_ms)
+            rig.front.router.ordered.append(now_ms)
+            for other in rig.front.pool.scorers[PLACE].links[1:]:
+                other.connection.close(End.IDLE)
+            rig.front.table.order(io.Hold(PLACE, ROW, 2))
+        self.assertEqual([stream.copies for stream in link.unwritten()], [2])
+        self.shift(rig, 4500.0)
+        self.fill(rig, 2)
+        peer.pump = pump
+        rig.until(lambda: not link.connection.waiting_bytes, "all is written")
+        rig.until(lambda: filler.written == len(filler.data), "the filler too")
+        rig.front.table.order(io.Hold(PLACE, ROW, 0))
+        asked = lambda: [f for _, f in peer.of(scorer_frames.ENSURE) if f.fields["slots_up"] == "0"]  # noqa: E731
+        rig.until(asked, "what is sent after it arrives")
+        counts = [frame.fields["slots_up"] for _, frame in peer.of(scorer_frames.ENSURE)]
+        self.assertNotIn("2", counts)
+
 
 class Descriptors(ProgramCase):
     def test_idle_clients_that_fill_them_while_the_list_is_away_keep_nobody_out(self):
