--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -10,4 +10,4 @@
     .venv/bin/pip -q install -r requirements.txt
     cp requirements.txt "$stamp"
 fi
-.venv/bin/python -m compileall -q fawnwharf || true   # a checkout that can't be written to still runs
+.venv/bin/python -m compileall -q function_router || true   # a checkout that can't be written to still runs
--- a/fawnwharf/__init__.py
+++ /dev/null
@@ -1,6 +0,0 @@
-"""fawnwharf: the decisions of a router for functions that are loaded on demand."""
-
-from fawnwharf.policy import Router
-
-__all__ = ["Router", "__version__"]
-__version__ = "0.2.0"
--- a/fawnwharf/__main__.py
+++ b/function_router/__main__.py
@@ -1,4 +1,4 @@
-"""The program: ``python -m fawnwharf``."""
+"""The program: ``python -m function_router``."""
 
 import signal
 import sys
@@ -10,12 +10,12 @@
         signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
         # Guards the time to be ready after a restart: the command line's libraries take longer to import
         # than all the rest, and plain serving needs none of them.
-        from fawnwharf.serving import serve
+        from function_router.server import serve
 
         return serve()
-    from fawnwharf.cli import app
+    from function_router.cli import app
 
-    return app(prog_name="fawnwharf")
+    return app(prog_name="function_router")
 
 
 if __name__ == "__main__":
--- a/fawnwharf/config.py
+++ b/function_router/config.py
@@ -14,7 +14,8 @@
 import msgspec
 from msgspec import Meta, Struct
 
-from fawnwharf import interface as io
+from function_router.decisions.settings import RequestClass, Settings
+from function_router.decisions.types import DeduplicationScope, RetrySafety
 
 Count = Annotated[int, Meta(ge=0)]
 Least = Annotated[int, Meta(ge=1)]
@@ -22,7 +23,7 @@
 Address = tuple[str, int]
 
 
-class ConfigError(ValueError):
+class ConfigurationError(ValueError):
     """A faulty configuration; the text names the key."""
 
 
@@ -33,8 +34,8 @@
     name: str
     promise: Span = 1000.0
     give_up: Span = 2500.0
-    effect: io.Effect = io.Effect.UNSAFE
-    group: io.Group = io.Group.ALL
+    effect: RetrySafety = RetrySafety.AT_MOST_ONCE
+    group: DeduplicationScope = DeduplicationScope.ALL
     dedup_window: Span = 0.0
     worth: float = 1.0
     late_share: float = 0.0
@@ -116,35 +117,35 @@
 # --- what the program works with -------------------------------------------------------------
 
 
-class Wire(Struct, frozen=True):
+class TransportSettings(Struct, frozen=True):
     """The settings that sockets need and decisions do not."""
 
-    dial_timeout_ms: float = 250.0
+    connect_timeout_ms: float = 250.0
     keepalive_ms: float = 15_000.0
-    streams_per_conn: int = 32
-    max_open: int = 20_000
-    load_wait_ms: float = 10_000.0
-    tells_crowd: bool = False
-    spare_links: bool = True  # a connection may be opened before a call needs it
+    max_exchanges_per_connection: int = 32
+    max_pending_requests: int = 20_000
+    start_order_timeout_ms: float = 10_000.0
+    reports_in_flight: bool = False
+    may_preconnect: bool = True  # a connection may be opened before a call needs it
     tenants: frozenset[str] = frozenset()  # empty: a site without tenants
 
 
-class Deployment(Struct, frozen=True):
+class RouterConfig(Struct, frozen=True):
     """The whole configuration of one front end."""
 
     name: str
     listen: Address
-    changelog: Address
+    endpoint_log: Address
     seed: int
     memory_mb: int
-    sockets: int
+    max_sockets: int
     known_seq: int
     known_events: list[dict[str, Any]]
-    settings: io.Settings
-    wire: Wire
+    settings: Settings
+    wire: TransportSettings
 
 
-class Member(Struct, frozen=True):
+class EndpointRecord(Struct, frozen=True):
     """A scorer as an event of the change log gives it."""
 
     id: str
@@ -157,8 +158,8 @@
     up_since_ms: float = 0.0
 
 
-class Fleet(Struct, frozen=True):
-    members: list[Member]
+class EndpointList(Struct, frozen=True):
+    members: list[EndpointRecord]
     complete: bool = False
     revision: int = 0
 
@@ -177,77 +178,77 @@
     except msgspec.ValidationError as error:
         text, _, place = str(error).partition(" - at `$")
         key = (prefix + place.rstrip("`")).lstrip(".")
-        raise ConfigError(f"{key or 'configuration'}: {text}") from None
+        raise ConfigurationError(f"{key or 'configuration'}: {text}") from None
 
 
-def settings_from(config: Any) -> io.Settings:
+def parse_settings(config: Any) -> Settings:
     """The module's settings, from the object that an instance is given."""
     return _settings(_read(config, _Settings, "settings"))
 
 
-def _settings(read: _Settings) -> io.Settings:
+def _settings(read: _Settings) -> Settings:
     bounds, family, rules = read.bounds, read.family_info, read.invariants
-    return io.Settings(
+    return Settings(
         classes={spec.name: _class(spec) for spec in read.classes},
-        quotas_rps={t.name: t.quota_rps for t in read.tenants if t.quota_rps is not None},
-        fleet_size=read.fleet_size,
+        tenant_quotas_rps={t.name: t.quota_rps for t in read.tenants if t.quota_rps is not None},
+        router_count=read.fleet_size,
         zone=read.locality,
         tick_ms=read.tick,
-        weights_fixed=read.weight_source in ("nominal", "rough"),
-        may_order=family.may_order,
-        may_cancel=bounds.cancel,
-        second_copies=bounds.second_copies,
+        worker_sizes_known=read.weight_source in ("nominal", "rough"),
+        can_order_starts=family.may_order,
+        can_cancel=bounds.cancel,
+        can_hedge=bounds.second_copies,
         max_attempts=bounds.max_attempts,
         max_retry_after_ms=bounds.max_retry_after if bounds.retry_after else 0.0,
-        idle_life_ms=family.idle_life,
-        loads_on_miss=family.not_loaded == "load",
-        load_window_ms=family.load_window,
-        free_loads=family.free_loads,
-        load_part=family.load_part,
-        cold_ms=rules.cold,
-        cold_share=rules.cold_share,
-        fall_ms=rules.fall,
-        fall_multiple=rules.fall_multiple,
+        keep_alive_ms=family.idle_life,
+        starts_on_request=family.not_loaded == "load",
+        start_window_ms=family.load_window,
+        free_starts=family.free_loads,
+        starts_per_request=family.load_part,
+        slow_start_ms=rules.cold,
+        slow_start_initial=rules.cold_share,
+        overload_window_ms=rules.fall,
+        overload_multiple=rules.fall_multiple,
     )
 
 
-def _class(spec: _Class) -> io.ClassSpec:
-    return io.ClassSpec(
+def _class(spec: _Class) -> RequestClass:
+    return RequestClass(
         name=spec.name,
-        promise_ms=spec.promise,
-        give_up_ms=spec.give_up,
-        effect=spec.effect,
-        group=spec.group,
-        dedup_window_ms=spec.dedup_window,
-        worth=spec.worth,
-        late_share=spec.late_share,
+        latency_objective_ms=spec.promise,
+        timeout_ms=spec.give_up,
+        retry_safety=spec.effect,
+        deduplication_scope=spec.group,
+        idempotency_window_ms=spec.dedup_window,
+        priority_weight=spec.worth,
+        late_value_share=spec.late_share,
     )
 
 
-def _wire(read: _Settings) -> Wire:
+def _wire(read: _Settings) -> TransportSettings:
     bounds, family = read.bounds, read.family_info
-    return Wire(
-        dial_timeout_ms=bounds.dial_timeout,
+    return TransportSettings(
+        connect_timeout_ms=bounds.dial_timeout,
         keepalive_ms=bounds.keepalive,
-        streams_per_conn=bounds.streams_per_conn,
-        max_open=bounds.max_open,
-        load_wait_ms=family.load_wait,
-        tells_crowd=family.notes_peers_in_hand,
-        spare_links=read.costs.handshake == 0,
+        max_exchanges_per_connection=bounds.streams_per_conn,
+        max_pending_requests=bounds.max_open,
+        start_order_timeout_ms=family.load_wait,
+        reports_in_flight=family.notes_peers_in_hand,
+        may_preconnect=read.costs.handshake == 0,
         tenants=frozenset(tenant.name for tenant in read.tenants),
     )
 
 
-def address_from(text: str, key: str) -> Address:
+def parse_address(text: str, key: str) -> Address:
     """A numeric address and port; names are not looked up, as there is no DNS."""
     host, _, port = text.rpartition(":")
     try:
         ipaddress.ip_address(host.strip("[]"))
         number = int(port)
     except ValueError:
-        raise ConfigError(f"{key}: not an address and port: {text[:60]!r}") from None
+        raise ConfigurationError(f"{key}: not an address and port: {text[:60]!r}") from None
     if not 0 <= number < 65536:
-        raise ConfigError(f"{key}: no such port: {number}")
+        raise ConfigurationError(f"{key}: no such port: {number}")
     return host.strip("[]"), number
 
 
@@ -255,19 +256,19 @@
     try:
         return seed if isinstance(seed, int) else int(seed, 16)
     except ValueError:
-        raise ConfigError(f"seed: not a hexadecimal number: {seed[:40]!r}") from None
+        raise ConfigurationError(f"seed: not a hexadecimal number: {seed[:40]!r}") from None
 
 
-def deployment_from(data: Any, environment: Mapping[str, str]) -> Deployment:
+def parse_config(data: Any, environment: Mapping[str, str]) -> RouterConfig:
     read = _read(data, _Deployment)
     listen = environment.get("ROUTER_LISTEN") or read.listen
-    return Deployment(
+    return RouterConfig(
         name=environment.get("ROUTER_NAME") or read.name,
-        listen=address_from(listen, "listen"),
-        changelog=address_from(read.changelog, "changelog"),
+        listen=parse_address(listen, "listen"),
+        endpoint_log=parse_address(read.changelog, "changelog"),
         seed=_seed(read.seed),
         memory_mb=read.limits.memory_mb,
-        sockets=read.limits.sockets,
+        max_sockets=read.limits.sockets,
         known_seq=read.known.seq,
         known_events=read.known.results,
         settings=_settings(read.settings),
@@ -275,20 +276,20 @@
     )
 
 
-def load(path: str | None = None, environment: Mapping[str, str] = os.environ) -> Deployment:
+def load(path: str | None = None, environment: Mapping[str, str] = os.environ) -> RouterConfig:
     """The configuration at `path`, or where ROUTER_CONFIG says."""
     place = path or environment.get("ROUTER_CONFIG")
     if not place:
-        raise ConfigError("ROUTER_CONFIG: not set, and no path given")
+        raise ConfigurationError("ROUTER_CONFIG: not set, and no path given")
     try:
         data = msgspec.json.decode(Path(place).read_bytes())
     except OSError as error:
-        raise ConfigError(f"ROUTER_CONFIG: {error.strerror}: {place}") from None
+        raise ConfigurationError(f"ROUTER_CONFIG: {error.strerror}: {place}") from None
     except (msgspec.DecodeError, RecursionError) as error:
-        raise ConfigError(f"ROUTER_CONFIG: not JSON: {error}") from None
-    return deployment_from(data, environment)
+        raise ConfigurationError(f"ROUTER_CONFIG: not JSON: {error}") from None
+    return parse_config(data, environment)
 
 
-def fleet_from(data: Any) -> Fleet:
+def parse_endpoint_list(data: Any) -> EndpointList:
     """The list in a change-log event."""
-    return _read(data, Fleet, "fleet")
+    return _read(data, EndpointList, "fleet")
--- /dev/null
+++ b/function_router/decisions/actions.py
@@ -0,0 +1,57 @@
+"""What to do: the actions that `Router.handle` returns, to be carried out in order. No logic lives here.
+
+Durations are milliseconds.
+"""
+
+from msgspec import Struct
+
+
+class SendRequest(Struct):
+    """Send an attempt of a request to a worker."""
+
+    request_id: str
+    worker_id: int
+
+
+class CancelAttempt(Struct):
+    """Tell the worker of an attempt that nobody waits for it any more."""
+
+    request_id: str
+    attempt_number: int
+
+
+class RejectRequest(Struct):
+    """Give the final answer that promises the client that a retry is harmless."""
+
+    request_id: str
+    retry_after_ms: float = 0.0  # how long to stay away; 0: no advice
+
+
+class FailRequest(Struct):
+    """Give the final answer that promises nothing."""
+
+    request_id: str
+
+
+class EnsureInstances(Struct):
+    """Order a worker to hold so many instances of a function; 0 is a probe, and only asks how many stand."""
+
+    worker_id: int
+    function: str
+    instances: int
+
+
+class SetTimer(Struct):
+    """Send a `TimerFired` with this token after a delay."""
+
+    delay_ms: float
+    token: int
+
+
+class LogMessage(Struct):
+    """Write a line to the log."""
+
+    text: str
+
+
+Action = SendRequest | CancelAttempt | RejectRequest | FailRequest | EnsureInstances | SetTimer | LogMessage
--- /dev/null
+++ b/function_router/decisions/types.py
@@ -0,0 +1,54 @@
+"""Enumerations that events, actions and settings share. No logic lives here."""
+
+from enum import Enum, IntEnum
+
+
+class RetrySafety(Enum):
+    """What a repeat of a request of a class does; the values are those of the settings."""
+
+    IDEMPOTENT = "idempotent"
+    IDEMPOTENCY_KEY = "deduplicated"
+    AT_MOST_ONCE = "at_most_once"
+
+
+class DeduplicationScope(Enum):
+    """The workers that drop each other's repeats of a request with an idempotency key."""
+
+    ALL = "all"
+    ZONE = "zone"
+    CELL = "cell"
+
+
+class WorkerState(IntEnum):
+    """A worker's state in the endpoint list; the values are those of the simulator's wire."""
+
+    READY = 1
+    DRAINING = 2
+    REMOVED = 3
+
+
+class Outcome(Enum):
+    """How an attempt, a start order or a probe ended; the values are those of the simulator's wire."""
+
+    OK = "GOOD"
+    ERROR = "BAD"
+    QUEUE_FULL = "FULL"
+    TIMEOUT = "LATE"
+    CONNECT_FAILED = "NOCONN"
+    RESET = "RST"
+    CANCELLED = "CXL"
+    NOT_SENT = "NOP"
+    NOT_LOADED = "MISS"
+
+
+class StartKind(IntEnum):
+    """What an answer tells of the instance that served it; UNKNOWN where it tells nothing.
+
+    The values are those of the simulator's wire.
+    """
+
+    UNKNOWN = 0
+    WARM = 1
+    COLD_START = 2
+    JOINED_COLD_START = 3
+    START_FAILED = 4
--- a/fawnwharf/net/clients.py
+++ b/function_router/net/client_connection.py
@@ -6,33 +6,41 @@
 import socket
 from typing import Any
 
-from fawnwharf.config import Address
-from fawnwharf.interface import ClassSpec, Effect
-from fawnwharf.net import thrift
-from fawnwharf.net.connection import Connection, stamp_reads
-from fawnwharf.net.endings import End, end_of
-from fawnwharf.net.log import Log
-from fawnwharf.net.loop import READ, Loop
-from fawnwharf.net.requests import Call, Failed, Outcome, Refused, RequestTable, Served
-from fawnwharf.net.wheel import monotonic_ms
-
-OPEN_MOST = 32  # requests open on one connection
+from function_router.config import Address
+from function_router.decisions.settings import RequestClass
+from function_router.decisions.types import RetrySafety
+from function_router.net.close_reason import CloseReason, reason_of_os_error
+from function_router.net.codecs import thrift
+from function_router.net.connection import Connection, enable_receive_timestamps
+from function_router.net.event_loop import READ, EventLoop
+from function_router.net.log import RateLimitedLog
+from function_router.net.request_table import (
+    ClientRequest,
+    Failed,
+    FinalAnswer,
+    Rejected,
+    RequestTable,
+    Served,
+)
+from function_router.net.timer_wheel import monotonic_ms
+
+MAX_PENDING_REQUESTS = 32  # requests open on one connection
 BACKLOG = 1024
-ACCEPTS_MOST = 64  # in a turn, and never more than half of all, so that a first request can be read
+MAX_ACCEPTS_PER_TURN = 64  # in a turn, and never more than half of all, so that a first request can be read
 ACCEPT_PAUSE_MS = 50.0  # where the system has no descriptor left
 IDLE_MS = 30_000.0  # clients close after 4 s; one that asked and is still here holds its connection for good
 # A peer is owed an answer or a close within 3 s of connecting; what a client sends comes within a round trip.
-SPEAK_MS = 2_300.0  # for a first message, and for the rest of one that has begun
+MESSAGE_TIMEOUT_MS = 2_300.0  # for a first message, and for the rest of one that has begun
 PIECE_MS = 700.0  # and as long as it keeps coming: so long after its last piece, with SPEAK_MS 3 s
 PIECES_SURE = 3  # of so many, the next may take SPEAK_MS: one that stops short sends less
-PIECES_MOST_MS = 30_000.0  # but no longer than this in all
+MAX_PIECES_MS = 30_000.0  # but no longer than this in all
 SKIP_MS = 6_000.0  # for the rest of an oversized one, which was refused when its head came
 YOUNG_MS = 250.0  # a connection that said nothing yet may be about to: others give way first
 TTL_ROOM = 1.1  # a client waits for its class's time at the most; room for rounding
-UNREAD_STOP = 64 * 1024  # bytes that wait for a client which does not read: it is not read either
-UNREAD_MOST = 1024 * 1024  # and with these it is dropped
-UNREAD_ALL_MOST = 32 * 1024 * 1024  # of all clients together: part of the memory limit
-LANES_MOST = 4_096
+STOP_READING_BYTES = 64 * 1024  # bytes that wait for a client which does not read: it is not read either
+MAX_UNREAD_BYTES = 1024 * 1024  # and with these it is dropped
+MAX_TOTAL_UNREAD_BYTES = 32 * 1024 * 1024  # of all clients together: part of the memory limit
+MAX_CONCURRENCY = 4_096
 
 _HEX16 = re.compile(r"[0-9a-fA-F]{16}\Z")
 _TOKEN = re.compile(r"[0-9A-Za-z_.:-]{1,128}\Z")
@@ -43,51 +51,51 @@
     if text is None:
         return None
     if not _NUMBER.match(text):
-        raise thrift.Malformed(f"{name}: not a number")
+        raise thrift.MalformedMessageError(f"{name}: not a number")
     return float(text)
 
 
 def call_from(
-    message: thrift.Handle, classes: dict[str, ClassSpec], tenants: frozenset[str] = frozenset()
+    message: thrift.Handle, classes: dict[str, RequestClass], tenants: frozenset[str] = frozenset()
 ) -> dict[str, Any]:
     """What a call's fields say; raises Malformed for what no scorer could be passed."""
     fields = message.fields
     spec, token = classes.get(fields.get("op", "")), fields.get("dedupe", "")
     if spec is None:
-        raise thrift.Malformed("op: no such class")
+        raise thrift.MalformedMessageError("op: no such class")
     if tenants and fields.get("org") not in tenants:
-        raise thrift.Malformed("org: no such tenant")
+        raise thrift.MalformedMessageError("org: no such tenant")
     for name in ("call", "row"):
         if not _HEX16.match(fields.get(name, "")):
-            raise thrift.Malformed(f"{name}: not 16 hex digits")
-    if (token or spec.effect is Effect.KEYED) and not _TOKEN.match(token):
-        raise thrift.Malformed("dedupe: missing, or not a key")
+            raise thrift.MalformedMessageError(f"{name}: not 16 hex digits")
+    if (token or spec.retry_safety is RetrySafety.IDEMPOTENCY_KEY) and not _TOKEN.match(token):
+        raise thrift.MalformedMessageError("dedupe: missing, or not a key")
     budget = _number(fields.get("ttl"), "ttl")
-    if not budget or budget > TTL_ROOM * spec.give_up_ms:
-        raise thrift.Malformed("ttl: missing, or not a time to wait")
+    if not budget or budget > TTL_ROOM * spec.timeout_ms:
+        raise thrift.MalformedMessageError("ttl: missing, or not a time to wait")
     parts = (part.partition(":") for part in fields.get("props", "").split(";") if part)
     props = {name: value for name, _, value in parts}
     lanes = _number(props.get("lanes", "1"), "lanes")
-    if not 1 <= lanes <= LANES_MOST:
-        raise thrift.Malformed("lanes: out of range")
+    if not 1 <= lanes <= MAX_CONCURRENCY:
+        raise thrift.MalformedMessageError("lanes: out of range")
     return {
         "id": bytes.fromhex(fields["call"]),
         "class_name": spec.name,
         "tenant": fields.get("org", "")[:128],
         "function": fields["row"],
-        "budget_ms": budget,
+        "timeout_ms": budget,
         "body": message.body,
-        "token": token,
-        "lanes": int(lanes),
+        "idempotency_key": token,
+        "concurrency": int(lanes),
         "memory_mb": _number(props.get("memory_mb"), "memory_mb"),
-        "load_ms": _number(props.get("load_ms"), "load_ms"),
+        "start_ms": _number(props.get("load_ms"), "load_ms"),
     }
 
 
-class Client:
+class ClientConnection:
     """One client connection and the requests open on it, by sequence number."""
 
-    def __init__(self, port: "ClientPort", sock: socket.socket) -> None:
+    def __init__(self, port: "ClientListener", sock: socket.socket) -> None:
         self.port = port
         self.open: dict[int, str] = {}
         self.connection = Connection.accepted(port.loop, sock, self)
@@ -96,7 +104,7 @@
         self._pieces = 0  # that have come of the one that is not whole yet
         self._since_ms = monotonic_ms()  # it connected, or the message that is not whole yet began
 
-    def on_up(self) -> None:
+    def on_connected(self) -> None:
         pass
 
     def on_data(self, data: bytes) -> None:
@@ -107,9 +115,9 @@
         self.spoke = self.spoke or bool(items)
         self._pieces = 1 if items else self._pieces + 1
         for item in items:
-            if self.connection.closed or self.connection.finishing:
+            if self.connection.closed or self.connection.is_finishing:
                 return
-            if isinstance(item, thrift.Malformed):
+            if isinstance(item, thrift.MalformedMessageError):
                 self._malformed(item)
             elif isinstance(item, thrift.Handle):
                 self._handle(item)
@@ -119,15 +127,15 @@
             else:
                 self._write(thrift.answer("status", item.seqid, b"", {}, self.port.ready))
 
-    def _malformed(self, error: thrift.Malformed) -> None:
+    def _malformed(self, error: thrift.MalformedMessageError) -> None:
         self.port.log(f"client: {error}", "clients")
         # An exception under an open request's number would be that request's answer.
         if error.seqid is None or error.seqid in self.open:
-            self._finish(End.BAD_BYTES)
+            self._finish(CloseReason.PROTOCOL_ERROR)
         else:
             self._write(thrift.application_exception(error.seqid, str(error), error.kind))
 
-    def _finish(self, end: End) -> None:
+    def _finish(self, end: CloseReason) -> None:
         """End the connection; what is open on it is failed, so that each request has its answer."""
         for seqid, key in list(self.open.items()):
             self.port.table.withdraw(key)
@@ -135,24 +143,24 @@
         self.connection.finish(end)
 
     def silent_since(self, at_ms: float) -> bool:
-        return not self.spoke and not self._reader.waits and self.connection.used_ms < at_ms
+        return not self.spoke and not self._reader.waits and self.connection.last_used_ms < at_ms
 
     def end_overdue(self) -> None:
         if self.spoke or self._reader.waits:
-            self._finish(End.SILENT)
+            self._finish(CloseReason.READ_TIMEOUT)
         else:
             self.close_unheard()
 
     def close_unheard(self) -> bool:
         """Close it, but for one whose request is just arriving."""
-        if self.connection.unread() and not self.connection.finishing:
+        if self.connection.unread() and not self.connection.is_finishing:
             return False
-        self.connection.close(End.IDLE if self.spoke else End.SILENT)
+        self.connection.close(CloseReason.IDLE if self.spoke else CloseReason.READ_TIMEOUT)
         return True
 
     def arriving(self) -> bool:
         """Whether something it sent is unread or half read."""
-        return not self.connection.finishing and (self._reader.waits or bool(self.connection.unread()))
+        return not self.connection.is_finishing and (self._reader.waits or bool(self.connection.unread()))
 
     def overdue(self, now_ms: float) -> bool:
         """Guards descriptors against peers that say nothing, or half a message."""
@@ -160,49 +168,49 @@
             return False
         if self._reader.skips:
             return now_ms - self._since_ms > SKIP_MS
-        pause_ms = PIECE_MS if self._pieces < PIECES_SURE else SPEAK_MS
-        comes = self._reader.waits and now_ms - self.connection.heard_ms <= pause_ms
-        return now_ms - self._since_ms > (PIECES_MOST_MS if comes else SPEAK_MS)
+        pause_ms = PIECE_MS if self._pieces < PIECES_SURE else MESSAGE_TIMEOUT_MS
+        comes = self._reader.waits and now_ms - self.connection.last_received_ms <= pause_ms
+        return now_ms - self._since_ms > (MAX_PIECES_MS if comes else MESSAGE_TIMEOUT_MS)
 
     def giving_way(self) -> tuple[bool, bool, float]:
         """The least of all clients with nothing open gives way first: finished with, then nothing half read,
         then idle for longest."""
-        return not self.connection.finishing, self._reader.waits, self.connection.used_ms
+        return not self.connection.is_finishing, self._reader.waits, self.connection.last_used_ms
 
     def _handle(self, message: thrift.Handle) -> None:
         seqid = message.seqid
         try:
             if seqid in self.open:
-                raise thrift.Malformed("a second request under an open number")
-            if len(self.open) >= OPEN_MOST:
-                raise thrift.Malformed("too many open requests")
+                raise thrift.MalformedMessageError("a second request under an open number")
+            if len(self.open) >= MAX_PENDING_REQUESTS:
+                raise thrift.MalformedMessageError("too many open requests")
             fields = call_from(message, self.port.classes, self.port.tenants)
             if self.port.table.is_open(fields["id"]):  # each request brings a new one, a retry too
-                raise thrift.Malformed("call: the id of an open request")
-        except thrift.Malformed as error:
+                raise thrift.MalformedMessageError("call: the id of an open request")
+        except thrift.MalformedMessageError as error:
             error.seqid = seqid
             self._malformed(error)
             return
         if self.connection.closed:  # the look at who has that id found the end of this very client
             return
-        fields["budget_ms"] = max(0.0, fields["budget_ms"] - self.connection.age_ms)
+        fields["timeout_ms"] = max(0.0, fields["timeout_ms"] - self.connection.age_ms)
         reply, age_ms = (lambda outcome: self._reply(seqid, outcome)), self.connection.age_ms
-        call = Call(reply=reply, age_ms=age_ms, waits=self._waits, **fields)
+        call = ClientRequest(reply=reply, age_ms=age_ms, is_client_connected=self._waits, **fields)
         if (key := self.port.table.take(call)) is not None:
             self.open[seqid] = key
 
     def _waits(self) -> bool:
         """Whether the client is still there. Guards what nobody waits for: its end may be unread yet."""
-        if self.connection.peer_ended():
-            self.connection.close(End.CLOSED_BY_PEER)
+        if self.connection.has_peer_closed():
+            self.connection.close(CloseReason.CLOSED_BY_PEER)
         return not self.connection.closed
 
-    def _reply(self, seqid: int, outcome: Outcome) -> None:
+    def _reply(self, seqid: int, outcome: FinalAnswer) -> None:
         self.open.pop(seqid, None)
         if isinstance(outcome, Served):
             self._write(thrift.answer("handle", seqid, outcome.body, {}, True))
-        elif isinstance(outcome, Refused):
-            wait = math.ceil(max(0.0, outcome.hold_off_ms))
+        elif isinstance(outcome, Rejected):
+            wait = math.ceil(max(0.0, outcome.retry_after_ms))
             self._write(thrift.throttled(seqid, {"pushback": str(wait)}))
         elif isinstance(outcome, Failed):
             self._write(thrift.broken(seqid, {}))
@@ -213,43 +221,45 @@
     def on_flushed(self) -> None:
         """After the connection's own write of this turn: what is left is what the client does not read.
         While something of it is open it is read all the same, as it may withdraw that or end."""
-        left = self.connection.waiting_bytes
-        self.connection.read_on(left < UNREAD_STOP or bool(self.open))
-        if left > UNREAD_MOST or (left > UNREAD_STOP and self.port.unread() > UNREAD_ALL_MOST):
-            self.connection.close(End.STUFFED)
+        left = self.connection.pending_bytes
+        self.connection.set_reading(left < STOP_READING_BYTES or bool(self.open))
+        if left > MAX_UNREAD_BYTES or (
+            left > STOP_READING_BYTES and self.port.unread() > MAX_TOTAL_UNREAD_BYTES
+        ):
+            self.connection.close(CloseReason.WRITE_BUFFER_FULL)
 
     def on_writable(self) -> None:
         pass
 
-    def on_end(self, end: End) -> None:
+    def on_closed(self, end: CloseReason) -> None:
         keys, self.open = list(self.open.values()), {}
         for key in keys:
             self.port.table.withdraw(key)
         self.port.ended(self)
 
 
-class ClientPort:
+class ClientListener:
     """Owns the listener and the client connections, within a share of the descriptors."""
 
     def __init__(
         self,
-        loop: Loop,
+        loop: EventLoop,
         address: Address,
         table: RequestTable,
-        classes: dict[str, ClassSpec],
+        classes: dict[str, RequestClass],
         tenants: frozenset[str],
         most: int,
-        log: Log,
+        log: RateLimitedLog,
     ) -> None:
         self.loop, self.table, self.log = loop, table, log
         self.classes, self.tenants = classes, tenants
         self.ready = False
-        self.clients: dict[Client, None] = {}
+        self.clients: dict[ClientConnection, None] = {}
         self._most = most
         family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
         self._listener: socket.socket | None = socket.socket(family, socket.SOCK_STREAM)
         self._listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        stamp_reads(self._listener)
+        enable_receive_timestamps(self._listener)
         self._listener.bind(address)
         self._listener.listen(BACKLOG)
         self._listener.setblocking(False)
@@ -258,7 +268,7 @@
         loop.watch(self._listener, READ, self._accept)
 
     def _accept(self, _mask: int) -> None:
-        for _ in range(min(ACCEPTS_MOST, max(1, self._most // 2))):
+        for _ in range(min(MAX_ACCEPTS_PER_TURN, max(1, self._most // 2))):
             if self._listener is None or (len(self.clients) >= self._most and not self._make_room()):
                 self._pause()
                 return
@@ -267,7 +277,7 @@
             except BlockingIOError:
                 return
             except OSError as error:
-                if end_of(error) is End.NO_DESCRIPTOR:
+                if reason_of_os_error(error) is CloseReason.NO_FILE_DESCRIPTOR:
                     self._pause()
                     return
                 if error.errno in (errno.ECONNABORTED, errno.EINTR):
@@ -275,18 +285,18 @@
                 self.log(f"accept: {error}")
                 self._pause()
                 return
-            client = Client(self, sock)
+            client = ClientConnection(self, sock)
             self.clients[client] = None
 
     def _make_room(self) -> bool:
         """Close what has nothing open: all that should have spoken by now, else one that is finished with,
         else the one that has been idle for longest. What has something unread is about to ask."""
-        idle = [client for client in self.clients if not client.open and not client.connection.waiting_bytes]
+        idle = [client for client in self.clients if not client.open and not client.connection.pending_bytes]
         since = monotonic_ms() - YOUNG_MS
         silent = [client for client in idle if client.silent_since(since)]
         closed = [client for client in silent if client.close_unheard()]
         while idle and not closed:
-            last = min(idle, key=Client.giving_way)
+            last = min(idle, key=ClientConnection.giving_way)
             idle.remove(last)
             closed = [last] if last.close_unheard() else []
         return bool(closed)
@@ -296,7 +306,7 @@
         if self._listener is not None and not self._paused:
             self._paused = True
             self.loop.forget(self._listener)
-            self.loop.wheel.after(ACCEPT_PAUSE_MS, self._resume)
+            self.loop.timers.after(ACCEPT_PAUSE_MS, self._resume)
 
     def _resume(self) -> None:
         self._paused = False
@@ -304,10 +314,10 @@
             self.loop.watch(self._listener, READ, self._accept)
 
     def unread(self) -> int:
-        return sum(client.connection.waiting_bytes for client in self.clients)
+        return sum(client.connection.pending_bytes for client in self.clients)
 
     def unwritten(self) -> bool:
-        return any(client.connection.waiting_bytes for client in self.clients)
+        return any(client.connection.pending_bytes for client in self.clients)
 
     def arriving(self) -> bool:
         """Whether anything of a client lies unread, also on connections that were yet to be accepted."""
@@ -315,13 +325,13 @@
             self._accept(READ)
         return self._paused or any(client.arriving() for client in self.clients)
 
-    def ended(self, client: Client) -> None:
+    def ended(self, client: ClientConnection) -> None:
         self.clients.pop(client, None)
 
-    def tidy(self) -> None:
+    def check_timeouts(self) -> None:
         now = monotonic_ms()
         for client in list(self.clients):
-            idle = not client.open and now - client.connection.used_ms > IDLE_MS
+            idle = not client.open and now - client.connection.last_used_ms > IDLE_MS
             if idle:
                 client.close_unheard()  # but not on a request that has come and is yet to be read
             elif client.overdue(now):
@@ -334,4 +344,4 @@
             self._listener.close()
             self._listener = None
         for client in list(self.clients):
-            client.connection.close(End.STOPPED)
+            client.connection.close(CloseReason.SHUTDOWN)
--- /dev/null
+++ b/function_router/net/codecs/__init__.py
@@ -0,0 +1,1 @@
+"""Wire formats: bytes to messages and back, without sockets, time or decisions."""
--- a/fawnwharf/net/thrift.py
+++ b/function_router/net/codecs/thrift.py
@@ -6,12 +6,12 @@
 import struct
 from dataclasses import dataclass
 
-FRAME_MOST = 48 * 1024  # a body of 16 KiB and its fields take far less
-HEAD_MOST = 256  # bytes kept of an oversized frame, to read its sequence number from
-BODY_MOST = 16 * 1024
-NAME_MOST = 64
-DEPTH_MOST = 16  # of nested values in a field that is passed over
-ENTRIES_MOST = 64  # in a map of fields
+MAX_FRAME_BYTES = 48 * 1024  # a body of 16 KiB and its fields take far less
+MAX_HEAD_BYTES = 256  # bytes kept of an oversized frame, to read its sequence number from
+MAX_BODY_BYTES = 16 * 1024
+MAX_NAME_BYTES = 64
+MAX_DEPTH = 16  # of nested values in a field that is passed over
+MAX_MAP_ENTRIES = 64  # in a map of fields
 
 VERSION = 0x80010000
 CALL, REPLY, EXCEPTION, ONEWAY = 1, 2, 3, 4
@@ -26,7 +26,7 @@
 _MAP = struct.Struct(">bbi")
 
 
-class Malformed(ValueError):
+class MalformedMessageError(ValueError):
     """A frame that is no valid message; `seqid` is None where it can't be told what it answers to."""
 
     def __init__(self, text: str, seqid: int | None = None, kind: int = PROTOCOL_ERROR) -> None:
@@ -34,7 +34,7 @@
         self.seqid, self.kind = seqid, kind
 
 
-class CutShort(Malformed):
+class TruncatedMessageError(MalformedMessageError):
     """A message that ends within its head."""
 
 
@@ -74,16 +74,16 @@
     def skips(self) -> bool:
         return self._skip > 0
 
-    def feed(self, data: bytes) -> list[Message | Malformed]:
+    def feed(self, data: bytes) -> list[Message | MalformedMessageError]:
         self._buffer += data
-        found: list[Message | Malformed] = []
+        found: list[Message | MalformedMessageError] = []
         start = 0
         while True:
             start = self._pass_over(start)
             if len(self._buffer) - start < 4:
                 break
             (size,) = _U32.unpack_from(self._buffer, start)
-            if size > FRAME_MOST:
+            if size > MAX_FRAME_BYTES:
                 if (fault := self._oversized(start + 4, size)) is None:
                     break
                 found.append(fault)
@@ -103,15 +103,15 @@
         self._skip -= step
         return start + step
 
-    def _oversized(self, start: int, size: int) -> Malformed | None:
+    def _oversized(self, start: int, size: int) -> MalformedMessageError | None:
         """What it answers to, once enough of it has come to tell; None until then."""
-        fault = Malformed(f"a frame of {size} bytes")
+        fault = MalformedMessageError(f"a frame of {size} bytes")
         if size < 2**31:
             try:
-                fault.seqid = _head(bytes(self._buffer[start : start + HEAD_MOST]))[2]
-            except CutShort:
+                fault.seqid = _head(bytes(self._buffer[start : start + MAX_HEAD_BYTES]))[2]
+            except TruncatedMessageError:
                 return None
-            except Malformed:
+            except MalformedMessageError:
                 pass
         return fault
 
@@ -121,32 +121,32 @@
     try:
         (version,) = _U32.unpack_from(data, 0)
         if version & 0xFFFF0000 != VERSION:
-            raise Malformed("not the strict binary protocol")
+            raise MalformedMessageError("not the strict binary protocol")
         (length,) = _I32.unpack_from(data, 4)
-        if not 0 <= length <= NAME_MOST:
-            raise Malformed("the name has no sensible length")
+        if not 0 <= length <= MAX_NAME_BYTES:
+            raise MalformedMessageError("the name has no sensible length")
         name = data[8 : 8 + length].decode("ascii", "replace")
         (seqid,) = _I32.unpack_from(data, 8 + length)
     except struct.error:
-        raise CutShort("the message is cut short") from None
+        raise TruncatedMessageError("the message is cut short") from None
     return version & 0xFF, name, seqid, 12 + length
 
 
-def _message(data: bytes) -> Message | Malformed:
+def _message(data: bytes) -> Message | MalformedMessageError:
     seqid = None
     try:
         kind, name, seqid, start = _head(data)
         reader = _READERS.get(name)
         if reader is None:
-            return Malformed("no such method", seqid, UNKNOWN_METHOD)
+            return MalformedMessageError("no such method", seqid, UNKNOWN_METHOD)
         if kind not in (CALL, ONEWAY):
-            return Malformed("not a call", seqid, INVALID_TYPE)
+            return MalformedMessageError("not a call", seqid, INVALID_TYPE)
         return reader(seqid, _Arguments(data, start).read())
-    except Malformed as error:
+    except MalformedMessageError as error:
         error.seqid = seqid
         return error
     except (struct.error, UnicodeDecodeError, IndexError):
-        return Malformed("the arguments can't be read", seqid)
+        return MalformedMessageError("the arguments can't be read", seqid)
 
 
 class _Arguments:
@@ -162,7 +162,7 @@
             self.at += 2
             found[number, kind] = self._value(kind, 0)
         if self.at != len(self.data):
-            raise Malformed("bytes follow the arguments")
+            raise MalformedMessageError("bytes follow the arguments")
         return found
 
     def _byte(self) -> int:
@@ -178,7 +178,7 @@
         """A number of elements; one that the rest of the frame can't hold is refused before any work."""
         count = self._int()
         if not 0 <= count <= (len(self.data) - self.at) // max(1, least_width):
-            raise Malformed("a length that the frame can't hold")
+            raise MalformedMessageError("a length that the frame can't hold")
         return count
 
     def _string(self) -> bytes:
@@ -187,8 +187,8 @@
         return self.data[self.at - length : self.at]
 
     def _value(self, kind: int, depth: int) -> object:
-        if depth > DEPTH_MOST:
-            raise Malformed("values nested too deep")
+        if depth > MAX_DEPTH:
+            raise MalformedMessageError("values nested too deep")
         if kind == STRING:
             return self._string()
         if kind == I32:
@@ -208,13 +208,13 @@
                 self.at += 2
                 self._value(inner, depth + 1)
             return None
-        raise Malformed("an unknown type of field")
+        raise MalformedMessageError("an unknown type of field")
 
     def _map(self, depth: int) -> dict[object, object]:
         key, value = self._byte(), self._byte()
         count = self._count(2)
-        if count > ENTRIES_MOST:
-            raise Malformed("too many fields")
+        if count > MAX_MAP_ENTRIES:
+            raise MalformedMessageError("too many fields")
         found = {}
         for _ in range(count):
             name = self._value(key, depth + 1)
@@ -227,9 +227,9 @@
 def _handle(seqid: int, arguments: dict[tuple[int, int], object]) -> Handle:
     fields, body = arguments.get((1, MAP)), arguments.get((2, STRING), b"")
     if not isinstance(fields, dict):
-        raise Malformed("no fields")
-    if len(body) > BODY_MOST:
-        raise Malformed("the body is too large")
+        raise MalformedMessageError("no fields")
+    if len(body) > MAX_BODY_BYTES:
+        raise MalformedMessageError("the body is too large")
     texts = {name.decode(): value.decode() for name, value in fields.items() if isinstance(value, bytes)}
     return Handle(seqid, texts, body)
 
@@ -237,7 +237,7 @@
 def _withdraw(seqid: int, arguments: dict[tuple[int, int], object]) -> Withdraw:
     target = arguments.get((1, I32))
     if not isinstance(target, int):
-        raise Malformed("no sequence number to withdraw")
+        raise MalformedMessageError("no sequence number to withdraw")
     return Withdraw(target)
 
 
--- a/fawnwharf/net/scorer_frames.py
+++ b/function_router/net/codecs/worker_frames.py
@@ -7,7 +7,7 @@
 FROM_FRONT_END, FROM_SCORER = 128, 129
 RUN, GIVE_UP, ENSURE = 1, 2, 5
 OK, MISS, FULL, ERROR, OVER = 0, 2, 3, 4, 5
-BODY_MOST = 256 * 1024  # far over any body that a client may be passed; a length beyond it is no frame
+MAX_BODY_BYTES = 256 * 1024  # far over any body that a client may be passed; a length beyond it is no frame
 
 _HEADER = struct.Struct(">BBHI8s")
 _CHECK = struct.Struct(">I")
@@ -66,7 +66,7 @@
         start = 0
         while len(self._buffer) - start >= _HEADER.size:
             mark, code, fields, body, id = _HEADER.unpack_from(self._buffer, start)
-            if mark != self._mark or body > BODY_MOST:
+            if mark != self._mark or body > MAX_BODY_BYTES:
                 self.fault = f"mark {mark}, body of {body} bytes"
                 break
             end = start + _HEADER.size + fields + body
--- a/fawnwharf/net/connection.py
+++ b/function_router/net/connection.py
@@ -9,28 +9,30 @@
 from itertools import islice
 from typing import Protocol
 
-from fawnwharf.config import Address
-from fawnwharf.net.endings import End, end_of
-from fawnwharf.net.loop import READ, WRITE, Loop
-from fawnwharf.net.wheel import Timer, monotonic_ms
-
-READ_MOST = 64 * 1024  # bytes taken at once
-READS_MOST = 4  # in a turn, so that none starves the others; what a peer takes back lies behind what it asks
+from function_router.config import Address
+from function_router.net.close_reason import CloseReason, reason_of_os_error
+from function_router.net.event_loop import READ, WRITE, EventLoop
+from function_router.net.timer_wheel import Timer, monotonic_ms
+
+MAX_READ_BYTES = 64 * 1024  # bytes taken at once
+MAX_READS_PER_TURN = (
+    4  # in a turn, so that none starves the others; what a peer takes back lies behind what it asks
+)
 SO_TIMESTAMPNS = 35  # Linux: each read tells when its bytes came in
 STAMP = struct.Struct("@qq")
-NOTES_MOST = socket.CMSG_SPACE(STAMP.size)
-AGE_MOST_MS = 60_000.0
-PIECES_MOST = 64  # in one write
+ANCILLARY_BYTES = socket.CMSG_SPACE(STAMP.size)
+MAX_RECEIVE_DELAY_MS = 60_000.0
+MAX_WRITES_PER_FLUSH = 64  # in one write
 LINGER_MS = 1_000.0  # for a peer that is being finished with: it may still read, and end by itself
 
 
-def stamp_reads(listener: socket.socket) -> None:
+def enable_receive_timestamps(listener: socket.socket) -> None:
     """Have the system stamp what comes in; set before listening, as connections inherit it from the start."""
     with contextlib.suppress(OSError):
         listener.setsockopt(socket.SOL_SOCKET, SO_TIMESTAMPNS, 1)
 
 
-class Piece:
+class PendingWrite:
     """Bytes to be written, and how many have been."""
 
     __slots__ = ("data", "written")
@@ -39,10 +41,10 @@
         self.data, self.written = data, 0
 
 
-class Owner(Protocol):
+class ConnectionHandler(Protocol):
     """Whoever is told what happens on a connection."""
 
-    def on_up(self) -> None: ...
+    def on_connected(self) -> None: ...
 
     def on_data(self, data: bytes) -> None: ...
 
@@ -50,14 +52,14 @@
 
     def on_writable(self) -> None: ...
 
-    def on_end(self, end: End) -> None: ...
+    def on_closed(self, end: CloseReason) -> None: ...
 
 
 class _Nobody:
     """Owns connections that have ended. Guards the memory: owner and connection would hold each other until
     a full collection, which comes ever more seldom."""
 
-    def on_up(self) -> None: ...
+    def on_connected(self) -> None: ...
 
     def on_data(self, data: bytes) -> None: ...
 
@@ -65,33 +67,37 @@
 
     def on_writable(self) -> None: ...
 
-    def on_end(self, end: End) -> None: ...
+    def on_closed(self, end: CloseReason) -> None: ...
 
 
 NOBODY = _Nobody()
 
 
 class Connection:
-    def __init__(self, loop: Loop, sock: socket.socket, owner: Owner, up: bool = True) -> None:
+    def __init__(
+        self, loop: EventLoop, sock: socket.socket, owner: ConnectionHandler, up: bool = True
+    ) -> None:
         self.loop, self.owner, self.up, self.closed = loop, owner, up, False
-        self.heard_ms = self.used_ms = monotonic_ms()
-        self.waiting_bytes = 0
+        self.last_received_ms = self.last_used_ms = monotonic_ms()
+        self.pending_bytes = 0
         self.age_ms = 0.0  # of the bytes read last
         self._sock, self._reading, self._blocked = sock, True, False
-        self._outbox: deque[Piece] = deque()
-        self._dial: Timer | None = None
-        self._finishing: End | None = None
+        self._outbox: deque[PendingWrite] = deque()
+        self._connect_timer: Timer | None = None
+        self._finishing: CloseReason | None = None
         self._mask = READ if up else WRITE
         loop.watch(sock, self._mask, self._ready)
 
     @classmethod
-    def accepted(cls, loop: Loop, sock: socket.socket, owner: Owner) -> "Connection":
+    def accepted(cls, loop: EventLoop, sock: socket.socket, owner: ConnectionHandler) -> "Connection":
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         return cls(loop, sock, owner)
 
     @classmethod
-    def dial(cls, loop: Loop, address: Address, owner: Owner, within_ms: float) -> "Connection | End":
+    def connect(
+        cls, loop: EventLoop, address: Address, owner: ConnectionHandler, within_ms: float
+    ) -> "Connection | CloseReason":
         """A connection that comes up or ends later; or why it can't even be tried."""
         sock = None
         try:
@@ -105,28 +111,28 @@
         except OSError as error:
             if sock is not None:
                 sock.close()
-            return end_of(error)
+            return reason_of_os_error(error)
         made = cls(loop, sock, owner, up=False)
-        made._dial = loop.wheel.after(within_ms, lambda: made.close(End.DIAL_TIMED_OUT))
+        made._connect_timer = loop.timers.after(within_ms, lambda: made.close(CloseReason.CONNECT_TIMEOUT))
         return made
 
     # --- writing ------------------------------------------------------------------------------
 
-    def write(self, data: bytes) -> Piece:
+    def write(self, data: bytes) -> PendingWrite:
         """Queue bytes for this turn's one write."""
-        piece = Piece(data)
+        piece = PendingWrite(data)
         if not self.closed:
             self._outbox.append(piece)
-            self.waiting_bytes += len(data)
+            self.pending_bytes += len(data)
             self.loop.flush_later(self)
         return piece
 
-    def take_back(self, piece: Piece) -> bool:
+    def take_back(self, piece: PendingWrite) -> bool:
         """Unqueue a piece of which nothing has been written; False where it is too late."""
         if piece.written or piece not in self._outbox:
             return False
         self._outbox.remove(piece)
-        self.waiting_bytes -= len(piece.data)
+        self.pending_bytes -= len(piece.data)
         return True
 
     def flush(self) -> None:
@@ -139,17 +145,17 @@
             self.owner.on_flushed()
 
     def _write_out(self) -> None:
-        pieces = list(islice(self._outbox, PIECES_MOST))
+        pieces = list(islice(self._outbox, MAX_WRITES_PER_FLUSH))
         views = [memoryview(piece.data)[piece.written :] for piece in pieces]
         try:
             count = self._sock.sendmsg(views)
         except BlockingIOError:
             count = 0
         except OSError as error:
-            self.close(end_of(error))
+            self.close(reason_of_os_error(error))
             return
-        self.waiting_bytes -= count
-        self.used_ms = monotonic_ms()
+        self.pending_bytes -= count
+        self.last_used_ms = monotonic_ms()
         for piece in pieces:
             step = min(count, len(piece.data) - piece.written)
             piece.written, count = piece.written + step, count - step
@@ -159,16 +165,16 @@
         self._blocked = bool(self._outbox)
         self._set_mask()
 
-    def finish(self, end: End) -> None:
+    def finish(self, end: CloseReason) -> None:
         """End it after what is queued: written first, then ended on this side, and read on without keeping.
         Guards the last answers, which a close with bytes unread would reset. Harm: it lives on a while."""
         if not self.closed and not self._finishing:
             self._finishing = end
-            self.loop.wheel.after(LINGER_MS, lambda: self.close(end))
+            self.loop.timers.after(LINGER_MS, lambda: self.close(end))
             self.loop.flush_later(self)
 
     @property
-    def finishing(self) -> bool:
+    def is_finishing(self) -> bool:
         return self._finishing is not None
 
     def unread(self) -> bytes | None:
@@ -180,7 +186,7 @@
         except OSError:
             return b""
 
-    def peer_ended(self) -> bool:
+    def has_peer_closed(self) -> bool:
         """Whether the peer's end has come, also where it lies behind bytes that are unread."""
         unread = b"" if self.closed else self.unread()
         if not unread:
@@ -191,7 +197,7 @@
 
     # --- reading ------------------------------------------------------------------------------
 
-    def read_on(self, on: bool) -> None:
+    def set_reading(self, on: bool) -> None:
         """Stop or go on reading: a peer that does not read its answers is not read either."""
         if self._reading != on and not self.closed:
             self._reading = on
@@ -206,7 +212,7 @@
 
     def _ready(self, mask: int) -> None:
         if not self.up:
-            self._dialled()
+            self._on_connect_result()
             return
         if mask & WRITE:
             self._blocked = False
@@ -215,46 +221,46 @@
         if mask & READ:
             self._read()
 
-    def _dialled(self) -> None:
+    def _on_connect_result(self) -> None:
         code = self._sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
         if code:
-            self.close(end_of(OSError(code, "connect")))
+            self.close(reason_of_os_error(OSError(code, "connect")))
             return
         self.up, self._mask = True, READ
-        if self._dial:
-            self._dial.cancel()
-        self.heard_ms = self.used_ms = monotonic_ms()
+        if self._connect_timer:
+            self._connect_timer.cancel()
+        self.last_received_ms = self.last_used_ms = monotonic_ms()
         self.loop.change(self._sock, READ, self._ready)
-        self.owner.on_up()
+        self.owner.on_connected()
 
     def _read(self) -> None:
-        for _ in range(READS_MOST):
-            if self._read_once() < READ_MOST or self.closed or not self._reading:
+        for _ in range(MAX_READS_PER_TURN):
+            if self._read_once() < MAX_READ_BYTES or self.closed or not self._reading:
                 return
 
     def _read_once(self) -> int:
         """Take in what has come, READ_MOST bytes at the most; how many there were."""
         try:
-            data, notes, _, _ = self._sock.recvmsg(READ_MOST, NOTES_MOST)
+            data, notes, _, _ = self._sock.recvmsg(MAX_READ_BYTES, ANCILLARY_BYTES)
         except BlockingIOError:
             return 0
         except OSError as error:
-            self.close(end_of(error))
+            self.close(reason_of_os_error(error))
             return 0
         if not data:
-            self.close(End.CLOSED_BY_PEER)
+            self.close(CloseReason.CLOSED_BY_PEER)
         elif not self._finishing:
             self._hand_over(data, notes)
         return len(data)
 
     def _hand_over(self, data: bytes, notes: list[tuple[int, int, bytes]]) -> None:
-        self.heard_ms = self.used_ms = monotonic_ms()
+        self.last_received_ms = self.last_used_ms = monotonic_ms()
         self.age_ms = self._age(notes)
         try:
             self.owner.on_data(data)
         except Exception:  # whatever a peer managed to send, it costs no more than its own connection
             self.loop.fault("reading")
-            self.close(End.BAD_BYTES)
+            self.close(CloseReason.PROTOCOL_ERROR)
 
     def _age(self, notes: list[tuple[int, int, bytes]]) -> float:
         """How long the last of the bytes just read had waited when the turn began, by the system's stamp.
@@ -262,28 +268,28 @@
         for level, kind, note in notes:
             if (level, kind, len(note)) == (socket.SOL_SOCKET, SO_TIMESTAMPNS, STAMP.size):
                 seconds, nanoseconds = STAMP.unpack(note)
-                age = self.loop.turn_unix_ms - seconds * 1e3 - nanoseconds / 1e6
-                return age if 0 < age < AGE_MOST_MS else 0.0  # else the clock was set in between
+                age = self.loop.turn_started_unix_ms - seconds * 1e3 - nanoseconds / 1e6
+                return age if 0 < age < MAX_RECEIVE_DELAY_MS else 0.0  # else the clock was set in between
         return 0.0
 
     def _part(self) -> None:
         """Guards answers that are still on their way: closing with unread bytes would reset them."""
         with contextlib.suppress(OSError):
             self._sock.shutdown(socket.SHUT_WR)
-            self._sock.recv(READ_MOST)
+            self._sock.recv(MAX_READ_BYTES)
 
-    def close(self, end: End) -> None:
+    def close(self, end: CloseReason) -> None:
         """The one way out; the owner hears of it once."""
         if self.closed:
             return
         self.closed = True
-        if self._dial:
-            self._dial.cancel()
+        if self._connect_timer:
+            self._connect_timer.cancel()
         self.loop.forget(self._sock)
-        if self.up and end in (End.IDLE, End.STOPPED):
+        if self.up and end in (CloseReason.IDLE, CloseReason.SHUTDOWN):
             self._part()
         self._sock.close()
         self._outbox.clear()
-        self.waiting_bytes = 0
+        self.pending_bytes = 0
         owner, self.owner = self.owner, NOBODY
-        owner.on_end(end)
+        owner.on_closed(end)
--- a/fawnwharf/net/changelog.py
+++ b/function_router/net/endpoint_watch.py
@@ -5,18 +5,18 @@
 
 import msgspec
 
-from fawnwharf.config import Address, ConfigError, Fleet, fleet_from
-from fawnwharf.net.connection import Connection
-from fawnwharf.net.endings import End
-from fawnwharf.net.log import Log
-from fawnwharf.net.loop import Loop
-from fawnwharf.net.wheel import Timer, monotonic_ms
+from function_router.config import Address, ConfigurationError, EndpointList, parse_endpoint_list
+from function_router.net.close_reason import CloseReason
+from function_router.net.connection import Connection
+from function_router.net.event_loop import EventLoop
+from function_router.net.log import RateLimitedLog
+from function_router.net.timer_wheel import Timer, monotonic_ms
 
 SILENCE_MS = 2_000.0  # it says its last number each second; what it holds back counts as told after 4 s
 PAUSE_MS = 200.0  # before the next dial; what a broken one would have told counts as told after 2 s
-PAUSE_MOST_MS = 1_000.0  # it doubles up to this where a log answers, but with nothing of use
+MAX_PAUSE_MS = 1_000.0  # it doubles up to this where a log answers, but with nothing of use
 DIAL_MS = 1_000.0
-LINE_MOST = 4 * 1024 * 1024  # a complete list of some ten thousand scorers
+MAX_LINE_BYTES = 4 * 1024 * 1024  # a complete list of some ten thousand scorers
 
 
 def _is_number(value: Any) -> bool:
@@ -33,11 +33,16 @@
     return isinstance(fleet, dict) and fleet.get("complete") is True and bool(fleet.get("members"))
 
 
-class ChangeLog:
+class EndpointWatch:
     """Follows the log: each event is told once and in order; what is missing or bad is asked for again."""
 
     def __init__(
-        self, loop: Loop, address: Address, seq: int, told: Callable[[Fleet], None], log: Log
+        self,
+        loop: EventLoop,
+        address: Address,
+        seq: int,
+        told: Callable[[EndpointList], None],
+        log: RateLimitedLog,
     ) -> None:
         self.seq = seq  # of the last event that was told
         self._loop, self._address, self._told, self._log = loop, address, told, log
@@ -56,16 +61,16 @@
     def connect(self) -> None:
         self._planned, self._unread = None, b""
         self._line_ms = self._asked_ms = monotonic_ms()
-        made = Connection.dial(self._loop, self._address, self, DIAL_MS)
-        if isinstance(made, End):
+        made = Connection.connect(self._loop, self._address, self, DIAL_MS)
+        if isinstance(made, CloseReason):
             self._connect_later()
         else:
             self._connection = made
 
     def _connect_later(self, pause_ms: float = PAUSE_MS) -> None:
-        self._planned = self._loop.wheel.after(pause_ms, self.connect)
+        self._planned = self._loop.timers.after(pause_ms, self.connect)
 
-    def _drop(self, end: End) -> None:
+    def _drop(self, end: CloseReason) -> None:
         """End what there is, without the next dial that a broken connection brings."""
         if self._planned:
             self._planned.cancel()
@@ -76,32 +81,32 @@
 
     def _ask_again(self, why: str) -> None:
         self._log(f"change log: {why}; asked again from {self.seq}")
-        self._drop(End.BAD_BYTES)
+        self._drop(CloseReason.PROTOCOL_ERROR)
         if monotonic_ms() - self._asked_ms >= self._pause_ms:
             self.connect()
         else:  # a log that says nothing else brings no busy loop
             self._connect_later(self._pause_ms)
-            self._pause_ms = min(PAUSE_MOST_MS, 2 * self._pause_ms)
+            self._pause_ms = min(MAX_PAUSE_MS, 2 * self._pause_ms)
 
     def move(self, address: Address) -> None:
         """Go on at another address, with the same numbers."""
         self._address, self._pause_ms = address, PAUSE_MS
         self._stumbled_at = self._missed_at = None
-        self._drop(End.RETIRED)
+        self._drop(CloseReason.ENDPOINT_REPLACED)
         self.connect()
 
-    def tidy(self) -> None:
+    def check_timeouts(self) -> None:
         """Guards against a log that stops and stays open: a whole line is due each second."""
         up = self._connection is not None and self._connection.up
         if up and monotonic_ms() - self._line_ms > SILENCE_MS:
             self._ask_again("silent")
 
     def close(self) -> None:
-        self._drop(End.STOPPED)
+        self._drop(CloseReason.SHUTDOWN)
 
     # --- from the connection --------------------------------------------------------------------
 
-    def on_up(self) -> None:
+    def on_connected(self) -> None:
         self._line_ms = monotonic_ms()
         self._connection.write(b"since %d\n" % self.seq)
 
@@ -111,7 +116,7 @@
     def on_writable(self) -> None:
         pass
 
-    def on_end(self, end: End) -> None:
+    def on_closed(self, end: CloseReason) -> None:
         if self._connection is None:  # ended here
             return
         self._connection = None
@@ -126,8 +131,8 @@
             self._take(line)
             if self._connection is not connection:  # asked anew: the rest will come again
                 return
-        if len(self._unread) > LINE_MOST:
-            connection.close(End.BAD_BYTES)
+        if len(self._unread) > MAX_LINE_BYTES:
+            connection.close(CloseReason.PROTOCOL_ERROR)
 
     # --- the lines ------------------------------------------------------------------------------
 
@@ -189,7 +194,7 @@
     def _tell(self, event: dict[str, Any]) -> bool:
         try:
             if "fleet" in event:
-                self._told(fleet_from(event["fleet"]))
-        except ConfigError:
+                self._told(parse_endpoint_list(event["fleet"]))
+        except ConfigurationError:
             return False
         return True
--- a/fawnwharf/net/loop.py
+++ b/function_router/net/event_loop.py
@@ -7,8 +7,8 @@
 from collections.abc import Callable
 from typing import Protocol
 
-from fawnwharf import interface as io
-from fawnwharf.net.wheel import Clock, Wheel, monotonic_ms, unix_ms
+from function_router.decisions.events import Event
+from function_router.net.timer_wheel import Clock, TimerWheel, monotonic_ms, unix_ms
 
 SLOW_TURN_MS = 80.0  # a process that was held up for longer endangers answers that are due
 
@@ -19,19 +19,20 @@
     def flush(self) -> None: ...
 
 
-class Loop:
+class EventLoop:
     """Owns the selector, the wheel and the events gathered for the next batch."""
 
-    def __init__(
-        self, decide: Callable[[float, list[io.Event]], None], log: Callable[[str], None]
-    ) -> None:
-        self.wheel, self.clock = Wheel(), Clock()
+    def __init__(self, decide: Callable[[float, list[Event]], None], log: Callable[[str], None]) -> None:
+        self.timers, self.clock = TimerWheel(), Clock()
         self.running = True
-        self.turn_ms, self.turn_unix_ms = monotonic_ms(), unix_ms()  # when the turn began, on both clocks
+        self.turn_started_ms, self.turn_started_unix_ms = (
+            monotonic_ms(),
+            unix_ms(),
+        )  # when the turn began, on both clocks
         self._decide, self._log = decide, log
         self._selector = selectors.DefaultSelector()
-        self.wheel.on_fault = self.fault
-        self._inbox: list[io.Event] = []
+        self.timers.on_fault = self.fault
+        self._inbox: list[Event] = []
         self._dirty: dict[Flushable, None] = {}
         self._wake: tuple[socket.socket, socket.socket] | None = None
 
@@ -46,7 +47,7 @@
     def forget(self, sock: socket.socket) -> None:
         self._selector.unregister(sock)
 
-    def tell(self, event: io.Event) -> None:
+    def tell(self, event: Event) -> None:
         """An event for the next batch. One that carrying out a batch brings waits for the one after."""
         self._inbox.append(event)
 
@@ -57,9 +58,9 @@
 
     def turn(self, most_s: float | None = None) -> None:
         ready = self._selector.select(self._sleep_s(most_s))
-        self.turn_ms, self.turn_unix_ms = monotonic_ms(), unix_ms()
+        self.turn_started_ms, self.turn_started_unix_ms = monotonic_ms(), unix_ms()
         self._serve(ready, self.clock.now_ms())
-        if (took := monotonic_ms() - self.turn_ms) > SLOW_TURN_MS:
+        if (took := monotonic_ms() - self.turn_started_ms) > SLOW_TURN_MS:
             self._log(f"a slow turn: {took:.0f} ms for {len(ready)} sockets")
 
     def _serve(self, ready: list[tuple[selectors.SelectorKey, int]], now_ms: float) -> None:
@@ -68,7 +69,7 @@
             # One that an earlier part of this turn closed is no longer registered under its key.
             if self._selector.get_map().get(key.fd) is key:
                 self._guarded(key.data, mask)
-        self.wheel.advance(self.turn_ms)
+        self.timers.advance(self.turn_started_ms)
         if self._inbox:
             events, self._inbox = self._inbox, []
             self._decide(now_ms, events)
@@ -90,7 +91,7 @@
     def _sleep_s(self, most_s: float | None) -> float | None:
         if self._inbox or self._dirty:
             return 0.0
-        idle = self.wheel.idle_s()
+        idle = self.timers.idle_s()
         if idle is None or most_s is None:
             return most_s if idle is None else idle
         return min(idle, most_s)
--- a/fawnwharf/net/log.py
+++ b/function_router/net/log.py
@@ -4,13 +4,13 @@
 from collections.abc import Callable
 from typing import TextIO
 
-from fawnwharf.net.wheel import monotonic_ms
+from function_router.net.timer_wheel import monotonic_ms
 
 LINES_A_SECOND = 20
-LENGTH_MOST = 600
+MAX_LINE_LENGTH = 600
 
 
-class Log:
+class RateLimitedLog:
     """Guards against peers that make the program write: so many lines a second, the rest is counted.
 
     Each source has its share, so that what clients do wrong does not hide what scorers do."""
@@ -33,7 +33,7 @@
         self._write(text)
 
     def _write(self, text: str) -> None:
-        line = "".join(char if char.isprintable() else "?" for char in text[:LENGTH_MOST])
+        line = "".join(char if char.isprintable() else "?" for char in text[:MAX_LINE_LENGTH])
         try:
             self._out.write(f"{self._name}: {line}\n")
             self._out.flush()
--- /dev/null
+++ b/function_router/net/request_table.py
@@ -0,0 +1,322 @@
+"""The requests that are open here: from a client's call to its one final answer.
+
+No protocol of clients is known here: a Call brings what is asked and where the outcome goes, so that
+another protocol can stand before the same decisions.
+"""
+
+import itertools
+import math
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field
+
+from function_router.config import TransportSettings
+from function_router.decisions.actions import (
+    CancelAttempt,
+    EnsureInstances,
+    FailRequest,
+    RejectRequest,
+    SendRequest,
+)
+from function_router.decisions.events import (
+    AttemptEnded,
+    DrainStarted,
+    InstancesReported,
+    RequestArrived,
+    RequestCancelled,
+)
+from function_router.decisions.settings import RequestClass
+from function_router.decisions.types import Outcome, RetrySafety, StartKind
+from function_router.net.close_reason import CloseReason, outcome_of
+from function_router.net.event_loop import EventLoop
+from function_router.net.log import RateLimitedLog
+from function_router.net.timer_wheel import Timer, monotonic_ms
+from function_router.net.worker_pool import Answer, Attempt, StartOrder, WorkerPool
+
+MAX_TOTAL_BODY_BYTES = 32 * 1024 * 1024  # bytes of open requests' bodies: part of the memory limit
+FULL_PUSHBACK_MS = 250.0  # advice where this front end can hold no more; the module never saw the request
+MAX_IN_FLIGHT = 30
+REPEAT_MARGIN_MS = 50.0  # a keyed repeat must arrive inside the window, not just leave inside it
+NEVER_RAN = (Outcome.QUEUE_FULL, Outcome.CONNECT_FAILED, Outcome.NOT_SENT, Outcome.NOT_LOADED)
+MAX_TRACE_STEPS = 24  # steps outcome_of of one request
+
+
+@dataclass(slots=True)
+class Served:
+    body: bytes
+
+
+@dataclass(slots=True)
+class Rejected:
+    retry_after_ms: float
+
+
+@dataclass(slots=True)
+class Failed:
+    pass
+
+
+FinalAnswer = Served | Rejected | Failed
+
+
+@dataclass(slots=True)
+class ClientRequest:
+    """What a client asks, free of its protocol."""
+
+    id: bytes
+    class_name: str
+    tenant: str
+    function: str
+    timeout_ms: float
+    body: bytes
+    idempotency_key: str
+    concurrency: int
+    memory_mb: float | None
+    start_ms: float | None
+    reply: Callable[[FinalAnswer], None]
+    age_ms: float  # how long its last bytes had lain unread
+    is_client_connected: Callable[
+        [], bool
+    ]  # whether its client is still there; one that is not is taken off by the asking
+
+
+@dataclass(slots=True, eq=False)
+class PendingRequest:
+    key: str
+    call: ClientRequest
+    deadline_ms: float  # of the monotonic clock
+    deadline_timer: Timer
+    attempts: int = 0  # sent so far; the module numbers them in the same order
+    ran_ms: float = math.inf  # when the first ended attempt that may have run began
+    taken_ms: float = field(default_factory=monotonic_ms)
+    trace: list[str] = field(default_factory=list)  # what happened to it, for the log
+
+    def note(self, text: str) -> None:
+        if len(self.trace) < MAX_TRACE_STEPS:
+            self.trace.append(f"+{monotonic_ms() - self.taken_ms:.0f} {text}")
+
+
+class RequestTable:
+    """Owns every open request, and sees to it that each gets exactly one outcome."""
+
+    def __init__(
+        self,
+        loop: EventLoop,
+        pool: WorkerPool,
+        wire: TransportSettings,
+        classes: Mapping[str, RequestClass],
+        recount_start_order: Callable[[float, float], float | None],
+        log: RateLimitedLog,
+    ) -> None:
+        self.open: dict[str, PendingRequest] = {}
+        self._classes, self._log = classes, log
+        self._loop, self._pool, self._wire = loop, pool, wire
+        self._recount_start_order = (
+            recount_start_order  # asks the module when the first byte of an order is to leave
+        )
+        self._batch_ms = 0.0  # the moment of the batch that is being carried out
+        self._bodies = 0
+        self._ends_ms = math.inf  # when this front end may be ended from outside
+        self._keys: dict[bytes, str] = {}  # by the id of an open request's call
+        self._numbers = itertools.count(1)
+        # Attempts that are out, also of requests that are over: the module may still call them off.
+        self._out: dict[tuple[str, int], Attempt] = {}
+        # Requests that ended while the module did not know it yet, of this batch and of the one before.
+        self._done: dict[str, PendingRequest] = {}
+        self._done_before: dict[str, PendingRequest] = {}
+
+    # --- from clients -------------------------------------------------------------------------
+
+    def take(self, call: ClientRequest) -> str | None:
+        """The key of a new request; None where it was refused at once, untouched."""
+        if (
+            len(self.open) >= self._wire.max_pending_requests
+            or self._bodies + len(call.body) > MAX_TOTAL_BODY_BYTES
+        ):
+            call.reply(Rejected(FULL_PUSHBACK_MS))
+            return None
+        key = f"r{next(self._numbers)}"
+        self._bodies += len(call.body)
+        self._keys[call.id] = key
+        budget_ms = max(0.0, min(call.timeout_ms, self._ends_ms - self._loop.turn_started_ms))
+        deadline_timer = self._loop.timers.after(budget_ms, lambda: self._overdue(key))
+        self.open[key] = PendingRequest(key, call, self._loop.turn_started_ms + budget_ms, deadline_timer)
+        self._loop.tell(
+            RequestArrived(
+                key, call.function, call.class_name, call.tenant, budget_ms, call.concurrency,
+                call.memory_mb, call.start_ms, client_id=call.id.hex(), age_ms=call.age_ms,
+            )
+        )  # fmt: skip
+        return key
+
+    def drain(self, within_ms: float) -> None:
+        """This front end may be ended from outside by then: what is open then would have no answer at all."""
+        self._ends_ms = self._loop.turn_started_ms + within_ms
+        for request in self.open.values():
+            request.deadline_ms = min(request.deadline_ms, self._ends_ms)
+        self._loop.tell(DrainStarted(within_ms))
+
+    def is_open(self, id: bytes) -> bool:
+        """Whether a request of this id is open, and its client still there."""
+        key = self._keys.get(id)
+        return key is not None and self.open[key].call.is_client_connected()
+
+    def withdraw(self, key: str) -> None:
+        """The client waits no more: no answer is owed."""
+        if request := self._close(key):
+            self._loop.tell(RequestCancelled(key, request.call.id.hex()))
+
+    def _overdue(self, key: str) -> None:
+        """Guards the one final answer against any fault in the decisions; they end a request earlier."""
+        request = self.open[key]
+        self._finish(key, Failed())
+        self._loop.tell(RequestCancelled(key, request.call.id.hex()))
+
+    def _close(self, key: str) -> PendingRequest | None:
+        request = self.open.pop(key, None)
+        if request:
+            request.deadline_timer.cancel()
+            self._bodies -= len(request.call.body)
+            self._keys.pop(request.call.id, None)
+            self._done[key] = request
+            self._take_back(key, request)
+        return request
+
+    def _take_back(self, key: str, request: PendingRequest) -> None:
+        """What no scorer has heard of yet must not begin for a request that is over. The module's cancels
+        don't see to that: where the settings forbid them there are none."""
+        for number in range(request.attempts):
+            if attempt := self._out.get((key, number)):
+                self._pool.take_back(attempt)
+
+    def _may_start(self, key: str) -> bool:
+        """Asked when an attempt's first byte is to leave, which may be long after it was decided on."""
+        request = self.open.get(key)
+        return request is not None and self._in_window(key, request) and request.call.is_client_connected()
+
+    def _in_window(self, key: str, request: PendingRequest) -> bool:
+        """Whether scorers still know the first attempt of a keyed request, if any may have run."""
+        spec = self._classes.get(request.call.class_name)
+        if spec is None or spec.retry_safety is not RetrySafety.IDEMPOTENCY_KEY:
+            return True
+        out = (self._out.get((key, number)) for number in range(request.attempts))
+        first_ms = min(
+            [request.ran_ms, *(attempt.started_at_ms for attempt in out if attempt and attempt.is_started)]
+        )
+        return monotonic_ms() - first_ms < spec.idempotency_window_ms - REPEAT_MARGIN_MS
+
+    def _finish(self, key: str, outcome: FinalAnswer) -> None:
+        if request := self._close(key):
+            request.call.reply(outcome)
+            self._log_trace(request, outcome)
+
+    def _log_trace(self, request: PendingRequest, outcome: FinalAnswer) -> None:
+        """A line on each request that was not served in time: what it waited for, step by step."""
+        call, took = request.call, monotonic_ms() - request.taken_ms
+        spec = self._classes.get(call.class_name)
+        if spec is None or (isinstance(outcome, Served) and took <= spec.latency_objective_ms):
+            return
+        what = type(outcome).__name__.lower()
+        steps = "; ".join(request.trace) or "never sent"
+        line = f"{call.id.hex()} {call.class_name} of {call.function} {what} after {took:.0f} ms"
+        self._log(f"{line} of {call.timeout_ms:.0f}: {steps}", "requests")
+
+    # --- from the module ----------------------------------------------------------------------
+
+    def begin_batch(self, now_ms: float) -> None:
+        self._batch_ms = now_ms
+        self._done_before, self._done = self._done, {}
+
+    def send(self, action: SendRequest) -> None:
+        key, worker = action.request_id, action.worker_id
+        request = self.open.get(key) or self._done.get(key) or self._done_before.get(key)
+        if request is None:
+            return
+        number, request.attempts = request.attempts, request.attempts + 1
+        if key not in self.open:  # it ended in the very batch that this answers
+            self._loop.tell(AttemptEnded(key, number, worker, Outcome.NOT_SENT, 0.0, is_answered=True))
+            return
+        call = request.call
+        attempt = self._out[key, number] = Attempt(
+            worker_id=worker,
+            on_done=lambda attempt, end, answer: self._attempt_ended(key, number, attempt, end, answer),
+            may_start=lambda: self._may_start(key),
+            id=call.id,
+            class_name=call.class_name,
+            function=call.function,
+            idempotency_key=call.idempotency_key,
+            body=call.body,
+            deadline_ms=request.deadline_ms,
+        )
+        request.note(f"sent to {worker}")
+        self._pool.send(attempt)
+
+    def cancel(self, action: CancelAttempt) -> None:
+        if attempt := self._out.get((action.request_id, action.attempt_number)):
+            self._pool.cancel(attempt)
+
+    def refuse(self, action: RejectRequest) -> None:
+        self._finish(action.request_id, Rejected(action.retry_after_ms))
+
+    def fail(self, action: FailRequest) -> None:
+        self._finish(action.request_id, Failed())
+
+    # --- from scorers -------------------------------------------------------------------------
+
+    def _attempt_ended(
+        self, key: str, number: int, attempt: Attempt, end: CloseReason | None, answer: Answer | None
+    ) -> None:
+        del self._out[key, number]
+        if answer is None:
+            ending, warmth, crowd = (
+                outcome_of(end or CloseReason.NOT_SENT, attempt.is_started),
+                StartKind.UNKNOWN,
+                None,
+            )
+        else:
+            ending, warmth, crowd = answer.outcome, answer.start_kind, self._crowd(answer)
+        if request := self.open.get(key):
+            what = end.name if end else f"{ending.name} {warmth.name} crowd {crowd}"
+            request.note(f"{attempt.worker_id}: {what} link {attempt.connection_wait_ms:.0f}")
+            if attempt.is_started and ending not in NEVER_RAN:
+                request.ran_ms = min(request.ran_ms, attempt.started_at_ms)
+        if answer is not None and ending is Outcome.OK:
+            self._finish(key, Served(answer.body))
+        took = monotonic_ms() - attempt.started_at_ms
+        closed = key not in self.open
+        self._loop.tell(AttemptEnded(key, number, attempt.worker_id, ending, took, closed, warmth, crowd))
+
+    def _crowd(self, answer: Answer) -> int | None:
+        if not self._wire.reports_in_flight or answer.outcome not in (Outcome.OK, Outcome.QUEUE_FULL):
+            return None
+        return min(MAX_IN_FLIGHT, answer.in_flight)
+
+    def order(self, action: EnsureInstances) -> None:
+        self._note_order(action.function, f"order {action.instances} at {action.worker_id}")
+        may_start = self._asked_anew() if action.instances else lambda: True
+        self._pool.order(
+            StartOrder(action.worker_id, self._order_ended, action.function, action.instances, may_start)
+        )
+
+    def _asked_anew(self) -> Callable[[], bool]:
+        """Asks whether an order may leave, each time that its first byte could."""
+        counted_ms: float | None = self._batch_ms
+
+        def may_start() -> bool:
+            nonlocal counted_ms
+            if counted_ms is not None:
+                counted_ms = self._recount_start_order(counted_ms, self._loop.clock.now_ms())
+            return counted_ms is not None
+
+        return may_start
+
+    def _note_order(self, function: str, text: str) -> None:
+        for request in self.open.values():
+            if request.call.function == function:
+                request.note(text)
+
+    def _order_ended(self, order: StartOrder, end: CloseReason | None, answer: Answer | None) -> None:
+        took = monotonic_ms() - order.started_at_ms
+        ending = answer.outcome if answer else outcome_of(end or CloseReason.NOT_SENT, order.is_started)
+        copies = answer.instances if answer else 0
+        self._note_order(order.function, f"{order.worker_id} holds {copies} {ending.name}")
+        self._loop.tell(InstancesReported(order.worker_id, order.function, ending, copies, took))
--- a/fawnwharf/net/wheel.py
+++ b/function_router/net/timer_wheel.py
@@ -47,7 +47,7 @@
         self.callback = None
 
 
-class Wheel:
+class TimerWheel:
     """Never early, and late by a tick at the most."""
 
     def __init__(self, steady: Callable[[], float] = monotonic_ms) -> None:
--- a/fawnwharf/statistics.py
+++ b/function_router/statistics.py
@@ -20,6 +20,15 @@
     return int.from_bytes(hashlib.blake2b(name.encode(), digest_size=8).digest(), "big")
 
 
+def rendezvous_rank(key: int, node: int, weight: float) -> float:
+    """The rank of a node for a key, both 64-bit hashes; the node with the least rank comes first.
+
+    Weighted rendezvous hashing: a node comes first for a part of the keys in proportion to its weight
+    (Schindelhauer, Schomaker 2005).
+    """
+    return -math.log((mix64(key ^ node) + 1) / 2**64) / weight
+
+
 class SlidingMedian:
     """The upper median of the samples of a sliding window, worked out anew after a while only."""
 
@@ -81,3 +90,24 @@
         """Count one more."""
         self._count = self.value(now_ms) + 1
         self._updated_at_ms = now_ms
+
+
+class TokenBucket:
+    """Tokens that refill at a rate up to a capacity; both may change between two looks."""
+
+    __slots__ = ("_tokens", "_updated_at_ms")
+
+    def __init__(self, now_ms: float, tokens: float) -> None:
+        """Start with so many tokens."""
+        self._tokens = tokens
+        self._updated_at_ms = now_ms
+
+    def try_take(self, now_ms: float, rate_per_s: float, capacity: float) -> bool:
+        """Take one token, where a whole one is there; False where none is."""
+        refilled = self._tokens + rate_per_s * (now_ms - self._updated_at_ms) / 1000
+        self._tokens = min(capacity, refilled)
+        self._updated_at_ms = now_ms
+        if self._tokens < 1:
+            return False
+        self._tokens -= 1
+        return True
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -10,15 +10,15 @@
 import pytest
 
 LIST = Path(__file__).parent.parent / "KNOWN-RED.txt"
-LINES_MOST = 3
+MAX_LINES = 3
 
 
 def known_red(text):
     """The causes by the test's name; more lines than are allowed, or one without its parts, is an error."""
     lines = [line.strip() for line in text.splitlines() if line.strip()]
     found = [re.fullmatch(r"([^,\s]+), (.+), (\S+)", line) for line in lines]
-    if len(lines) > LINES_MOST or not all(found):
-        raise pytest.UsageError(f"KNOWN-RED.txt: at most {LINES_MOST} lines of test, cause, issue")
+    if len(lines) > MAX_LINES or not all(found):
+        raise pytest.UsageError(f"KNOWN-RED.txt: at most {MAX_LINES} lines of test, cause, issue")
     return {match[1]: f"{match[2]} (issue {match[3]})" for match in found}
 
 
--- a/tests/peers.py
+++ b/tests/fakes.py
@@ -14,9 +14,10 @@
 
 import msgspec
 
-from fawnwharf.config import deployment_from
-from fawnwharf.net import scorer_frames, scorers, thrift
-from fawnwharf.net.front_end import FrontEnd
+from function_router.config import parse_config
+from function_router.net import worker_pool
+from function_router.net.codecs import thrift, worker_frames
+from function_router.net.router_process import RouterProcess
 
 ROOT = Path(__file__).parent.parent
 PATIENCE_S = 20.0
@@ -34,7 +35,7 @@
 }
 
 
-class Buffered:
+class FakePeerConnection:
     """One accepted or dialled connection and all that came on it."""
 
     def __init__(self, sock):
@@ -53,7 +54,7 @@
             self.ended = True
 
 
-class Listening:
+class FakeListener:
     """A peer that listens; `links` are its connections, oldest first."""
 
     def __init__(self, port=0):
@@ -65,7 +66,7 @@
     def pump(self):
         try:
             while True:
-                self.links.append(Buffered(self.listener.accept()[0]))
+                self.links.append(FakePeerConnection(self.listener.accept()[0]))
         except OSError:
             pass
         for link in self.links:
@@ -77,39 +78,39 @@
         self.listener.close()
 
 
-class ScorerPeer(Listening):
+class FakeWorker(FakeListener):
     """Answers orders by itself, so that a copy stands; runs are left to the test."""
 
     def __init__(self, id="s-1", copies=1):
         super().__init__()
-        self.id, self.copies, self.frames, self.readers = id, copies, [], {}
+        self.id, self.instances, self.frames, self.readers = id, copies, [], {}
 
     def pump(self):
         super().pump()
         for link in self.links:
-            reader = self.readers.setdefault(link, scorer_frames.FrameReader(scorer_frames.FROM_FRONT_END))
+            reader = self.readers.setdefault(link, worker_frames.FrameReader(worker_frames.FROM_FRONT_END))
             data, link.data = bytes(link.data), bytearray()
             for frame in reader.feed(data):
                 self.frames.append((link, frame))
-                if frame.code == scorer_frames.ENSURE and self.copies is not None:
-                    self.answer((link, frame), 0, f"slots_up={self.copies}")
+                if frame.code == worker_frames.ENSURE and self.instances is not None:
+                    self.answer((link, frame), 0, f"slots_up={self.instances}")
 
     def answer(self, item, code=0, fields="res=reused", body=b""):
         link, frame = item
-        link.sock.sendall(scorer_frames.encode(code, frame.id, fields, body, scorer_frames.FROM_SCORER))
+        link.sock.sendall(worker_frames.encode(code, frame.id, fields, body, worker_frames.FROM_SCORER))
 
     def of(self, code):
         return [(link, frame) for link, frame in self.frames if frame.code == code]
 
     @property
     def runs(self):
-        return self.of(scorer_frames.RUN)
+        return self.of(worker_frames.RUN)
 
     def member(self, phase="in_service", **more):
         return {"id": self.id, "host_port": self.host_port, "phase": phase, "size": 4, **more}
 
 
-class LogPeer(Listening):
+class FakeEndpointLog(FakeListener):
     """The change log: takes `since N`, says what the test says."""
 
     def asked(self):
@@ -120,7 +121,7 @@
         self.links[link].sock.sendall(text + b"\n")
 
 
-class ClientPeer(Buffered):
+class FakeClient(FakePeerConnection):
     def __init__(self, address):
         super().__init__(socket.create_connection(address))
         self.answers, self.seqid, self.last_frame = [], 0, b""
@@ -196,11 +197,11 @@
     return data[at + 4 : at + 4 + length], at + 4 + length
 
 
-class Rig:
+class RouterHarness:
     """A front end in this thread, with its change log, scorers and clients."""
 
     def __init__(self, *scorers, settings=None, limits=None, start=True):
-        self.scorers, self.log, self.clients, self.lines = list(scorers), LogPeer(), [], []
+        self.workers, self.log, self.clients, self.lines = list(scorers), FakeEndpointLog(), [], []
         event = {"seq": 1, "fleet": {"complete": True, "members": [peer.member() for peer in scorers]}}
         config = {
             "listen": "127.0.0.1:0",
@@ -211,13 +212,13 @@
             "limits": limits or {},
         }
         note = lambda text, source="": self.lines.append(text)  # noqa: E731
-        self.front = FrontEnd(deployment_from(config, {}), log=note)
+        self.front = RouterProcess(parse_config(config, {}), log=note)
         self.front.start()
         if start:
             self.until(lambda: self.log.asked(), "the change log is asked")
 
     def client(self):
-        self.clients.append(ClientPeer(self.front.address))
+        self.clients.append(FakeClient(self.front.address))
         return self.clients[-1]
 
     def until(self, condition, what="it happens"):
@@ -226,7 +227,7 @@
         while not condition():
             assert time.monotonic() < end, f"waited in vain until {what}"
             self.front.loop.turn(0.005)
-            for peer in [self.log, *self.scorers, *self.clients]:
+            for peer in [self.log, *self.workers, *self.clients]:
                 peer.pump()
 
     def settle(self, client):
@@ -237,7 +238,7 @@
 
     def close(self):
         self.front.close()
-        for peer in [*self.scorers, self.log]:
+        for peer in [*self.workers, self.log]:
             peer.close()
         for client in self.clients:
             client.sock.close()
@@ -249,9 +250,9 @@
         return bool(selector.select(seconds))
 
 
-class Case(unittest.TestCase):
+class RouterTestCase(unittest.TestCase):
     def rig(self, *peers, **more):
-        rig = Rig(*peers, **more)
+        rig = RouterHarness(*peers, **more)
         self.addCleanup(rig.close)
         return rig
 
@@ -270,19 +271,22 @@
 
 
 def attempt(worker, ended, id=b"12345678", body=b"", within_ms=8000.0):
-    return scorers.Attempt(
-        worker, lambda stream, end, answer: ended.append((end or answer.ending, stream.begun)), id=id,
-        kind="view", function=ROW, body=body, deadline_ms=scorers.monotonic_ms() + within_ms,
+    return worker_pool.Attempt(
+        worker, lambda stream, end, answer: ended.append((end or answer.outcome, stream.is_started)), id=id,
+        class_name="view", function=ROW, body=body, deadline_ms=worker_pool.monotonic_ms() + within_ms,
     )  # fmt: skip
 
 
 def order(worker, ended, copies=1):
-    return scorers.Order(
-        worker, lambda stream, end, answer: ended.append((end or answer.ending, stream.begun)), ROW, copies
+    return worker_pool.StartOrder(
+        worker,
+        lambda stream, end, answer: ended.append((end or answer.outcome, stream.is_started)),
+        ROW,
+        copies,
     )
 
 
-class ProgramCase(unittest.TestCase):
+class ProgramTestCase(unittest.TestCase):
     """The program itself, started on a configuration."""
 
     def launch(self, config, *words):
@@ -292,7 +296,7 @@
         path.write_bytes(msgspec.json.encode(config))
         env = {**os.environ, "ROUTER_CONFIG": str(path), "PYTHONPATH": str(ROOT)}
         env = {name: value for name, value in env.items() if name not in ("ROUTER_LISTEN", "ROUTER_NAME")}
-        command = [sys.executable, "-m", "fawnwharf", *(words or ["serve"])]
+        command = [sys.executable, "-m", "function_router", *(words or ["serve"])]
         program = subprocess.Popen(command, env=env, cwd=ROOT, stdout=-1, stderr=-1, text=True)
         self.addCleanup(program.stderr.close)
         self.addCleanup(program.stdout.close)
@@ -301,7 +305,7 @@
         return program
 
     def config(self, *members, **more):
-        self.log = LogPeer()
+        self.log = FakeEndpointLog()
         self.addCleanup(self.log.close)
         event = {"seq": 1, "fleet": {"complete": True, "members": list(members)}}
         return {"listen": "127.0.0.1:0", "changelog": self.log.host_port, "settings": SETTINGS, "seed": "1",
--- a/tests/test_codecs.py
+++ b/tests/test_codecs.py
@@ -4,11 +4,11 @@
 import unittest
 import zlib
 
-from peers import ROW, handle_frame, reply_from
+from fakes import ROW, handle_frame, reply_from
 
-from fawnwharf.config import settings_from
-from fawnwharf.net import scorer_frames, thrift
-from fawnwharf.net.clients import call_from
+from function_router.config import parse_settings
+from function_router.net.client_connection import call_from
+from function_router.net.codecs import thrift, worker_frames
 
 FIELDS = {"op": "view", "call": "9b1f03aa5c7e2d41", "ttl": "1500", "org": "acme", "row": ROW}
 
@@ -69,7 +69,7 @@
             for size in (1, len(data)):
                 with self.subTest(name, size=size):
                     found = pieces(thrift.FrameReader(), data, size)
-                    self.assertIsInstance(found[0], thrift.Malformed)
+                    self.assertIsInstance(found[0], thrift.MalformedMessageError)
                     self.assertEqual(found[0].seqid, seqid)
 
     def test_an_oversized_frame_is_passed_over_without_being_kept(self):
@@ -77,7 +77,7 @@
         found = []
         for start in range(0, len(large), 65536):
             found += reader.feed(large[start : start + 65536])
-            self.assertLess(len(reader._buffer), thrift.FRAME_MOST)
+            self.assertLess(len(reader._buffer), thrift.MAX_FRAME_BYTES)
         found += reader.feed(handle_frame(8, FIELDS))
         self.assertEqual([item.seqid for item in found], [7, 8])
         self.assertIsInstance(found[1], thrift.Handle)
@@ -93,15 +93,15 @@
 
 
 class Calls(unittest.TestCase):
-    CLASSES = settings_from({"classes": [{"name": "view", "effect": "idempotent"},
+    CLASSES = parse_settings({"classes": [{"name": "view", "effect": "idempotent"},
                                          {"name": "save", "effect": "deduplicated"}]}).classes  # fmt: skip
 
     def test_figures_of_a_call(self):
         props = "memory_mb:512;lanes:2;load_ms:640.5;unheard:x"
         call = call_from(thrift.Handle(1, FIELDS | {"props": props}, b"b"), self.CLASSES)
-        self.assertEqual((call["lanes"], call["memory_mb"], call["load_ms"]), (2, 512.0, 640.5))
+        self.assertEqual((call["concurrency"], call["memory_mb"], call["start_ms"]), (2, 512.0, 640.5))
         self.assertEqual((call["id"].hex(), call["function"]), (FIELDS["call"], ROW))
-        self.assertEqual(call["budget_ms"], 1500.0)
+        self.assertEqual(call["timeout_ms"], 1500.0)
 
     def test_calls_that_no_scorer_could_be_passed(self):
         cases = [
@@ -111,13 +111,13 @@
             {"props": "lanes:-1"}, {"props": "lanes:999999"}, {"props": "memory_mb:inf"}, {"row": "७" * 16},
         ]  # fmt: skip
         for change in cases:
-            with self.subTest(change), self.assertRaises(thrift.Malformed):
+            with self.subTest(change), self.assertRaises(thrift.MalformedMessageError):
                 call_from(thrift.Handle(1, FIELDS | change, b""), self.CLASSES)
 
 
 class ScorerFrames(unittest.TestCase):
     def test_the_layout_is_the_documented_one(self):
-        data = scorer_frames.run(bytes(range(8)), "view", ROW, 1499.9, "tok", b"hi")
+        data = worker_frames.run(bytes(range(8)), "view", ROW, 1499.9, "tok", b"hi")
         fields = f"kind=view,obj={ROW},ms=1499,token=tok".encode()
         self.assertEqual(data[:16], b"\x80\x01" + struct.pack(">HI", len(fields), 2) + bytes(range(8)))
         self.assertEqual(data[16:-4], fields + b"hi")
@@ -125,12 +125,12 @@
 
     def test_frames_whole_and_in_pieces(self):
         data = b"".join(
-            scorer_frames.encode(code, b"%08d" % code, f"res=init,company={code},odd,=x", b"b" * code, 129)
+            worker_frames.encode(code, b"%08d" % code, f"res=init,company={code},odd,=x", b"b" * code, 129)
             for code in range(6)
         )
         for size in (1, 5, 17, 1000):
             with self.subTest(size=size):
-                reader = scorer_frames.FrameReader()
+                reader = worker_frames.FrameReader()
                 found = pieces(reader, data, size)
                 self.assertEqual([(f.code, f.fields["company"], len(f.body)) for f in found],
                                  [(code, str(code), code) for code in range(6)])  # fmt: skip
@@ -138,17 +138,17 @@
                 self.assertFalse(reader.fault)
 
     def test_faults_end_the_stream_after_what_was_whole(self):
-        good = scorer_frames.encode(0, b"goodgood", "res=reused", b"x", 129)
+        good = worker_frames.encode(0, b"goodgood", "res=reused", b"x", 129)
         flipped = bytearray(good)
         flipped[-6] ^= 1
         cases = {
-            "the mark of a front end": scorer_frames.encode(0, b"goodgood"),
+            "the mark of a front end": worker_frames.encode(0, b"goodgood"),
             "a flipped bit": bytes(flipped),
             "an impossible length": struct.pack(">BBHI8s", 129, 0, 0, 2**31, b"goodgood"),
         }
         for name, bad in cases.items():
             with self.subTest(name):
-                reader = scorer_frames.FrameReader()
+                reader = worker_frames.FrameReader()
                 self.assertEqual([frame.body for frame in reader.feed(good + bad + good)], [b"x"])
                 self.assertTrue(reader.fault)
 
--- a/tests/test_fleet.py
+++ b/tests/test_many_routers.py
@@ -3,12 +3,13 @@
 import sys
 from collections import Counter
 
-from bench import Drive, of
+from decision_harness import DecisionHarness, of
 
-from fawnwharf import interface as io
-from fawnwharf.interface import Ending
-from fawnwharf.policy import ASK_FACTOR, Function, Router
-from fawnwharf.statistics import hash64
+from function_router.decisions.actions import EnsureInstances, RejectRequest, SendRequest
+from function_router.decisions.events import Endpoint, EndpointsChanged
+from function_router.decisions.router import ASK_FACTOR, Function, Router
+from function_router.decisions.types import Outcome
+from function_router.statistics import hash64
 
 SOLD = {"t": 100.0}
 
@@ -16,16 +17,18 @@
 def fleet(size, **settings):
     """Front ends that differ in their seeds only."""
     return [
-        Drive(workers=20, seed=seed * 7919 + 5, fleet_size=size, quotas_rps=SOLD, **settings)
+        DecisionHarness(
+            workers=20, seed=seed * 7919 + 5, router_count=size, tenant_quotas_rps=SOLD, **settings
+        )
         for seed in range(size)
     ]
 
 
 def standing(drive, actions):
     """Carry out questions and orders where copies of everything stand; the sends that follow."""
-    sends = of(actions, io.Send)
-    for hold in of(actions, io.Hold):
-        sends += standing(drive, drive.count(hold.worker, 1, hold.function))
+    sends = of(actions, SendRequest)
+    for hold in of(actions, EnsureInstances):
+        sends += standing(drive, drive.count(hold.worker_id, 1, hold.function))
     return sends
 
 
@@ -36,7 +39,7 @@
         for drive in drives:
             drive.now += 1000.0
             for send in standing(drive, drive.ask(f"r{turn}", lanes=2, tenant="t")):
-                homes[send.worker] += turn == 4
+                homes[send.worker_id] += turn == 4
                 drive.now += 100.0
                 drive.end(send, crowd=3)
     assert sum(homes.values()) == 100 and len(homes) >= 10
@@ -55,7 +58,7 @@
     for turn in range(60):
         drive.now += 100.0
         for send in standing(drive, drive.ask(f"r{turn}", meeting[turn % 5], lanes=2, tenant="t")):
-            homes[send.worker] += 1
+            homes[send.worker_id] += 1
             drive.end(send)
     assert len(meeting) >= 5 and sum(homes.values()) >= 60
     assert homes[first.id] <= 60 / 20 * ASK_FACTOR + 2
@@ -79,30 +82,30 @@
     fn.instances.clear()
     fn.known = None
     first = next(filter(drive.router._fit, drive.router._ordered(fn)))
-    asks = of(drive.ask("next", "hot", lanes=2, tenant="t"), io.Hold)
-    assert fn.width > 1 and [ask.worker for ask in asks] == [first.id]
+    asks = of(drive.ask("next", "hot", lanes=2, tenant="t"), EnsureInstances)
+    assert fn.width > 1 and [ask.worker_id for ask in asks] == [first.id]
 
 
 def test_nobody_is_asked_while_a_fit_worker_is_believed_warm_and_others_renew_its_copy():
-    [drive, *_] = fleet(40, idle_life_ms=8_000.0)
-    homes = {standing(drive, drive.ask("first", lanes=2, tenant="t"))[0].worker}
-    drive.end(next(action for _, action in drive.log if isinstance(action, io.Send)))
+    [drive, *_] = fleet(40, keep_alive_ms=8_000.0)
+    homes = {standing(drive, drive.ask("first", lanes=2, tenant="t"))[0].worker_id}
+    drive.end(next(action for _, action in drive.log if isinstance(action, SendRequest)))
     drive.now += 20_000.0  # longer than an idle copy lives, but other front ends call it
     actions = drive.ask("second", lanes=2, tenant="t")
-    assert not of(actions, io.Hold) and {send.worker for send in of(actions, io.Send)} == homes
+    assert not of(actions, EnsureInstances) and {send.worker_id for send in of(actions, SendRequest)} == homes
 
 
 def test_a_worker_past_its_share_by_chance_is_passed_over_but_brings_no_question():
     [drive, *_] = fleet(40)
     [send] = standing(drive, drive.ask("first", lanes=2, tenant="t"))
     drive.end(send)
-    router, worker = drive.router, drive.router.workers[send.worker]
+    router, worker = drive.router, drive.router.workers[send.worker_id]
     asked = []
     for count in (4.5, 8.0):
         worker.sends.reset(drive.now, count)
         router.sends.reset(drive.now, 60.0)  # a share of three
         assert not router._fit(worker)
-        asked.append(bool(of(drive.ask(f"r{count}", lanes=2, tenant="t"), io.Hold)))
+        asked.append(bool(of(drive.ask(f"r{count}", lanes=2, tenant="t"), EnsureInstances)))
     assert asked == [False, True]
 
 
@@ -112,11 +115,11 @@
     for _ in range(5):
         router.runs.add(0.0, 200.0)
     [send] = standing(drive, drive.ask("long", tenant="t"))
-    worker = router.workers[send.worker]
+    worker = router.workers[send.worker_id]
     worker.sends.reset(drive.now)
     signs, fit = [], []
     for ms in (540, 200, 1000):  # three runs, and eight
-        signs.append([h for h in of(drive.sweep(drive.now + ms), io.Hold) if not h.copies])
+        signs.append([h for h in of(drive.sweep(drive.now + ms), EnsureInstances) if not h.instances])
         fit.append(router._fit(worker))
     assert fit == [True, False, False]
     assert [bool(asked) for asked in signs] == [False, False, True]
@@ -124,9 +127,9 @@
 
 def test_a_load_that_takes_its_time_is_no_silence():
     [drive, *_] = fleet(40)
-    loads = of(drive.answer_asks(drive.ask("r", tenant="t", load_ms=800.0)), io.Hold)
-    assert [load.copies for load in loads] == [1]
-    assert not of(drive.sweep(drive.now + 900), io.Hold)
+    loads = of(drive.answer_asks(drive.ask("r", tenant="t", load_ms=800.0)), EnsureInstances)
+    assert [load.instances for load in loads] == [1]
+    assert not of(drive.sweep(drive.now + 900), EnsureInstances)
 
 
 def test_the_limit_in_flight_shrinks_with_the_workers_that_live():
@@ -145,26 +148,28 @@
     [send] = standing(drive, drive.ask("r", tenant="t", budget=2500.0))
     for worker in drive.router.ready:  # nobody else can take it
         worker.limit = 0.0
-    drive.end(send, Ending.ERROR, closed=False)
+    drive.end(send, Outcome.ERROR, closed=False)
     drive.sweep(2500.0)
-    [given_up] = [now for now, action in drive.log if isinstance(action, io.Refuse)]
+    [given_up] = [now for now, action in drive.log if isinstance(action, RejectRequest)]
     assert given_up <= 1300.0
 
 
 def test_a_rare_function_keeps_one_home_at_all_front_ends():
-    homes = {standing(drive, drive.ask("r", lanes=2, tenant="t"))[0].worker for drive in fleet(50)}
+    homes = {standing(drive, drive.ask("r", lanes=2, tenant="t"))[0].worker_id for drive in fleet(50)}
     assert len(homes) == 1
 
 
 def test_front_ends_keep_a_cold_workers_budget_together():
-    drives = fleet(100, cold_ms=10_000.0, cold_share=0.2, fall_ms=1000.0, fall_multiple=2.0)
+    drives = fleet(
+        100, slow_start_ms=10_000.0, slow_start_initial=0.2, overload_window_ms=1000.0, overload_multiple=2.0
+    )
     sent = []
     for drive in drives:
         drive.now = 20_000.0
-        drive.feed(io.RosterChanged([io.WorkerEntry(n, up_since_ms=20_000.0) for n in range(1, 21)], False))
+        drive.feed(EndpointsChanged([Endpoint(n, started_at_ms=20_000.0) for n in range(1, 21)], False))
         for n in range(10):
             drive.now += 100.0
-            sent += [(drive.now, s.worker) for s in standing(drive, drive.ask(f"r{n}", tenant="t"))]
+            sent += [(drive.now, s.worker_id) for s in standing(drive, drive.ask(f"r{n}", tenant="t"))]
     # 100 front ends with one or two requests a second each: some 100 a worker and second at the most
     most = Counter(worker for _, worker in sent).most_common(1)[0][1]
     rate = 100 * 10 / 20  # requests a worker can be held to do in the second, by what arrives
@@ -172,7 +177,12 @@
 
 
 def test_neither_a_burst_nor_a_fleet_half_gone_raises_a_cold_workers_budget():
-    rules = {"cold_ms": 10_000.0, "cold_share": 0.2, "fall_ms": 3000.0, "fall_multiple": 4.0}
+    rules = {
+        "slow_start_ms": 10_000.0,
+        "slow_start_initial": 0.2,
+        "overload_window_ms": 3000.0,
+        "overload_multiple": 4.0,
+    }
     for burst, left in ((6, 20), (2, 5)):  # calls a second at each, of 1 sold; workers left, cold
         drives, sent = fleet(100, **rules), []
         for drive in drives:
@@ -180,19 +190,24 @@
                 drive.now += 2000.0
                 for send in standing(drive, drive.ask(f"a{n}", f"f{n}", tenant="t")):
                     drive.end(send)
-            cold = [io.WorkerEntry(n, up_since_ms=drive.now) for n in range(1, left + 1)]
-            drive.feed(io.RosterChanged(cold, complete=True))
+            cold = [Endpoint(n, started_at_ms=drive.now) for n in range(1, left + 1)]
+            drive.feed(EndpointsChanged(cold, is_complete=True))
             for n in range(3 * burst):
                 drive.now += 1000.0 / burst
                 for send in standing(drive, drive.ask(f"r{n}", f"f{n % 10}", tenant="t")):
-                    sent.append(send.worker)
+                    sent.append(send.worker_id)
                     drive.end(send)
         allowed = 4.0 * (0.2 + 0.8 * 0.3) * 3.0 * 100 / 20  # by the end, at the rate sold
         assert 0 < Counter(sent).most_common(1)[0][1] <= allowed + 2 * allowed**0.5 + 2
 
 
 def test_front_ends_that_restart_keep_a_cold_workers_budget_together():
-    rules = {"cold_ms": 10_000.0, "cold_share": 0.2, "fall_ms": 3000.0, "fall_multiple": 4.0}
+    rules = {
+        "slow_start_ms": 10_000.0,
+        "slow_start_initial": 0.2,
+        "overload_window_ms": 3000.0,
+        "overload_multiple": 4.0,
+    }
     for size in (30, 100):
         drives, sent = fleet(size, **rules), []
         for number, drive in enumerate(drives):
@@ -200,8 +215,8 @@
                 drive.now += 1000.0
                 for send in standing(drive, drive.ask(f"a{n}", f"f{n}", tenant="t")):
                     drive.end(send)
-            started = [io.WorkerEntry(n, up_since_ms=drive.now) for n in range(1, 21)]
-            cold = io.RosterChanged(started, complete=True)
+            started = [Endpoint(n, started_at_ms=drive.now) for n in range(1, 21)]
+            cold = EndpointsChanged(started, is_complete=True)
             drive.feed(cold)
             for n in range(9):
                 if n == 4 and number % 2:  # half of them lose what they knew of their own sends
@@ -209,16 +224,16 @@
                     drive.feed(cold)
                 drive.now += 3000.0 / 9
                 for send in standing(drive, drive.ask(f"r{n}", f"f{n % 10}", tenant="t")):
-                    sent.append(send.worker)
-                    again = standing(drive, drive.end(send, Ending.ERROR, closed=False))
-                    sent += [second.worker for second in again]  # second attempts count too
+                    sent.append(send.worker_id)
+                    again = standing(drive, drive.end(send, Outcome.ERROR, closed=False))
+                    sent += [second.worker_id for second in again]  # second attempts count too
         allowed = 4.0 * (0.2 + 0.8 * 0.3) * 3.0 * size * 3 / 20  # by the end, at the rate that came
         assert 0 < Counter(sent).most_common(1)[0][1] <= allowed + 2 * allowed**0.5 + 2
 
 
 def test_what_was_sent_to_a_worker_is_not_kept_once_it_is_warm():
-    [drive, *_] = fleet(40, cold_ms=1000.0)
-    drive.feed(io.RosterChanged([io.WorkerEntry(n, up_since_ms=1.0) for n in range(1, 21)], complete=False))
+    [drive, *_] = fleet(40, slow_start_ms=1000.0)
+    drive.feed(EndpointsChanged([Endpoint(n, started_at_ms=1.0) for n in range(1, 21)], is_complete=False))
     for n in range(50):
         drive.now += 2000.0
         for send in standing(drive, drive.ask(f"r{n}", tenant="t")):
@@ -229,43 +244,43 @@
 def test_a_worker_that_is_full_is_passed_over_for_a_while():
     drive = fleet(100)[0]
     [send] = standing(drive, drive.ask("first", tenant="t"))
-    home = send.worker
+    home = send.worker_id
     drive.end(send)
     drive.now += 60_000.0  # so rare that one worker is enough
     [send] = standing(drive, drive.ask("full", tenant="t"))
-    assert send.worker == home
-    again = standing(drive, drive.end(send, Ending.FULL, closed=False))
+    assert send.worker_id == home
+    again = standing(drive, drive.end(send, Outcome.QUEUE_FULL, closed=False))
     again += standing(drive, drive.sweep(drive.now + 200))
-    assert [(a.request, a.worker != home) for a in again] == [("full", True)]
+    assert [(a.request_id, a.worker_id != home) for a in again] == [("full", True)]
     drive.end(again[0], attempt=1)
     drive.now += 700.0
     sends = standing(drive, drive.ask("next", tenant="t"))
     sends += standing(drive, drive.sweep(drive.now + 200))
-    assert sends and sends[0].worker != home
+    assert sends and sends[0].worker_id != home
 
 
 def overdue(spec, budget):
-    d = Drive(workers=4, zones=("a", "b"), fleet_size=100)
+    d = DecisionHarness(workers=4, zones=("a", "b"), router_count=100)
     d.ask("r1", spec=spec, budget=budget)
     for worker in (1, 2, 3, 4):
         d.count(worker, 1)
-    [send] = [action for _, action in d.log if isinstance(action, io.Send)]
+    [send] = [action for _, action in d.log if isinstance(action, SendRequest)]
     for _ in range(50):  # the worker goes on answering all else
         d.sweep(d.now + 40)
-        d.count(send.worker, 1)
-    sends = [(now, action) for now, action in d.log if isinstance(action, io.Send)]
+        d.count(send.worker_id, 1)
+    sends = [(now, action) for now, action in d.log if isinstance(action, SendRequest)]
     return send, sends
 
 
 def test_a_lost_answer_of_a_talking_worker_brings_a_second_attempt_in_time():
     send, sends = overdue("safe", 2500.0)
     assert len(sends) > 1 and sends[1][0] <= 700.0
-    assert len({action.worker for _, action in sends}) == len(sends)
+    assert len({action.worker_id for _, action in sends}) == len(sends)
 
 
 def test_a_second_attempt_for_a_keyed_request_stays_in_its_group():
     send, sends = overdue("keyed", 4000.0)
-    assert len(sends) == 2 and sends[1][1].worker % 2 == send.worker % 2
+    assert len(sends) == 2 and sends[1][1].worker_id % 2 == send.worker_id % 2
 
 
 def test_no_second_attempt_for_an_unsafe_request():
@@ -274,14 +289,14 @@
 
 
 def test_second_attempts_are_few_when_all_is_slow():
-    d = Drive(workers=8, fleet_size=100)
+    d = DecisionHarness(workers=8, router_count=100)
     for n in range(100):
         d.ask(f"r{n}", fn=f"f{n}")
         for worker in range(1, 9):
             d.count(worker, 1, f"f{n}")
     for _ in range(20):
         d.sweep(d.now + 40)
-    sends = Counter(action.request for _, action in d.log if isinstance(action, io.Send))
+    sends = Counter(action.request_id for _, action in d.log if isinstance(action, SendRequest))
     assert len(sends) == 100 and sum(count > 1 for count in sends.values()) <= 13
 
 
@@ -298,7 +313,7 @@
 
 def steps(workers):
     """Calls made while a front end serves and sweeps, once it knows the workers and the function."""
-    d = Drive(workers=workers, fleet_size=100, quotas_rps={"t": 5.0 * workers})
+    d = DecisionHarness(workers=workers, router_count=100, tenant_quotas_rps={"t": 5.0 * workers})
     count = 0
 
     def watch(frame, event, arg):
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -4,14 +4,14 @@
 import json
 import unittest
 
-from peers import SETTINGS
+from fakes import SETTINGS
 
-from fawnwharf.config import ConfigError, deployment_from, fleet_from, load
-from fawnwharf.interface import Ending
-from fawnwharf.net.endings import End, told
-from fawnwharf.net.front_end import worker_number
-from fawnwharf.net.log import LINES_A_SECOND, Log
-from fawnwharf.net.wheel import SLOTS, TICK_MS, Clock, Wheel
+from function_router.config import ConfigurationError, load, parse_config, parse_endpoint_list
+from function_router.decisions.types import Outcome
+from function_router.net.close_reason import CloseReason, outcome_of
+from function_router.net.log import LINES_A_SECOND, RateLimitedLog
+from function_router.net.router_process import worker_id_of
+from function_router.net.timer_wheel import SLOTS, TICK_MS, Clock, TimerWheel
 
 
 class Hands:
@@ -26,7 +26,7 @@
 class WheelTurns(unittest.TestCase):
     def test_timers_are_never_early_and_late_by_a_tick_at_most(self):
         hands = Hands()
-        wheel, fired = Wheel(lambda: hands.steady), {}
+        wheel, fired = TimerWheel(lambda: hands.steady), {}
         delays = [0.0, 1.0, 3.9, 4.0, 40.0, 250.0, SLOTS * TICK_MS, SLOTS * TICK_MS * 2 + 5, 10_000.0]
         for delay in delays:
             wheel.after(delay, lambda delay=delay: fired.setdefault(delay, hands.steady - 1000.0))
@@ -39,7 +39,7 @@
 
     def test_a_long_halt_fires_all_that_is_due_in_order_and_nothing_else(self):
         hands = Hands()
-        wheel, fired = Wheel(lambda: hands.steady), []
+        wheel, fired = TimerWheel(lambda: hands.steady), []
         for delay in (9_000.0, 50.0, 30_000.0, 2_100.0):
             wheel.after(delay, lambda delay=delay: fired.append(delay))
         wheel.after(60.0, lambda: fired.append("cancelled")).cancel()
@@ -49,7 +49,7 @@
 
     def test_a_fault_in_one_timer_leaves_the_others_alone(self):
         hands, faults, fired = Hands(), [], []
-        wheel = Wheel(lambda: hands.steady)
+        wheel = TimerWheel(lambda: hands.steady)
         wheel.on_fault = faults.append
         wheel.after(4.0, lambda: 1 / 0)
         wheel.after(4.0, lambda: fired.append("second"))
@@ -77,21 +77,21 @@
 
 
 class Tables(unittest.TestCase):
-    PROOFS = {Ending.NOT_SENT, Ending.CONNECT_FAILED}
+    PROOFS = {Outcome.NOT_SENT, Outcome.CONNECT_FAILED}
 
     def test_every_end_is_told_and_only_the_unsent_are_proofs(self):
-        for end in End:
+        for end in CloseReason:
             with self.subTest(end.name):
-                self.assertNotIn(told(end, begun=True), self.PROOFS)
-                if end is not End.CALLED_OFF:
-                    self.assertIn(told(end, begun=False), self.PROOFS)
+                self.assertNotIn(outcome_of(end, begun=True), self.PROOFS)
+                if end is not CloseReason.CANCELLED:
+                    self.assertIn(outcome_of(end, begun=False), self.PROOFS)
 
     def test_scorers_have_the_same_numbers_everywhere(self):
-        self.assertEqual(worker_number("s-00c41f7a"), 3020732781)
+        self.assertEqual(worker_id_of("s-00c41f7a"), 3020732781)
 
     def test_the_log_leaves_floods_out_and_counts_them(self):
         out, at = text.StringIO(), [0.0]
-        log = Log("n1", out, lambda: at[0])
+        log = RateLimitedLog("n1", out, lambda: at[0])
         for _ in range(1000):
             log("x\ny" * 1000)
         at[0] = 1000.0
@@ -102,7 +102,7 @@
 
     def test_a_flood_from_one_source_hides_no_other(self):
         out = text.StringIO()
-        log = Log("n1", out, lambda: 0.0)
+        log = RateLimitedLog("n1", out, lambda: 0.0)
         for _ in range(1000):
             log("noise", "clients")
         log("news")
@@ -114,9 +114,9 @@
 
     def test_defaults_and_the_environment(self):
         environment = {"ROUTER_LISTEN": "127.0.0.9:41", "ROUTER_NAME": "n3"}
-        read = deployment_from(self.GOOD | {"name": None}, environment)
+        read = parse_config(self.GOOD | {"name": None}, environment)
         self.assertEqual((read.listen, read.name, read.seed), (("127.0.0.9", 41), "n3", 0x8C1F))
-        self.assertEqual((read.memory_mb, read.sockets, read.known_seq), (192, 1024, 0))
+        self.assertEqual((read.memory_mb, read.max_sockets, read.known_seq), (192, 1024, 0))
         self.assertEqual(read.wire.keepalive_ms, 15_000.0)
 
     def test_faults_name_their_key(self):
@@ -136,17 +136,17 @@
             ("known.seq", {"known": {"seq": -1}}), ("settings.fleet_size", settings(fleet_size=0)),
         ]  # fmt: skip
         for key, change in cases:
-            with self.subTest(key), self.assertRaises(ConfigError) as caught:
-                deployment_from(self.GOOD | change, {})
+            with self.subTest(key), self.assertRaises(ConfigurationError) as caught:
+                parse_config(self.GOOD | change, {})
             self.assertTrue(str(caught.exception).startswith(key + ":"), str(caught.exception))
 
     def test_faulty_files_and_lists(self):
         for environment in ({}, {"ROUTER_CONFIG": "/nonexistent/config.json"}, {"ROUTER_CONFIG": __file__}):
-            with self.subTest(environment), self.assertRaisesRegex(ConfigError, "ROUTER_CONFIG"):
+            with self.subTest(environment), self.assertRaisesRegex(ConfigurationError, "ROUTER_CONFIG"):
                 load(None, environment)
         for event in (None, [], {"members": [{"id": "s"}]}, {"members": [{"id": "s", "phase": "asleep"}]}):
-            with self.subTest(json.dumps(event)), self.assertRaisesRegex(ConfigError, "^fleet"):
-                fleet_from(event)
+            with self.subTest(json.dumps(event)), self.assertRaisesRegex(ConfigurationError, "^fleet"):
+                parse_endpoint_list(event)
 
 
 if __name__ == "__main__":
--- a/tests/test_repository.py
+++ b/tests/test_repository.py
@@ -5,22 +5,24 @@
 import shutil
 import subprocess
 import sys
+import tomllib
 from pathlib import Path
 
 import pytest
 
 ROOT = Path(__file__).parent.parent
-POLICY = (ROOT / "fawnwharf" / "policy.py").read_text()
-STATISTICS = (ROOT / "fawnwharf" / "statistics.py").read_text()
+DEPLOYMENT = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())
+POLICY_SOURCES = [(ROOT / path).read_text() for path in DEPLOYMENT["policy"]]
+STATISTICS = (ROOT / "function_router" / "statistics.py").read_text()
 
 
 def test_policy_keeps_its_limits():
-    lines = POLICY.splitlines()
+    lines = "\n".join(POLICY_SOURCES).splitlines()
     assert sum(bool(line.strip()) for line in lines) <= 750
     assert max(len(line) for line in lines) <= 110
 
 
-@pytest.mark.parametrize("source", [POLICY, STATISTICS], ids=["policy", "statistics"])
+@pytest.mark.parametrize("source", [*POLICY_SOURCES, STATISTICS], ids=[*DEPLOYMENT["policy"], "statistics"])
 def test_policy_has_no_clock_no_random_source_and_no_builtin_hash(source):
     tree = ast.parse(source)
     modules = set()
@@ -30,21 +32,23 @@
         elif isinstance(node, ast.ImportFrom):
             modules.add(node.module)
     allowed = {"hashlib", "math", "collections", "dataclasses", "itertools"}
-    allowed |= {"fawnwharf", "fawnwharf.interface", "fawnwharf.statistics"}
+    allowed |= {f"function_router.decisions.{name}" for name in ("actions", "events", "settings", "types")}
+    allowed |= {"function_router", "function_router.decisions", "function_router.statistics"}
     assert modules <= allowed
     calls = {n.func.id for n in ast.walk(tree) if isinstance(n, ast.Call) and isinstance(n.func, ast.Name)}
     assert "hash" not in calls
 
 
 def test_one_place_sends():
-    assert POLICY.count("io.Send(") == 1
-    assert POLICY.count("self._send(") == 1
+    policy = "\n".join(POLICY_SOURCES)
+    assert policy.count("SendRequest(") == 1
+    assert policy.count("self._send(") == 1
 
 
 def test_readme_example_runs(capsys):
     code = re.search(r"```python\n(.*?)```", (ROOT / "README.md").read_text(), re.S).group(1)
     exec(compile(code, "README.md", "exec"), {})
-    assert "Send(request='r1'" in capsys.readouterr().out
+    assert "SendRequest(request_id='r1'" in capsys.readouterr().out
 
 
 def build(root, path):
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -12,96 +12,105 @@
 from unittest import mock
 
 import msgspec
-from peers import (
+from fakes import (
     ROW,
-    Case,
-    ClientPeer,
-    LogPeer,
-    ProgramCase,
-    ScorerPeer,
+    FakeClient,
+    FakeEndpointLog,
+    FakeWorker,
+    ProgramTestCase,
+    RouterTestCase,
     attempt,
     handle_frame,
     order,
     ready,
 )
 
-from fawnwharf import interface as io
-from fawnwharf.net import changelog, clients, front_end, loop, requests, scorer_frames, scorers, wheel
-from fawnwharf.net.endings import End
+from function_router.decisions.types import Outcome, WorkerState
+from function_router.net import (
+    client_connection,
+    endpoint_watch,
+    event_loop,
+    request_table,
+    router_process,
+    timer_wheel,
+    worker_pool,
+)
+from function_router.net.close_reason import CloseReason
+from function_router.net.codecs import worker_frames
 
 ROOT = Path(__file__).parent.parent
 
 
-class Answers(Case):
+class Answers(RouterTestCase):
     def test_answers_in_any_order_reach_the_request_that_they_are_for(self):
-        scorer = ScorerPeer(copies=4)
-        rig = self.rig(scorer)
+        worker = FakeWorker(copies=4)
+        rig = self.rig(worker)
         client = rig.client()
         for n in range(4):
             client.call(body=b"ask%d" % n)
-        rig.until(lambda: len(scorer.runs) == 4, "all four run")
-        self.assertEqual({frame.fields["obj"] for _, frame in scorer.runs}, {ROW})
-        for n, item in enumerate(reversed(scorer.runs)):
-            scorer.answer(item, body=b"for " + item[1].body)
+        rig.until(lambda: len(worker.runs) == 4, "all four run")
+        self.assertEqual({frame.fields["obj"] for _, frame in worker.runs}, {ROW})
+        for n, item in enumerate(reversed(worker.runs)):
+            worker.answer(item, body=b"for " + item[1].body)
             rig.until(lambda n=n: len(client.answers) > n, "each is answered in its turn")
             self.assertEqual(client.answers[n][0], int.from_bytes(item[1].id, "big"))
         bodies = {seqid: content[1] for seqid, _, content in client.answers}
         self.assertEqual(bodies, {n + 1: b"for ask%d" % n for n in range(4)})
 
     def test_id_class_key_body_and_token_are_passed_on_unchanged(self):
-        scorer = ScorerPeer()
-        rig = self.rig(scorer)
+        worker = FakeWorker()
+        rig = self.rig(worker)
         body = bytes(range(256)) * 64
         rig.client().call("save", body, call="9B1f03aa5c7e2d41", dedupe="5c0f6e1a2b3d4c59a8b7c6d5e4f30211")
-        rig.until(lambda: scorer.runs, "it runs")
-        [(_, frame)] = scorer.runs
+        rig.until(lambda: worker.runs, "it runs")
+        [(_, frame)] = worker.runs
         fields = {name: frame.fields[name] for name in ("kind", "obj", "token")}
         self.assertEqual(fields, {"kind": "save", "obj": ROW, "token": "5c0f6e1a2b3d4c59a8b7c6d5e4f30211"})
         self.assertEqual((frame.id.hex(), frame.body), ("9b1f03aa5c7e2d41", body))
         self.assertTrue(0 < int(frame.fields["ms"]) <= 8000)
 
     def test_a_withdrawn_request_gets_no_answer_and_a_late_one_is_dropped(self):
-        scorer = ScorerPeer()
-        rig = self.rig(scorer)
+        worker = FakeWorker()
+        rig = self.rig(worker)
         client = rig.client()
         seqid = client.call()
-        rig.until(lambda: scorer.runs, "it runs")
+        rig.until(lambda: worker.runs, "it runs")
         client.withdraw(seqid)
-        rig.until(lambda: scorer.of(scorer_frames.GIVE_UP), "it is given up")
-        scorer.answer(scorer.runs[0], body=b"late")
+        rig.until(lambda: worker.of(worker_frames.GIVE_UP), "it is given up")
+        worker.answer(worker.runs[0], body=b"late")
         second = client.call()
-        rig.until(lambda: len(scorer.runs) == 2, "the next one runs")
-        scorer.answer(scorer.runs[1], body=b"in time")
+        rig.until(lambda: len(worker.runs) == 2, "the next one runs")
+        worker.answer(worker.runs[1], body=b"in time")
         rig.until(lambda: client.answers, "the next one is answered")
         self.assertEqual([answer[0] for answer in client.answers], [second])
         self.assertFalse(rig.front.table.open)
 
     def test_a_second_answer_of_a_scorer_is_dropped(self):
-        scorer = ScorerPeer()
-        rig = self.rig(scorer)
+        worker = FakeWorker()
+        rig = self.rig(worker)
         client = rig.client()
         client.call()
-        rig.until(lambda: scorer.runs, "it runs")
-        scorer.answer(scorer.runs[0], body=b"one")
-        scorer.answer(scorer.runs[0], body=b"two")
+        rig.until(lambda: worker.runs, "it runs")
+        worker.answer(worker.runs[0], body=b"one")
+        worker.answer(worker.runs[0], body=b"two")
         rig.until(lambda: client.answers, "it is answered")
         rig.settle(client)
         self.assertEqual([content[1] for _, _, content in client.answers], [b"one", b""])
 
     def test_a_closed_client_connection_gives_up_what_is_open_on_it(self):
-        scorer = ScorerPeer()
-        rig = self.rig(scorer)
+        worker = FakeWorker()
+        rig = self.rig(worker)
         client = rig.client()
         client.call()
-        rig.until(lambda: scorer.runs, "it runs")
+        rig.until(lambda: worker.runs, "it runs")
         client.sock.close()
         client.ended = True
-        rig.until(lambda: scorer.of(scorer_frames.GIVE_UP), "it is given up")
+        rig.until(lambda: worker.of(worker_frames.GIVE_UP), "it is given up")
         self.assertFalse(rig.front.table.open or rig.front.port.clients)
 
     def test_a_fault_in_the_decisions_still_leaves_each_request_one_answer(self):
-        scorer = ScorerPeer()
-        rig = self.rig(scorer)
+        worker = FakeWorker()
+        rig = self.rig(worker)
         client = rig.client()
         with mock.patch.object(rig.front.router, "handle", side_effect=KeyError("boom")):
             seqid = client.call(ttl="60")
@@ -109,33 +118,33 @@
         self.assertEqual(client.kinds(), {seqid: "broken"})
         self.assertIn("boom", "".join(rig.lines))
         client.call()
-        rig.until(lambda: scorer.runs, "the next one runs")
+        rig.until(lambda: worker.runs, "the next one runs")
 
     def test_the_time_that_a_call_lay_unread_counts(self):
-        rig = self.rig(ScorerPeer(copies=None))
+        rig = self.rig(FakeWorker(copies=None))
         rig.client().call(ttl="8000")
-        with mock.patch.object(loop, "unix_ms", lambda: wheel.unix_ms() + 3000.0):
+        with mock.patch.object(event_loop, "unix_ms", lambda: timer_wheel.unix_ms() + 3000.0):
             rig.until(lambda: rig.front.table.open, "it is read")
         [request] = rig.front.table.open.values()
-        self.assertTrue(0 <= request.deadline_ms - rig.front.loop.turn_ms <= 5000.0)
+        self.assertTrue(0 <= request.deadline_ms - rig.front.loop.turn_started_ms <= 5000.0)
         [known] = rig.front.router.requests.values()
         self.assertTrue(0 <= known.deadline_ms - known.arrived_ms <= 5000.0)
 
     def test_a_refusal_is_given_at_once_and_tells_when_to_come_back(self):
-        scorer = ScorerPeer()
-        rig = self.rig(scorer)
+        worker = FakeWorker()
+        rig = self.rig(worker)
         client = rig.client()
-        with mock.patch.object(requests, "BODIES_MOST", 10):
+        with mock.patch.object(request_table, "MAX_TOTAL_BODY_BYTES", 10):
             seqid = client.call(body=b"x" * 11)
             rig.until(lambda: client.answers, "it is refused")
-        expected = {1: {"pushback": str(int(requests.FULL_PUSHBACK_MS)).encode()}}
+        expected = {1: {"pushback": str(int(request_table.FULL_PUSHBACK_MS)).encode()}}
         self.assertEqual(client.answers, [(seqid, "throttled", expected)])
 
 
-class Repeats(Case):
+class Repeats(RouterTestCase):
     def lose(self, op, **more):
         """A request whose first scorer resets the connection once it has arrived whole."""
-        peers = ScorerPeer("s-1"), ScorerPeer("s-2")
+        peers = FakeWorker("s-1"), FakeWorker("s-2")
         rig = self.rig(*peers, **more)
         client = rig.client()
         client.call(op)
@@ -164,274 +173,276 @@
 
     def test_a_refused_dial_proves_that_nothing_ran(self):
         ended = []
-        gone = ScorerPeer("s-9")
+        gone = FakeWorker("s-9")
         gone.close()
         rig = self.rig()
-        rig.front.pool.update(9, ("127.0.0.1", int(gone.host_port.split(":")[1])), io.State.READY, 0.0)
+        rig.front.pool.update(9, ("127.0.0.1", int(gone.host_port.split(":")[1])), WorkerState.READY, 0.0)
         rig.front.pool.send(attempt(9, ended))
         rig.until(lambda: ended, "it ends")
-        self.assertEqual(ended, [(End.REFUSED, False)])
+        self.assertEqual(ended, [(CloseReason.CONNECTION_REFUSED, False)])
 
 
-class Drains(Case):
-    def pool(self, scorer):
-        rig = self.rig(scorer)
-        return rig, rig.front.pool, front_end.worker_number(scorer.id)
+class Drains(RouterTestCase):
+    def pool(self, worker):
+        rig = self.rig(worker)
+        return rig, rig.front.pool, router_process.worker_id_of(worker.id)
 
     def test_what_waits_for_a_dial_or_is_unwritten_is_pulled_back(self):
-        for state in (io.State.DRAINING, io.State.GONE):
+        for state in (WorkerState.DRAINING, WorkerState.REMOVED):
             for linked in (False, True):
                 with self.subTest(state=state.name, linked=linked):
-                    scorer = ScorerPeer(copies=None)
-                    rig, pool, id = self.pool(scorer)
+                    worker = FakeWorker(copies=None)
+                    rig, pool, id = self.pool(worker)
                     if linked:
                         pool.order(order(id, []))
-                        rig.until(lambda scorer=scorer: scorer.frames, "a link is up")
-                    ended, before = [], len(scorer.frames)
+                        rig.until(lambda worker=worker: worker.frames, "a link is up")
+                    ended, before = [], len(worker.frames)
                     pool.send(attempt(id, ended))
                     pool.order(order(id, ended))
                     pool.update(id, None, state, 0.0)
-                    self.assertEqual(ended, [(End.PULLED_BACK, False)] * 2)
+                    self.assertEqual(ended, [(CloseReason.DRAINING, False)] * 2)
                     rig.settle(rig.client())
-                    self.assertEqual(len(scorer.frames), before)
+                    self.assertEqual(len(worker.frames), before)
 
     def test_nothing_new_goes_to_one_that_drains_but_questions_do(self):
-        scorer, ended = ScorerPeer(), []
-        rig, pool, id = self.pool(scorer)
-        pool.update(id, None, io.State.DRAINING, 0.0)
+        worker, ended = FakeWorker(), []
+        rig, pool, id = self.pool(worker)
+        pool.update(id, None, WorkerState.DRAINING, 0.0)
         pool.send(attempt(id, ended))
         pool.order(order(id, ended))
-        self.assertEqual(ended, [(End.NEVER_SENT, False)] * 2)
+        self.assertEqual(ended, [(CloseReason.NOT_SENT, False)] * 2)
         pool.order(order(id, ended, copies=0))
         rig.until(lambda: len(ended) == 3, "the question is answered")
-        self.assertEqual(ended[2], (io.Ending.GOOD, True))
+        self.assertEqual(ended[2], (Outcome.OK, True))
 
     def test_a_drain_told_by_the_change_log_leaves_what_runs_alone(self):
-        scorer = ScorerPeer()
-        rig = self.rig(scorer)
+        worker = FakeWorker()
+        rig = self.rig(worker)
         client = rig.client()
         client.call()
-        rig.until(lambda: scorer.runs, "it runs")
-        rig.log.say({"seq": 2, "fleet": {"complete": False, "members": [scorer.member("terminating")]}})
-        rig.until(lambda: rig.front.changelog.seq == 2, "the drain is told")
-        scorer.answer(scorer.runs[0], body=b"done")
+        rig.until(lambda: worker.runs, "it runs")
+        rig.log.say({"seq": 2, "fleet": {"complete": False, "members": [worker.member("terminating")]}})
+        rig.until(lambda: rig.front.endpoint_watch.seq == 2, "the drain is told")
+        worker.answer(worker.runs[0], body=b"done")
         rig.until(lambda: client.answers, "it is answered")
         self.assertEqual(client.kinds(), {1: "answer"})
 
     def test_a_new_scorer_at_a_gone_ones_address_gets_links_of_its_own(self):
-        scorer, ended = ScorerPeer(copies=None), []
-        rig, pool, id = self.pool(scorer)
+        worker, ended = FakeWorker(copies=None), []
+        rig, pool, id = self.pool(worker)
         pool.send(attempt(id, ended))
-        rig.until(lambda: scorer.runs, "the old one runs it")
-        address = pool.scorers[id].address
-        pool.update(id, None, io.State.GONE, 0.0)
-        pool.update(77, address, io.State.READY, 0.0)
+        rig.until(lambda: worker.runs, "the old one runs it")
+        address = pool.workers[id].address
+        pool.update(id, None, WorkerState.REMOVED, 0.0)
+        pool.update(77, address, WorkerState.READY, 0.0)
         pool.send(attempt(77, ended, id=b"abcdefgh"))
-        rig.until(lambda: len(scorer.runs) == 2, "the new one runs it")
-        self.assertIsNot(scorer.runs[0][0], scorer.runs[1][0])
+        rig.until(lambda: len(worker.runs) == 2, "the new one runs it")
+        self.assertIsNot(worker.runs[0][0], worker.runs[1][0])
         self.assertEqual(ended, [])
 
     def test_a_dial_that_comes_up_after_its_scorer_has_gone_is_closed(self):
-        scorer = ScorerPeer()
-        rig, pool, id = self.pool(scorer)
+        worker = FakeWorker()
+        rig, pool, id = self.pool(worker)
         pool.send(attempt(id, []))
-        [link] = pool.scorers[id].links
-        pool.update(id, None, io.State.GONE, 0.0)
+        [link] = pool.workers[id].links
+        pool.update(id, None, WorkerState.REMOVED, 0.0)
         rig.until(lambda: link.connection.up, "the dial comes up")
         self.assertTrue(link.connection.closed)
-        self.assertFalse(pool.scorers)
+        self.assertFalse(pool.workers)
 
     def test_a_restart_retires_the_links_to_the_process_before(self):
-        scorer, ended = ScorerPeer(), []
-        rig, pool, id = self.pool(scorer)
+        worker, ended = FakeWorker(), []
+        rig, pool, id = self.pool(worker)
         pool.send(attempt(id, ended))
-        rig.until(lambda: scorer.runs, "it runs")
-        pool.update(id, None, io.State.READY, 5.0)
+        rig.until(lambda: worker.runs, "it runs")
+        pool.update(id, None, WorkerState.READY, 5.0)
         pool.send(attempt(id, ended, id=b"abcdefgh"))
-        rig.until(lambda: len(scorer.runs) == 2, "the next one runs")
-        self.assertIsNot(scorer.runs[0][0], scorer.runs[1][0])
+        rig.until(lambda: len(worker.runs) == 2, "the next one runs")
+        self.assertIsNot(worker.runs[0][0], worker.runs[1][0])
 
 
-class Links(Case):
+class Links(RouterTestCase):
     def test_a_bad_frame_ends_its_connection_only(self):
-        peers = ScorerPeer("s-1"), ScorerPeer("s-2")
+        peers = FakeWorker("s-1"), FakeWorker("s-2")
         rig, ended = self.rig(*peers), {"s-1": [], "s-2": []}
         for peer in peers:
-            rig.front.pool.send(attempt(front_end.worker_number(peer.id), ended[peer.id]))
+            rig.front.pool.send(attempt(router_process.worker_id_of(peer.id), ended[peer.id]))
         rig.until(lambda: all(peer.runs for peer in peers), "both run")
         peers[0].runs[0][0].sock.sendall(b"HTTP/1.1 200 OK\r\n\r\n")
         rig.until(lambda: ended["s-1"], "the first one ends")
         peers[1].answer(peers[1].runs[0])
         rig.until(lambda: ended["s-2"], "the second one ends")
-        self.assertEqual(ended, {"s-1": [(End.BAD_BYTES, True)], "s-2": [(io.Ending.GOOD, True)]})
+        self.assertEqual(ended, {"s-1": [(CloseReason.PROTOCOL_ERROR, True)], "s-2": [(Outcome.OK, True)]})
 
     def test_what_spoils_a_link_leaves_the_calls_on_the_others_alone(self):
-        scorer, ended = ScorerPeer(copies=None), []
-        rig = self.rig(scorer)
-        id = front_end.worker_number(scorer.id)
+        worker, ended = FakeWorker(copies=None), []
+        rig = self.rig(worker)
+        id = router_process.worker_id_of(worker.id)
         for n in range(3):
             rig.front.pool.send(attempt(id, ended, id=b"%08d" % n))
-            links = rig.front.pool.scorers[id].links
+            links = rig.front.pool.workers[id].links
             rig.until(lambda n=n, links=links: [link.up for link in links] == [True] * (n + 2), "a spare")
-            rig.until(lambda n=n: len(scorer.runs) > n, "it runs")
-        scorer.runs[1][0].sock.sendall(b"HTTP/1.1 200 OK\r\n\r\n")
+            rig.until(lambda n=n: len(worker.runs) > n, "it runs")
+        worker.runs[1][0].sock.sendall(b"HTTP/1.1 200 OK\r\n\r\n")
         rig.until(lambda: ended, "one ends")
-        for item in (scorer.runs[0], scorer.runs[2]):
-            scorer.answer(item)
+        for item in (worker.runs[0], worker.runs[2]):
+            worker.answer(item)
         rig.until(lambda: len(ended) == 3, "the others are answered")
-        self.assertEqual(ended, [(End.BAD_BYTES, True)] + [(io.Ending.GOOD, True)] * 2)
+        self.assertEqual(ended, [(CloseReason.PROTOCOL_ERROR, True)] + [(Outcome.OK, True)] * 2)
 
     def test_no_spare_link_is_opened_where_new_ones_are_charged_until_calls_share_one(self):
-        scorer = ScorerPeer(copies=None)
-        rig = self.rig(scorer, settings={"costs": {"handshake": 0.08}})
-        id = front_end.worker_number(scorer.id)
+        worker = FakeWorker(copies=None)
+        rig = self.rig(worker, settings={"costs": {"handshake": 0.08}})
+        id = router_process.worker_id_of(worker.id)
         dials = []
         for n in range(3):
             rig.front.pool.send(attempt(id, [], id=b"%08d" % n))
-            rig.until(lambda n=n: len(scorer.runs) > n, "it runs")
-            dials.append(rig.front.pool.tally["dials"])
+            rig.until(lambda n=n: len(worker.runs) > n, "it runs")
+            dials.append(rig.front.pool.counters["dials"])
         self.assertEqual(dials, [1, 2, 2])
 
     def test_a_link_that_the_scorer_has_just_ended_is_not_used_again(self):
-        scorer, ended = ScorerPeer(), []
-        rig = self.rig(scorer)
-        id = front_end.worker_number(scorer.id)
+        worker, ended = FakeWorker(), []
+        rig = self.rig(worker)
+        id = router_process.worker_id_of(worker.id)
         rig.front.pool.order(order(id, ended))
-        rig.until(lambda: ended and len(scorer.links) == 2, "a link and a spare are idle")
-        for peer, link in zip(scorer.links, list(rig.front.pool.scorers[id].links), strict=True):
+        rig.until(lambda: ended and len(worker.links) == 2, "a link and a spare are idle")
+        for peer, link in zip(worker.links, list(rig.front.pool.workers[id].links), strict=True):
             peer.sock.shutdown(socket.SHUT_WR)
             self.assertTrue(ready(link.connection._sock))
         rig.front.pool.send(attempt(id, ended))  # before the loop has read the ends
-        for link in rig.front.pool.scorers[id].links:
+        for link in rig.front.pool.workers[id].links:
             link.connection.flush()
-        rig.until(lambda: scorer.runs, "it runs")
-        self.assertEqual(ended, [(io.Ending.GOOD, True)])
+        rig.until(lambda: worker.runs, "it runs")
+        self.assertEqual(ended, [(Outcome.OK, True)])
 
     def test_a_connection_carries_so_many_streams_and_no_id_twice(self):
-        scorer, ended = ScorerPeer(copies=None), []
-        rig = self.rig(scorer)
-        id = front_end.worker_number(scorer.id)
+        worker, ended = FakeWorker(copies=None), []
+        rig = self.rig(worker)
+        id = router_process.worker_id_of(worker.id)
         for n in range(33):
             rig.front.pool.send(attempt(id, ended, id=b"%08d" % n))
         rig.front.pool.send(attempt(id, ended, id=b"%08d" % 0))
-        rig.until(lambda: len(scorer.runs) == 34, "all run")
-        for link in scorer.links:
-            ids = [frame.id for at, frame in scorer.runs if at is link]
+        rig.until(lambda: len(worker.runs) == 34, "all run")
+        for link in worker.links:
+            ids = [frame.id for at, frame in worker.runs if at is link]
             self.assertLessEqual(len(ids), 32)
             self.assertEqual(len(ids), len(set(ids)))
 
     def test_an_id_that_was_given_up_is_not_used_again_on_its_connection(self):
-        scorer, ended = ScorerPeer(), []
-        rig = self.rig(scorer)
-        id, first = front_end.worker_number(scorer.id), []
+        worker, ended = FakeWorker(), []
+        rig = self.rig(worker)
+        id, first = router_process.worker_id_of(worker.id), []
         rig.front.pool.send(given_up := attempt(id, first))
-        rig.until(lambda: scorer.runs, "it runs")
+        rig.until(lambda: worker.runs, "it runs")
         rig.front.pool.cancel(given_up)
         rig.front.pool.send(attempt(id, ended))
-        rig.until(lambda: len(scorer.runs) == 2, "the second runs")
-        scorer.answer(scorer.runs[0], body=b"of the first")
-        self.assertIsNot(scorer.runs[0][0], scorer.runs[1][0])
-        scorer.answer(scorer.runs[1], 2, "")
+        rig.until(lambda: len(worker.runs) == 2, "the second runs")
+        worker.answer(worker.runs[0], body=b"of the first")
+        self.assertIsNot(worker.runs[0][0], worker.runs[1][0])
+        worker.answer(worker.runs[1], 2, "")
         rig.until(lambda: ended, "the second ends")
-        self.assertEqual((first, ended), ([(End.CALLED_OFF, True)], [(io.Ending.MISS, True)]))
+        self.assertEqual((first, ended), ([(CloseReason.CANCELLED, True)], [(Outcome.NOT_LOADED, True)]))
 
     def test_silence_ends_in_time_for_attempts_orders_and_dials(self):
-        scorer, ended = ScorerPeer(copies=None), []
-        rig = self.rig(scorer)
-        id, pool = front_end.worker_number(scorer.id), rig.front.pool
+        worker, ended = FakeWorker(copies=None), []
+        rig = self.rig(worker)
+        id, pool = router_process.worker_id_of(worker.id), rig.front.pool
         pool.order(order(id, [], copies=0))
-        rig.until(lambda: scorer.frames, "a link is up")
-        pool.wire = msgspec.structs.replace(pool.wire, load_wait_ms=500.0, dial_timeout_ms=60.0)
-        rig.front.pool.update(9, self.dead_end(), io.State.READY, 0.0)
+        rig.until(lambda: worker.frames, "a link is up")
+        pool.wire = msgspec.structs.replace(pool.wire, start_order_timeout_ms=500.0, connect_timeout_ms=60.0)
+        rig.front.pool.update(9, self.dead_end(), WorkerState.READY, 0.0)
         rig.front.pool.send(attempt(id, ended, within_ms=500.0))
         rig.until(lambda: ended, "the attempt ends")
         rig.front.pool.order(order(id, ended))
         rig.until(lambda: len(ended) == 2, "the order ends")
         rig.front.pool.send(attempt(9, ended))
         rig.until(lambda: len(ended) == 3, "the dial ends")
-        self.assertEqual(ended, [(End.OUT_OF_TIME, True)] * 2 + [(End.DIAL_TIMED_OUT, False)])
+        self.assertEqual(
+            ended, [(CloseReason.DEADLINE_EXCEEDED, True)] * 2 + [(CloseReason.CONNECT_TIMEOUT, False)]
+        )
 
     def test_a_link_forgotten_while_idle_makes_others_as_idle_unused(self):
-        scorer, ended = ScorerPeer(), []
-        rig = self.rig(scorer)
-        id, pool = front_end.worker_number(scorer.id), rig.front.pool
+        worker, ended = FakeWorker(), []
+        rig = self.rig(worker)
+        id, pool = router_process.worker_id_of(worker.id), rig.front.pool
         pool.order(order(id, ended))
-        rig.until(lambda: ended and len(scorer.links) == 2, "a link and a spare are idle")
-        used, spare = pool.scorers[id].links
+        rig.until(lambda: ended and len(worker.links) == 2, "a link and a spare are idle")
+        used, spare = pool.workers[id].links
         rig.until(lambda: min(used.idle_ms(), spare.idle_ms()) > 100.0, "both are idle for long")
-        scorer.copies = None
+        worker.instances = None
         pool.order(order(id, ended))
-        with mock.patch.object(scorers, "STALE_SIGN_MS", 60_000.0):
-            rig.until(lambda: len(scorer.frames) == 2, "it is used again")
-            scorer.frames[1][0].sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
-            scorer.frames[1][0].sock.close()
+        with mock.patch.object(worker_pool, "STALE_SIGN_MS", 60_000.0):
+            rig.until(lambda: len(worker.frames) == 2, "it is used again")
+            worker.frames[1][0].sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
+            worker.frames[1][0].sock.close()
             rig.until(lambda: len(ended) == 2, "it is reset")
-        self.assertEqual(ended[1], (End.RESET_BY_PEER, True))
+        self.assertEqual(ended[1], (CloseReason.RESET_BY_PEER, True))
         pool.send(attempt(id, ended))
-        rig.until(lambda: scorer.runs, "a call runs")
-        self.assertNotIn(scorer.runs[0][0], scorer.links[:2])
+        rig.until(lambda: worker.runs, "a call runs")
+        self.assertNotIn(worker.runs[0][0], worker.links[:2])
 
     def test_half_a_frame_that_goes_no_further_ends_its_link(self):
-        scorer, ended = ScorerPeer(copies=None), []
-        rig = self.rig(scorer)
-        rig.front.pool.send(attempt(front_end.worker_number(scorer.id), ended))
-        rig.until(lambda: scorer.runs, "it runs")
-        link, frame = scorer.runs[0]
-        whole = scorer_frames.encode(0, frame.id, body=b"x" * 50, mark=scorer_frames.FROM_SCORER)
+        worker, ended = FakeWorker(copies=None), []
+        rig = self.rig(worker)
+        rig.front.pool.send(attempt(router_process.worker_id_of(worker.id), ended))
+        rig.until(lambda: worker.runs, "it runs")
+        link, frame = worker.runs[0]
+        whole = worker_frames.encode(0, frame.id, body=b"x" * 50, mark=worker_frames.FROM_SCORER)
         link.sock.sendall(whole[:40])
         rig.until(lambda: ended, "it ends")
-        self.assertEqual(ended, [(End.SILENT, True)])
+        self.assertEqual(ended, [(CloseReason.READ_TIMEOUT, True)])
 
     def test_a_second_copy_of_an_answer_ends_no_later_attempt(self):
-        scorer, ended = ScorerPeer(copies=None), []
-        rig = self.rig(scorer)
-        id = front_end.worker_number(scorer.id)
-        with mock.patch.object(scorers, "LINKS_SPREAD", 1):
+        worker, ended = FakeWorker(copies=None), []
+        rig = self.rig(worker)
+        id = router_process.worker_id_of(worker.id)
+        with mock.patch.object(worker_pool, "CONNECTIONS_BEFORE_SHARING", 1):
             rig.front.pool.send(attempt(id, ended))
-            rig.until(lambda: scorer.runs, "it runs")
-            scorer.answer(scorer.runs[0], 3, "")
+            rig.until(lambda: worker.runs, "it runs")
+            worker.answer(worker.runs[0], 3, "")
             rig.until(lambda: ended, "it is full")
             rig.front.pool.send(attempt(id, ended))
-            scorer.answer(scorer.runs[0], 3, "")
-            rig.until(lambda: len(scorer.runs) == 2, "it runs again")
-        scorer.answer(scorer.runs[1])
+            worker.answer(worker.runs[0], 3, "")
+            rig.until(lambda: len(worker.runs) == 2, "it runs again")
+        worker.answer(worker.runs[1])
         rig.until(lambda: len(ended) == 2, "it is answered")
-        self.assertEqual([end for end, _ in ended], [io.Ending.FULL, io.Ending.GOOD])
+        self.assertEqual([end for end, _ in ended], [Outcome.QUEUE_FULL, Outcome.OK])
 
     def test_a_link_that_owes_an_answer_in_silence_gets_nothing_new(self):
-        scorer, ended = ScorerPeer(copies=None), []
-        rig = self.rig(scorer)
-        id = front_end.worker_number(scorer.id)
+        worker, ended = FakeWorker(copies=None), []
+        rig = self.rig(worker)
+        id = router_process.worker_id_of(worker.id)
         rig.front.pool.send(attempt(id, ended))
-        rig.until(lambda: scorer.runs, "it runs")
-        with mock.patch.object(scorers, "QUIET_MS", -1.0):
+        rig.until(lambda: worker.runs, "it runs")
+        with mock.patch.object(worker_pool, "QUIET_MS", -1.0):
             rig.front.pool.send(attempt(id, ended, id=b"abcdefgh"))
-            rig.until(lambda: len(scorer.runs) == 2, "the second runs")
-        self.assertIsNot(scorer.runs[0][0], scorer.runs[1][0])
+            rig.until(lambda: len(worker.runs) == 2, "the second runs")
+        self.assertIsNot(worker.runs[0][0], worker.runs[1][0])
 
     def test_idle_links_are_closed_and_what_is_open_keeps_one(self):
-        busy, idle = ScorerPeer("s-1", copies=None), ScorerPeer("s-2")
+        busy, idle = FakeWorker("s-1", copies=None), FakeWorker("s-2")
         rig, ended = self.rig(busy, idle, settings={"bounds": {"keepalive": 0.0}}), []
         for peer in (busy, idle):
-            rig.front.pool.order(order(front_end.worker_number(peer.id), ended))
+            rig.front.pool.order(order(router_process.worker_id_of(peer.id), ended))
         rig.until(lambda: ended and busy.frames, "one is answered")
         rig.until(lambda: idle.links[0].ended, "the idle one is closed")
         self.assertFalse(busy.links[0].ended)
 
     def test_links_keep_to_their_share_of_descriptors(self):
-        scorer, ended = ScorerPeer(copies=None), []
-        rig = self.rig(scorer, limits={"sockets": 32}, settings={"bounds": {"streams_per_conn": 1}})
-        id = front_end.worker_number(scorer.id)
+        worker, ended = FakeWorker(copies=None), []
+        rig = self.rig(worker, limits={"sockets": 32}, settings={"bounds": {"streams_per_conn": 1}})
+        id = router_process.worker_id_of(worker.id)
         for n in range(40):
             rig.front.pool.send(attempt(id, ended, id=b"%08d" % n))
-        rig.until(lambda: len(scorer.runs) + len(ended) == 40, "all run or end")
-        self.assertEqual(set(ended), {(End.NO_DESCRIPTOR, False)})
-        self.assertLessEqual(len(scorer.links), 32 * front_end.SCORER_SHARE)
+        rig.until(lambda: len(worker.runs) + len(ended) == 40, "all run or end")
+        self.assertEqual(set(ended), {(CloseReason.NO_FILE_DESCRIPTOR, False)})
+        self.assertLessEqual(len(worker.links), 32 * router_process.SCORER_SHARE)
 
 
-class Clients(Case):
+class Clients(RouterTestCase):
     def test_what_no_scorer_could_be_passed_gets_an_exception(self):
-        rig = self.rig(ScorerPeer())
+        rig = self.rig(FakeWorker())
         client = rig.client()
         client.call(op="unheard", seqid=1)
         client.call(row="short", seqid=2)
@@ -447,16 +458,16 @@
         self.assertEqual(len(rig.front.table.open), 1)
 
     def test_bytes_without_a_number_end_the_connection_only(self):
-        scorer = ScorerPeer()
-        rig = self.rig(scorer)
+        worker = FakeWorker()
+        rig = self.rig(worker)
         bad, good = rig.client(), rig.client()
         good.call()
         bad.sock.sendall(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n")
-        rig.until(lambda: bad.ended and scorer.runs, "one ends and one runs")
+        rig.until(lambda: bad.ended and worker.runs, "one ends and one runs")
         self.assertFalse(good.ended)
 
     def test_an_ended_connection_is_freed_at_once_without_a_collection(self):
-        rig = self.rig(ScorerPeer())
+        rig = self.rig(FakeWorker())
         client = rig.client()
         rig.settle(client)
         [served] = rig.front.port.clients
@@ -470,18 +481,18 @@
         self.assertIsNone(gone())
 
     def test_a_fault_in_a_handler_costs_the_connection_only(self):
-        scorer = ScorerPeer()
-        rig = self.rig(scorer)
+        worker = FakeWorker()
+        rig = self.rig(worker)
         bad, good = rig.client(), rig.client()
-        with mock.patch.object(clients.Client, "_handle", side_effect=KeyError("boom")):
+        with mock.patch.object(client_connection.ClientConnection, "_handle", side_effect=KeyError("boom")):
             bad.call()
             rig.until(lambda: bad.ended, "the connection ends")
         good.call()
-        rig.until(lambda: scorer.runs, "the other one's request runs")
+        rig.until(lambda: worker.runs, "the other one's request runs")
         self.assertIn("boom", "".join(rig.lines))
 
     def test_a_33rd_open_request_gets_an_exception(self):
-        rig = self.rig(ScorerPeer(copies=None))
+        rig = self.rig(FakeWorker(copies=None))
         client = rig.client()
         for _ in range(33):
             client.call()
@@ -490,7 +501,7 @@
         self.assertEqual(len(rig.front.table.open), 32)
 
     def test_an_open_number_used_again_ends_the_connection(self):
-        rig = self.rig(ScorerPeer(copies=None))
+        rig = self.rig(FakeWorker(copies=None))
         client = rig.client()
         client.call(seqid=5)
         client.call(seqid=5)
@@ -498,7 +509,7 @@
         self.assertEqual((client.kinds(), rig.front.table.open), ({5: "broken"}, {}))
 
     def test_answers_queued_before_a_bad_message_reach_a_client_that_goes_on_sending(self):
-        rig = self.rig(ScorerPeer())
+        rig = self.rig(FakeWorker())
         client = rig.client()
         client.status(1)
         client.call(op="unheard", seqid=2)
@@ -510,25 +521,25 @@
         self.assertEqual(client.kinds(), {1: "answer", 2: "exception", 3: "broken"})
 
     def test_one_that_says_nothing_or_half_a_message_is_closed_and_one_that_asked_is_not(self):
-        rig = self.rig(ScorerPeer())
+        rig = self.rig(FakeWorker())
         silent, half, asked, late = (rig.client() for _ in range(4))
         half.sock.sendall(handle_frame(1, {})[:9])
         asked.status(1)
         late.status(1)
         rig.until(lambda: asked.answers and late.answers, "two are answered")
         late.sock.sendall(handle_frame(2, {})[:9])
-        with mock.patch.object(clients, "SPEAK_MS", 0.0):
+        with mock.patch.object(client_connection, "MESSAGE_TIMEOUT_MS", 0.0):
             rig.until(lambda: silent.ended and half.ended and late.ended, "three are closed")
         self.assertFalse(asked.ended)
 
     def test_a_first_request_that_has_arrived_is_read_however_many_connect_after_it(self):
-        scorer = ScorerPeer()
-        rig = self.rig(scorer, limits={"sockets": 32})
+        worker = FakeWorker()
+        rig = self.rig(worker, limits={"sockets": 32})
         first = rig.client()
         first.call()
         others = [rig.client() for _ in range(40)]
-        rig.until(lambda: scorer.runs, "it runs")
-        scorer.answer(scorer.runs[0])
+        rig.until(lambda: worker.runs, "it runs")
+        worker.answer(worker.runs[0])
         rig.until(lambda: first.answers, "it is answered")
         last = rig.client()
         last.status()
@@ -536,11 +547,11 @@
         self.assertGreater(sum(other.ended for other in others), 20)
 
     def test_a_client_that_does_not_read_is_not_read_and_then_dropped(self):
-        rig = self.rig(ScorerPeer())
+        rig = self.rig(FakeWorker())
         client = rig.client()
         rig.settle(client)
         [served] = rig.front.port.clients
-        with mock.patch.object(clients, "UNREAD_MOST", 8 * 1024 * 1024):
+        with mock.patch.object(client_connection, "MAX_UNREAD_BYTES", 8 * 1024 * 1024):
             served._write(b"x" * 7_000_000)
             rig.front.loop.turn(0)
             rig.front.loop.turn(0)
@@ -550,7 +561,7 @@
         self.assertTrue(served.connection.closed)
 
     def test_connections_keep_to_their_share_of_descriptors(self):
-        rig = self.rig(ScorerPeer(copies=None), limits={"sockets": 32})
+        rig = self.rig(FakeWorker(copies=None), limits={"sockets": 32})
         first = rig.client()
         first.call()
         rig.until(lambda: rig.front.table.open, "the first one asks")
@@ -558,66 +569,66 @@
             client = rig.client()
             client.status()
             rig.until(lambda client=client: client.answers, "each is answered")
-            self.assertLessEqual(len(rig.front.port.clients), 32 * front_end.CLIENT_SHARE)
+            self.assertLessEqual(len(rig.front.port.clients), 32 * router_process.CLIENT_SHARE)
         self.assertFalse(first.ended)
 
 
-class Traces(Case):
+class Traces(RouterTestCase):
     def test_a_request_that_was_not_served_is_told_step_by_step_under_its_id(self):
-        scorer = ScorerPeer(copies=None)
-        rig = self.rig(scorer)
+        worker = FakeWorker(copies=None)
+        rig = self.rig(worker)
         client = rig.client()
         client.call(call="9b1f03aa5c7e2d41", ttl="80")
         rig.until(lambda: client.answers, "it is given up")
         [line] = [line for line in rig.lines if "9b1f03aa5c7e2d41" in line]
-        worker = front_end.worker_number(scorer.id)
-        self.assertIn(f"view of {ROW} refused after", line)
+        worker = router_process.worker_id_of(worker.id)
+        self.assertIn(f"view of {ROW} rejected after", line)
         self.assertIn(f"order 0 at {worker}", line)
 
     def test_a_request_served_in_time_is_not_told(self):
-        scorer = ScorerPeer()
-        rig = self.rig(scorer)
+        worker = FakeWorker()
+        rig = self.rig(worker)
         client = rig.client()
         client.call()
-        rig.until(lambda: scorer.runs, "it runs")
-        scorer.answer(scorer.runs[0])
+        rig.until(lambda: worker.runs, "it runs")
+        worker.answer(worker.runs[0])
         rig.until(lambda: client.answers, "it is answered")
         self.assertFalse([line for line in rig.lines if ROW in line])
 
     def test_what_was_sent_is_counted_once(self):
-        scorer = ScorerPeer()
-        rig = self.rig(scorer)
+        worker = FakeWorker()
+        rig = self.rig(worker)
         rig.client().call()
-        rig.until(lambda: scorer.runs, "it runs")
+        rig.until(lambda: worker.runs, "it runs")
         for _ in range(2):
-            rig.front._tell_tally()
+            rig.front._log_counters()
         told = [line for line in rig.lines if line.startswith("sent: ")]
         self.assertEqual(told, ["sent: calls 1, dials 2, questions 1"])
 
 
-class Roster(Case):
+class Roster(RouterTestCase):
     def event(self, seq, *members, complete=False):
         return {"seq": seq, "fleet": {"complete": complete, "members": list(members)}}
 
     def test_events_told_twice_or_out_of_date_are_passed_over(self):
-        rig = self.rig(ScorerPeer())
-        with mock.patch.object(rig.front.changelog, "_told") as told:
+        rig = self.rig(FakeWorker())
+        with mock.patch.object(rig.front.endpoint_watch, "_told") as told:
             for seq in (2, 2, 1, 3):
                 rig.log.say(self.event(seq))
-            rig.until(lambda: rig.front.changelog.seq == 3, "the last one is told")
+            rig.until(lambda: rig.front.endpoint_watch.seq == 3, "the last one is told")
         self.assertEqual(told.call_count, 2)
 
     def test_a_silent_log_is_asked_again_from_where_it_stopped(self):
-        rig = self.rig(ScorerPeer())
+        rig = self.rig(FakeWorker())
         rig.log.say(self.event(2))
-        rig.until(lambda: rig.front.changelog.seq == 2, "an event is told")
-        with mock.patch.object(changelog, "SILENCE_MS", -1.0):
+        rig.until(lambda: rig.front.endpoint_watch.seq == 2, "an event is told")
+        with mock.patch.object(endpoint_watch, "SILENCE_MS", -1.0):
             rig.until(lambda: len(rig.log.asked()) == 2, "it is asked again")
         self.assertEqual(rig.log.asked(), [["since", "1"], ["since", "2"]])
 
     def test_events_that_went_missing_are_asked_for(self):
         for line in (b"4", b'{"seq":4,"fleet":{"members":[]}}'):
-            rig = self.rig(ScorerPeer())
+            rig = self.rig(FakeWorker())
             rig.log.say(line)
             rig.until(lambda rig=rig: len(rig.log.asked()) == 2, "it is asked again")
             self.assertEqual(rig.log.asked()[1], ["since", "1"])
@@ -627,74 +638,76 @@
         bad += [b'{"seq":2,"fleet":{"members":5}}', b'{"seq":99999999999,"fleet":{"members":[]}}']
         for line in bad:
             with self.subTest(line):
-                scorer = ScorerPeer()
-                rig = self.rig(scorer)
+                worker = FakeWorker()
+                rig = self.rig(worker)
                 rig.log.say(line)
                 rig.until(lambda rig=rig: len(rig.log.asked()) == 2, "it is asked again")
                 rig.log.say(line)
-                rig.log.say(self.event(3, scorer.member("terminating")))
-                rig.until(lambda rig=rig: rig.front.changelog.seq == 3, "the next event is told")
-                state = rig.front.pool.scorers[front_end.worker_number(scorer.id)].state
-                self.assertEqual(state, io.State.DRAINING)
+                rig.log.say(self.event(3, worker.member("terminating")))
+                rig.until(lambda rig=rig: rig.front.endpoint_watch.seq == 3, "the next event is told")
+                state = rig.front.pool.workers[router_process.worker_id_of(worker.id)].state
+                self.assertEqual(state, WorkerState.DRAINING)
 
     def test_a_stumble_after_all_was_well_is_a_new_one(self):
-        rig = self.rig(ScorerPeer())
+        rig = self.rig(FakeWorker())
         for asked in (2, 3):
             rig.log.say(b"{")
             rig.until(lambda asked=asked: len(rig.log.asked()) == asked, "it is asked again")
             rig.log.say(b"1")
-            rig.until(lambda: rig.front.changelog._stumbled_at is None, "all is well again")
+            rig.until(lambda: rig.front.endpoint_watch._stumbled_at is None, "all is well again")
 
     def test_a_move_leaves_one_connection_to_the_new_address_and_no_late_dial(self):
         for broken in (False, True):
             with self.subTest(broken=broken):
-                rig, moved = self.rig(ScorerPeer()), LogPeer()
+                rig, moved = self.rig(FakeWorker()), FakeEndpointLog()
                 self.addCleanup(moved.close)
-                with mock.patch.object(changelog, "PAUSE_MS", 30.0):
+                with mock.patch.object(endpoint_watch, "PAUSE_MS", 30.0):
                     rig.log.say(self.event(2))
-                    rig.until(lambda rig=rig: rig.front.changelog.seq == 2, "an event is told")
+                    rig.until(lambda rig=rig: rig.front.endpoint_watch.seq == 2, "an event is told")
                     if broken:  # the next dial to the old address is planned already
                         rig.log.links[0].sock.close()
                         rig.log.links[0].ended = True
-                        rig.until(lambda rig=rig: rig.front.changelog._connection is None, "it breaks off")
-                    rig.front.changelog.move(("127.0.0.1", int(moved.host_port.split(":")[1])))
+                        rig.until(
+                            lambda rig=rig: rig.front.endpoint_watch._connection is None, "it breaks off"
+                        )
+                    rig.front.endpoint_watch.move(("127.0.0.1", int(moved.host_port.split(":")[1])))
                 later = []
-                rig.front.loop.wheel.after(60.0, lambda later=later: later.append(1))
-                rig.scorers.append(moved)
+                rig.front.loop.timers.after(60.0, lambda later=later: later.append(1))
+                rig.workers.append(moved)
                 rig.until(lambda later=later, moved=moved: later and moved.asked(), "the new one is asked")
                 self.assertEqual((moved.asked(), len(moved.links)), ([["since", "2"]], 1))
                 self.assertEqual([link.ended for link in rig.log.links], [True])
 
     def test_whoever_a_complete_list_leaves_out_is_gone(self):
-        old, new = ScorerPeer("s-1"), ScorerPeer("s-2")
+        old, new = FakeWorker("s-1"), FakeWorker("s-2")
         rig = self.rig(old)
         rig.log.say(self.event(2, new.member(), complete=True))
-        rig.until(lambda: rig.front.changelog.seq == 2, "the list is told")
-        self.assertEqual(list(rig.front.pool.scorers), [front_end.worker_number("s-2")])
+        rig.until(lambda: rig.front.endpoint_watch.seq == 2, "the list is told")
+        self.assertEqual(list(rig.front.pool.workers), [router_process.worker_id_of("s-2")])
 
 
-class Program(ProgramCase):
+class Program(ProgramTestCase):
     def test_sigterm_lets_late_arrivals_in_answers_all_and_exits_0(self):
-        scorer = ScorerPeer()
-        self.addCleanup(scorer.close)
-        program = self.launch(self.config(scorer.member()))
+        worker = FakeWorker()
+        self.addCleanup(worker.close)
+        program = self.launch(self.config(worker.member()))
         line = program.stderr.readline()
         host, port = line.rsplit(" ", 1)[1].strip().split(":")
-        client = ClientPeer((host, int(port)))
+        client = FakeClient((host, int(port)))
         client.status()
-        self.pump(client, lambda: client.answers, scorer)
+        self.pump(client, lambda: client.answers, worker)
         self.assertEqual(client.answers[0][1:], ("answer", {1: b"", 2: {}, 3: True}))
         client.call()
-        self.pump(client, lambda: scorer.runs, scorer)
+        self.pump(client, lambda: worker.runs, worker)
         program.send_signal(signal.SIGTERM)
         self.assertIn("leaving", program.stderr.readline())
-        late = ClientPeer((host, int(port)))
+        late = FakeClient((host, int(port)))
         late.call(call="ff" * 8)
-        scorer.answer(scorer.runs[0], body=b"one")
-        self.pump(late, lambda: len(scorer.runs) == 2, scorer)
-        scorer.answer(scorer.runs[1], body=b"two")
-        self.pump(late, lambda: late.answers, scorer)
-        self.pump(client, lambda: 1 in client.kinds(), scorer)
+        worker.answer(worker.runs[0], body=b"one")
+        self.pump(late, lambda: len(worker.runs) == 2, worker)
+        worker.answer(worker.runs[1], body=b"two")
+        self.pump(late, lambda: late.answers, worker)
+        self.pump(client, lambda: 1 in client.kinds(), worker)
         self.assertEqual((client.kinds()[1], late.kinds()), ("answer", {1: "answer"}))
         self.assertEqual(program.wait(20), 0)
         for peer in (client, late):
@@ -739,7 +752,7 @@
 
     def test_the_other_commands(self):
         cases = [
-            (["version"], 0, "fawnwharf 0.2.0"),
+            (["version"], 0, "function_router 0.2.0"),
             (["check-config"], 0, "classes: view, save, settle"),
             (["unheard-of"], 2, "unheard-of"),
             (["serve", "--config", "/nonexistent"], 2, "ROUTER_CONFIG"),
--- a/tests/test_wirehost.py
+++ b/tests/test_simulator_adapter.py
@@ -35,7 +35,7 @@
 def talk(*lines, hash_seed="0", check=0):
     env = {**os.environ, "PYTHONHASHSEED": hash_seed, "PYTHONPATH": str(ROOT)}
     done = subprocess.run(
-        [sys.executable, "-m", "fawnwharf.wirehost"],
+        [sys.executable, "-m", "function_router.simulator_adapter"],
         input="".join(line + "\n" for line in lines),
         capture_output=True,
         text=True,
