--- a/function_router/net/client_connection.py
+++ b/function_router/net/client_connection.py
@@ -95,10 +95,10 @@
 class ClientConnection:
     """One client connection and the requests open on it, by sequence number."""
 
-    def __init__(self, port: "ClientListener", sock: socket.socket) -> None:
-        self.port = port
-        self.open: dict[int, str] = {}
-        self.connection = Connection.accepted(port.loop, sock, self)
+    def __init__(self, listener: "ClientListener", sock: socket.socket) -> None:
+        self.listener = listener
+        self.pending: dict[int, str] = {}
+        self.connection = Connection.accepted(listener.loop, sock, self)
         self._reader = thrift.FrameReader()
         self.spoke = False  # a whole message has come
         self._pieces = 0  # that have come of the one that is not whole yet
@@ -115,32 +115,32 @@
         self.spoke = self.spoke or bool(items)
         self._pieces = 1 if items else self._pieces + 1
         for item in items:
-            if self.connection.closed or self.connection.is_finishing:
+            if self.connection.is_closed or self.connection.is_finishing:
                 return
             if isinstance(item, thrift.MalformedMessageError):
                 self._malformed(item)
             elif isinstance(item, thrift.Handle):
                 self._handle(item)
             elif isinstance(item, thrift.Withdraw):
-                if (key := self.open.pop(item.seqid, None)) is not None:
-                    self.port.table.withdraw(key)
+                if (key := self.pending.pop(item.seqid, None)) is not None:
+                    self.listener.table.cancel_request(key)
             else:
-                self._write(thrift.answer("status", item.seqid, b"", {}, self.port.ready))
+                self._write(thrift.answer("status", item.seqid, b"", {}, self.listener.is_ready))
 
     def _malformed(self, error: thrift.MalformedMessageError) -> None:
-        self.port.log(f"client: {error}", "clients")
+        self.listener.log(f"client: {error}", "clients")
         # An exception under an open request's number would be that request's answer.
-        if error.seqid is None or error.seqid in self.open:
+        if error.seqid is None or error.seqid in self.pending:
             self._finish(CloseReason.PROTOCOL_ERROR)
         else:
             self._write(thrift.application_exception(error.seqid, str(error), error.kind))
 
     def _finish(self, end: CloseReason) -> None:
         """End the connection; what is open on it is failed, so that each request has its answer."""
-        for seqid, key in list(self.open.items()):
-            self.port.table.withdraw(key)
+        for seqid, key in list(self.pending.items()):
+            self.listener.table.cancel_request(key)
             self._reply(seqid, Failed())
-        self.connection.finish(end)
+        self.connection.close_after_flush(end)
 
     def silent_since(self, at_ms: float) -> bool:
         return not self.spoke and not self._reader.waits and self.connection.last_used_ms < at_ms
@@ -153,18 +153,18 @@
 
     def close_unheard(self) -> bool:
         """Close it, but for one whose request is just arriving."""
-        if self.connection.unread() and not self.connection.is_finishing:
+        if self.connection.peek() and not self.connection.is_finishing:
             return False
         self.connection.close(CloseReason.IDLE if self.spoke else CloseReason.READ_TIMEOUT)
         return True
 
-    def arriving(self) -> bool:
+    def has_arriving(self) -> bool:
         """Whether something it sent is unread or half read."""
-        return not self.connection.is_finishing and (self._reader.waits or bool(self.connection.unread()))
+        return not self.connection.is_finishing and (self._reader.waits or bool(self.connection.peek()))
 
     def overdue(self, now_ms: float) -> bool:
         """Guards descriptors against peers that say nothing, or half a message."""
-        if self.open or (self.spoke and not self._reader.waits):
+        if self.pending or (self.spoke and not self._reader.waits):
             return False
         if self._reader.skips:
             return now_ms - self._since_ms > SKIP_MS
@@ -180,33 +180,33 @@
     def _handle(self, message: thrift.Handle) -> None:
         seqid = message.seqid
         try:
-            if seqid in self.open:
+            if seqid in self.pending:
                 raise thrift.MalformedMessageError("a second request under an open number")
-            if len(self.open) >= MAX_PENDING_REQUESTS:
+            if len(self.pending) >= MAX_PENDING_REQUESTS:
                 raise thrift.MalformedMessageError("too many open requests")
-            fields = call_from(message, self.port.classes, self.port.tenants)
-            if self.port.table.is_open(fields["id"]):  # each request brings a new one, a retry too
+            fields = call_from(message, self.listener.classes, self.listener.tenants)
+            if self.listener.table.is_pending(fields["id"]):  # each request brings a new one, a retry too
                 raise thrift.MalformedMessageError("call: the id of an open request")
         except thrift.MalformedMessageError as error:
             error.seqid = seqid
             self._malformed(error)
             return
-        if self.connection.closed:  # the look at who has that id found the end of this very client
+        if self.connection.is_closed:  # the look at who has that id found the end of this very client
             return
-        fields["timeout_ms"] = max(0.0, fields["timeout_ms"] - self.connection.age_ms)
-        reply, age_ms = (lambda outcome: self._reply(seqid, outcome)), self.connection.age_ms
+        fields["timeout_ms"] = max(0.0, fields["timeout_ms"] - self.connection.receive_delay_ms)
+        reply, age_ms = (lambda outcome: self._reply(seqid, outcome)), self.connection.receive_delay_ms
         call = ClientRequest(reply=reply, age_ms=age_ms, is_client_connected=self._waits, **fields)
-        if (key := self.port.table.take(call)) is not None:
-            self.open[seqid] = key
+        if (key := self.listener.table.admit(call)) is not None:
+            self.pending[seqid] = key
 
     def _waits(self) -> bool:
         """Whether the client is still there. Guards what nobody waits for: its end may be unread yet."""
         if self.connection.has_peer_closed():
             self.connection.close(CloseReason.CLOSED_BY_PEER)
-        return not self.connection.closed
+        return not self.connection.is_closed
 
     def _reply(self, seqid: int, outcome: FinalAnswer) -> None:
-        self.open.pop(seqid, None)
+        self.pending.pop(seqid, None)
         if isinstance(outcome, Served):
             self._write(thrift.answer("handle", seqid, outcome.body, {}, True))
         elif isinstance(outcome, Rejected):
@@ -222,9 +222,9 @@
         """After the connection's own write of this turn: what is left is what the client does not read.
         While something of it is open it is read all the same, as it may withdraw that or end."""
         left = self.connection.pending_bytes
-        self.connection.set_reading(left < STOP_READING_BYTES or bool(self.open))
+        self.connection.set_reading(left < STOP_READING_BYTES or bool(self.pending))
         if left > MAX_UNREAD_BYTES or (
-            left > STOP_READING_BYTES and self.port.unread() > MAX_TOTAL_UNREAD_BYTES
+            left > STOP_READING_BYTES and self.listener.unread_bytes() > MAX_TOTAL_UNREAD_BYTES
         ):
             self.connection.close(CloseReason.WRITE_BUFFER_FULL)
 
@@ -232,10 +232,10 @@
         pass
 
     def on_closed(self, end: CloseReason) -> None:
-        keys, self.open = list(self.open.values()), {}
+        keys, self.pending = list(self.pending.values()), {}
         for key in keys:
-            self.port.table.withdraw(key)
-        self.port.ended(self)
+            self.listener.table.cancel_request(key)
+        self.listener.ended(self)
 
 
 class ClientListener:
@@ -253,8 +253,8 @@
     ) -> None:
         self.loop, self.table, self.log = loop, table, log
         self.classes, self.tenants = classes, tenants
-        self.ready = False
-        self.clients: dict[ClientConnection, None] = {}
+        self.is_ready = False
+        self.connections: dict[ClientConnection, None] = {}
         self._most = most
         family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
         self._listener: socket.socket | None = socket.socket(family, socket.SOCK_STREAM)
@@ -265,11 +265,11 @@
         self._listener.setblocking(False)
         self.address: Address = self._listener.getsockname()[:2]
         self._paused = False
-        loop.watch(self._listener, READ, self._accept)
+        loop.register(self._listener, READ, self._accept)
 
     def _accept(self, _mask: int) -> None:
         for _ in range(min(MAX_ACCEPTS_PER_TURN, max(1, self._most // 2))):
-            if self._listener is None or (len(self.clients) >= self._most and not self._make_room()):
+            if self._listener is None or (len(self.connections) >= self._most and not self._make_room()):
                 self._pause()
                 return
             try:
@@ -286,12 +286,16 @@
                 self._pause()
                 return
             client = ClientConnection(self, sock)
-            self.clients[client] = None
+            self.connections[client] = None
 
     def _make_room(self) -> bool:
         """Close what has nothing open: all that should have spoken by now, else one that is finished with,
         else the one that has been idle for longest. What has something unread is about to ask."""
-        idle = [client for client in self.clients if not client.open and not client.connection.pending_bytes]
+        idle = [
+            client
+            for client in self.connections
+            if not client.pending and not client.connection.pending_bytes
+        ]
         since = monotonic_ms() - YOUNG_MS
         silent = [client for client in idle if client.silent_since(since)]
         closed = [client for client in silent if client.close_unheard()]
@@ -305,33 +309,33 @@
         """Leave new connections to the system's queue for a moment, rather than spin on them."""
         if self._listener is not None and not self._paused:
             self._paused = True
-            self.loop.forget(self._listener)
-            self.loop.timers.after(ACCEPT_PAUSE_MS, self._resume)
+            self.loop.unregister(self._listener)
+            self.loop.timers.call_later(ACCEPT_PAUSE_MS, self._resume)
 
     def _resume(self) -> None:
         self._paused = False
         if self._listener is not None:
-            self.loop.watch(self._listener, READ, self._accept)
+            self.loop.register(self._listener, READ, self._accept)
 
-    def unread(self) -> int:
-        return sum(client.connection.pending_bytes for client in self.clients)
+    def unread_bytes(self) -> int:
+        return sum(client.connection.pending_bytes for client in self.connections)
 
-    def unwritten(self) -> bool:
-        return any(client.connection.pending_bytes for client in self.clients)
+    def has_unwritten(self) -> bool:
+        return any(client.connection.pending_bytes for client in self.connections)
 
-    def arriving(self) -> bool:
+    def has_arriving(self) -> bool:
         """Whether anything of a client lies unread, also on connections that were yet to be accepted."""
         if not self._paused:
             self._accept(READ)
-        return self._paused or any(client.arriving() for client in self.clients)
+        return self._paused or any(client.has_arriving() for client in self.connections)
 
     def ended(self, client: ClientConnection) -> None:
-        self.clients.pop(client, None)
+        self.connections.pop(client, None)
 
     def check_timeouts(self) -> None:
         now = monotonic_ms()
-        for client in list(self.clients):
-            idle = not client.open and now - client.connection.last_used_ms > IDLE_MS
+        for client in list(self.connections):
+            idle = not client.pending and now - client.connection.last_used_ms > IDLE_MS
             if idle:
                 client.close_unheard()  # but not on a request that has come and is yet to be read
             elif client.overdue(now):
@@ -340,8 +344,8 @@
     def close(self) -> None:
         if self._listener is not None:
             if not self._paused:
-                self.loop.forget(self._listener)
+                self.loop.unregister(self._listener)
             self._listener.close()
             self._listener = None
-        for client in list(self.clients):
+        for client in list(self.connections):
             client.connection.close(CloseReason.SHUTDOWN)
--- a/function_router/net/connection.py
+++ b/function_router/net/connection.py
@@ -56,7 +56,7 @@
 
 
 class _Nobody:
-    """Owns connections that have ended. Guards the memory: owner and connection would hold each other until
+    """Owns connections that have ended. Guards the memory: handler and connection would hold each other until
     a full collection, which comes ever more seldom."""
 
     def on_connected(self) -> None: ...
@@ -75,28 +75,28 @@
 
 class Connection:
     def __init__(
-        self, loop: EventLoop, sock: socket.socket, owner: ConnectionHandler, up: bool = True
+        self, loop: EventLoop, sock: socket.socket, handler: ConnectionHandler, is_connected: bool = True
     ) -> None:
-        self.loop, self.owner, self.up, self.closed = loop, owner, up, False
+        self.loop, self.handler, self.is_connected, self.is_closed = loop, handler, is_connected, False
         self.last_received_ms = self.last_used_ms = monotonic_ms()
         self.pending_bytes = 0
-        self.age_ms = 0.0  # of the bytes read last
+        self.receive_delay_ms = 0.0  # of the bytes read last
         self._sock, self._reading, self._blocked = sock, True, False
         self._outbox: deque[PendingWrite] = deque()
         self._connect_timer: Timer | None = None
         self._finishing: CloseReason | None = None
-        self._mask = READ if up else WRITE
-        loop.watch(sock, self._mask, self._ready)
+        self._mask = READ if is_connected else WRITE
+        loop.register(sock, self._mask, self._ready)
 
     @classmethod
-    def accepted(cls, loop: EventLoop, sock: socket.socket, owner: ConnectionHandler) -> "Connection":
+    def accepted(cls, loop: EventLoop, sock: socket.socket, handler: ConnectionHandler) -> "Connection":
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        return cls(loop, sock, owner)
+        return cls(loop, sock, handler)
 
     @classmethod
     def connect(
-        cls, loop: EventLoop, address: Address, owner: ConnectionHandler, within_ms: float
+        cls, loop: EventLoop, address: Address, handler: ConnectionHandler, within_ms: float
     ) -> "Connection | CloseReason":
         """A connection that comes up or ends later; or why it can't even be tried."""
         sock = None
@@ -112,8 +112,10 @@
             if sock is not None:
                 sock.close()
             return reason_of_os_error(error)
-        made = cls(loop, sock, owner, up=False)
-        made._connect_timer = loop.timers.after(within_ms, lambda: made.close(CloseReason.CONNECT_TIMEOUT))
+        made = cls(loop, sock, handler, is_connected=False)
+        made._connect_timer = loop.timers.call_later(
+            within_ms, lambda: made.close(CloseReason.CONNECT_TIMEOUT)
+        )
         return made
 
     # --- writing ------------------------------------------------------------------------------
@@ -121,13 +123,13 @@
     def write(self, data: bytes) -> PendingWrite:
         """Queue bytes for this turn's one write."""
         piece = PendingWrite(data)
-        if not self.closed:
+        if not self.is_closed:
             self._outbox.append(piece)
             self.pending_bytes += len(data)
             self.loop.flush_later(self)
         return piece
 
-    def take_back(self, piece: PendingWrite) -> bool:
+    def cancel_write(self, piece: PendingWrite) -> bool:
         """Unqueue a piece of which nothing has been written; False where it is too late."""
         if piece.written or piece not in self._outbox:
             return False
@@ -136,13 +138,13 @@
         return True
 
     def flush(self) -> None:
-        if self.up and not self.closed and not self._blocked and self._outbox:
+        if self.is_connected and not self.is_closed and not self._blocked and self._outbox:
             self._write_out()
-        if self._finishing and not self.closed and not self._outbox:
+        if self._finishing and not self.is_closed and not self._outbox:
             with contextlib.suppress(OSError):
                 self._sock.shutdown(socket.SHUT_WR)
-        if not self.closed:
-            self.owner.on_flushed()
+        if not self.is_closed:
+            self.handler.on_flushed()
 
     def _write_out(self) -> None:
         pieces = list(islice(self._outbox, MAX_WRITES_PER_FLUSH))
@@ -165,19 +167,19 @@
         self._blocked = bool(self._outbox)
         self._set_mask()
 
-    def finish(self, end: CloseReason) -> None:
+    def close_after_flush(self, end: CloseReason) -> None:
         """End it after what is queued: written first, then ended on this side, and read on without keeping.
         Guards the last answers, which a close with bytes unread would reset. Harm: it lives on a while."""
-        if not self.closed and not self._finishing:
+        if not self.is_closed and not self._finishing:
             self._finishing = end
-            self.loop.timers.after(LINGER_MS, lambda: self.close(end))
+            self.loop.timers.call_later(LINGER_MS, lambda: self.close(end))
             self.loop.flush_later(self)
 
     @property
     def is_finishing(self) -> bool:
         return self._finishing is not None
 
-    def unread(self) -> bytes | None:
+    def peek(self) -> bytes | None:
         """A look at what lies unread: None where nothing does, empty where the peer has ended it."""
         try:
             return self._sock.recv(1, socket.MSG_PEEK)
@@ -188,7 +190,7 @@
 
     def has_peer_closed(self) -> bool:
         """Whether the peer's end has come, also where it lies behind bytes that are unread."""
-        unread = b"" if self.closed else self.unread()
+        unread = b"" if self.is_closed else self.peek()
         if not unread:
             return unread is not None
         poll = select.poll()
@@ -199,24 +201,24 @@
 
     def set_reading(self, on: bool) -> None:
         """Stop or go on reading: a peer that does not read its answers is not read either."""
-        if self._reading != on and not self.closed:
+        if self._reading != on and not self.is_closed:
             self._reading = on
             self._set_mask()
 
     def _set_mask(self) -> None:
         mask = (READ * self._reading) | (WRITE * self._blocked)
         # A selector takes no empty mask; a blocked writer always has one, and only such stop reading.
-        if mask and mask != self._mask and not self.closed:
+        if mask and mask != self._mask and not self.is_closed:
             self._mask = mask
-            self.loop.change(self._sock, mask, self._ready)
+            self.loop.modify(self._sock, mask, self._ready)
 
     def _ready(self, mask: int) -> None:
-        if not self.up:
+        if not self.is_connected:
             self._on_connect_result()
             return
         if mask & WRITE:
             self._blocked = False
-            self.owner.on_writable()
+            self.handler.on_writable()
             self.loop.flush_later(self)
         if mask & READ:
             self._read()
@@ -226,16 +228,16 @@
         if code:
             self.close(reason_of_os_error(OSError(code, "connect")))
             return
-        self.up, self._mask = True, READ
+        self.is_connected, self._mask = True, READ
         if self._connect_timer:
             self._connect_timer.cancel()
         self.last_received_ms = self.last_used_ms = monotonic_ms()
-        self.loop.change(self._sock, READ, self._ready)
-        self.owner.on_connected()
+        self.loop.modify(self._sock, READ, self._ready)
+        self.handler.on_connected()
 
     def _read(self) -> None:
         for _ in range(MAX_READS_PER_TURN):
-            if self._read_once() < MAX_READ_BYTES or self.closed or not self._reading:
+            if self._read_once() < MAX_READ_BYTES or self.is_closed or not self._reading:
                 return
 
     def _read_once(self) -> int:
@@ -255,11 +257,11 @@
 
     def _hand_over(self, data: bytes, notes: list[tuple[int, int, bytes]]) -> None:
         self.last_received_ms = self.last_used_ms = monotonic_ms()
-        self.age_ms = self._age(notes)
+        self.receive_delay_ms = self._age(notes)
         try:
-            self.owner.on_data(data)
+            self.handler.on_data(data)
         except Exception:  # whatever a peer managed to send, it costs no more than its own connection
-            self.loop.fault("reading")
+            self.loop.report_exception("reading")
             self.close(CloseReason.PROTOCOL_ERROR)
 
     def _age(self, notes: list[tuple[int, int, bytes]]) -> float:
@@ -279,17 +281,17 @@
             self._sock.recv(MAX_READ_BYTES)
 
     def close(self, end: CloseReason) -> None:
-        """The one way out; the owner hears of it once."""
-        if self.closed:
+        """The one way out; the handler hears of it once."""
+        if self.is_closed:
             return
-        self.closed = True
+        self.is_closed = True
         if self._connect_timer:
             self._connect_timer.cancel()
-        self.loop.forget(self._sock)
-        if self.up and end in (CloseReason.IDLE, CloseReason.SHUTDOWN):
+        self.loop.unregister(self._sock)
+        if self.is_connected and end in (CloseReason.IDLE, CloseReason.SHUTDOWN):
             self._part()
         self._sock.close()
         self._outbox.clear()
         self.pending_bytes = 0
-        owner, self.owner = self.owner, NOBODY
-        owner.on_closed(end)
+        handler, self.handler = self.handler, NOBODY
+        handler.on_closed(end)
--- a/function_router/net/endpoint_watch.py
+++ b/function_router/net/endpoint_watch.py
@@ -44,7 +44,7 @@
         told: Callable[[EndpointList], None],
         log: RateLimitedLog,
     ) -> None:
-        self.seq = seq  # of the last event that was told
+        self.last_sequence = seq  # of the last event that was told
         self._loop, self._address, self._told, self._log = loop, address, told, log
         self._connection: Connection | None = None
         self._planned: Timer | None = None
@@ -68,7 +68,7 @@
             self._connection = made
 
     def _connect_later(self, pause_ms: float = PAUSE_MS) -> None:
-        self._planned = self._loop.timers.after(pause_ms, self.connect)
+        self._planned = self._loop.timers.call_later(pause_ms, self.connect)
 
     def _drop(self, end: CloseReason) -> None:
         """End what there is, without the next dial that a broken connection brings."""
@@ -80,7 +80,7 @@
             connection.close(end)
 
     def _ask_again(self, why: str) -> None:
-        self._log(f"change log: {why}; asked again from {self.seq}")
+        self._log(f"change log: {why}; asked again from {self.last_sequence}")
         self._drop(CloseReason.PROTOCOL_ERROR)
         if monotonic_ms() - self._asked_ms >= self._pause_ms:
             self.connect()
@@ -88,7 +88,7 @@
             self._connect_later(self._pause_ms)
             self._pause_ms = min(MAX_PAUSE_MS, 2 * self._pause_ms)
 
-    def move(self, address: Address) -> None:
+    def move_to(self, address: Address) -> None:
         """Go on at another address, with the same numbers."""
         self._address, self._pause_ms = address, PAUSE_MS
         self._stumbled_at = self._missed_at = None
@@ -97,7 +97,7 @@
 
     def check_timeouts(self) -> None:
         """Guards against a log that stops and stays open: a whole line is due each second."""
-        up = self._connection is not None and self._connection.up
+        up = self._connection is not None and self._connection.is_connected
         if up and monotonic_ms() - self._line_ms > SILENCE_MS:
             self._ask_again("silent")
 
@@ -108,7 +108,7 @@
 
     def on_connected(self) -> None:
         self._line_ms = monotonic_ms()
-        self._connection.write(b"since %d\n" % self.seq)
+        self._connection.write(b"since %d\n" % self.last_sequence)
 
     def on_flushed(self) -> None:
         pass
@@ -120,7 +120,7 @@
         if self._connection is None:  # ended here
             return
         self._connection = None
-        self._log(f"change log: {end.name}; dialled again from {self.seq}")
+        self._log(f"change log: {end.name}; dialled again from {self.last_sequence}")
         self._connect_later()
 
     def on_data(self, data: bytes) -> None:
@@ -143,23 +143,23 @@
             read = None
         if _is_number(read):
             self._last_is(read)
-        elif not self.event(read):
+        elif not self.apply_event(read):
             self._stumble(read, line)
 
     def _last_is(self, seq: int) -> None:
         self._pause_ms = PAUSE_MS
-        if self._leapt_from is not None and seq < self.seq:
-            self.seq, self._passed, self._leapt_from = self._leapt_from, 0, None
+        if self._leapt_from is not None and seq < self.last_sequence:
+            self.last_sequence, self._passed, self._leapt_from = self._leapt_from, 0, None
             self._ask_again(f"it stands at {seq}, before the complete list that it told")
         elif seq > self._reached():
-            if self._missed_at != self.seq or monotonic_ms() - self._asked_ms > SILENCE_MS:
-                self._missed_at = self.seq
+            if self._missed_at != self.last_sequence or monotonic_ms() - self._asked_ms > SILENCE_MS:
+                self._missed_at = self.last_sequence
                 self._ask_again(f"it stands at {seq}")
         else:  # what was passed over beyond its last number was no event
             self._passed, self._stumbled_at, self._leapt_from = seq, None, None
 
     def _reached(self) -> int:
-        return max(self.seq, self._passed)
+        return max(self.last_sequence, self._passed)
 
     def _stumble(self, event: Any, line: bytes) -> None:
         """A line of no use: ask once whether it comes better, then pass over what was due.
@@ -176,19 +176,19 @@
             self._passed = self._reached() + 1
         self._log(f"change log: passed over up to {self._passed}")
 
-    def event(self, event: Any, of_start: bool = False) -> bool:
+    def apply_event(self, event: Any, of_start: bool = False) -> bool:
         """Take an event in; False where it is none, or not the next. Those of the start may leave gaps, and
         a complete list stands for all that came before it."""
         seq = _number_of(event)
         if seq is None:
             return False
-        if seq <= self.seq:  # told before
+        if seq <= self.last_sequence:  # told before
             return True
         gap = seq > self._reached() + 1 and not of_start
         if (gap and not _is_complete(event)) or not self._tell(event):
             return False
-        self._leapt_from = self.seq if gap else self._leapt_from
-        self.seq, self._stumbled_at, self._pause_ms = seq, None, PAUSE_MS
+        self._leapt_from = self.last_sequence if gap else self._leapt_from
+        self.last_sequence, self._stumbled_at, self._pause_ms = seq, None, PAUSE_MS
         return True
 
     def _tell(self, event: dict[str, Any]) -> bool:
--- a/function_router/net/event_loop.py
+++ b/function_router/net/event_loop.py
@@ -31,23 +31,23 @@
         )  # when the turn began, on both clocks
         self._decide, self._log = decide, log
         self._selector = selectors.DefaultSelector()
-        self.timers.on_fault = self.fault
+        self.timers.on_exception = self.report_exception
         self._inbox: list[Event] = []
         self._dirty: dict[Flushable, None] = {}
         self._wake: tuple[socket.socket, socket.socket] | None = None
 
     # --- what the parts use -----------------------------------------------------------------
 
-    def watch(self, sock: socket.socket, mask: int, ready: Callable[[int], None]) -> None:
+    def register(self, sock: socket.socket, mask: int, ready: Callable[[int], None]) -> None:
         self._selector.register(sock, mask, ready)
 
-    def change(self, sock: socket.socket, mask: int, ready: Callable[[int], None]) -> None:
+    def modify(self, sock: socket.socket, mask: int, ready: Callable[[int], None]) -> None:
         self._selector.modify(sock, mask, ready)
 
-    def forget(self, sock: socket.socket) -> None:
+    def unregister(self, sock: socket.socket) -> None:
         self._selector.unregister(sock)
 
-    def tell(self, event: Event) -> None:
+    def submit(self, event: Event) -> None:
         """An event for the next batch. One that carrying out a batch brings waits for the one after."""
         self._inbox.append(event)
 
@@ -56,14 +56,14 @@
 
     # --- the turns --------------------------------------------------------------------------
 
-    def turn(self, most_s: float | None = None) -> None:
+    def run_once(self, most_s: float | None = None) -> None:
         ready = self._selector.select(self._sleep_s(most_s))
         self.turn_started_ms, self.turn_started_unix_ms = monotonic_ms(), unix_ms()
-        self._serve(ready, self.clock.now_ms())
+        self._run_turn(ready, self.clock.now_ms())
         if (took := monotonic_ms() - self.turn_started_ms) > SLOW_TURN_MS:
             self._log(f"a slow turn: {took:.0f} ms for {len(ready)} sockets")
 
-    def _serve(self, ready: list[tuple[selectors.SelectorKey, int]], now_ms: float) -> None:
+    def _run_turn(self, ready: list[tuple[selectors.SelectorKey, int]], now_ms: float) -> None:
         # All of a turn happens at the moment at which it began, however long the process is held up in it.
         for key, mask in ready:
             # One that an earlier part of this turn closed is no longer registered under its key.
@@ -82,25 +82,25 @@
         try:
             call(*arguments)
         except Exception:
-            self.fault(getattr(call, "__qualname__", "a part"))
+            self.report_exception(getattr(call, "__qualname__", "a part"))
 
-    def fault(self, where: str) -> None:
+    def report_exception(self, where: str) -> None:
         """Report the exception that is being handled."""
         self._log(f"fault in {where}: " + traceback.format_exc(limit=-3).replace("\n", " | "))
 
     def _sleep_s(self, most_s: float | None) -> float | None:
         if self._inbox or self._dirty:
             return 0.0
-        idle = self.timers.idle_s()
+        idle = self.timers.seconds_until_next()
         if idle is None or most_s is None:
             return most_s if idle is None else idle
         return min(idle, most_s)
 
     def run(self) -> None:
         while self.running:
-            self.turn()
+            self.run_once()
 
-    def on_signals(self, handlers: dict[int, Callable[[], None]]) -> None:
+    def handle_signals(self, handlers: dict[int, Callable[[], None]]) -> None:
         """Signals wake the selector by a socket pair and are then handled in the loop like all else."""
         near, far = socket.socketpair()
         near.setblocking(False)
@@ -116,7 +116,7 @@
                 if handler := handlers.get(number):
                     handler()
 
-        self.watch(near, READ, ready)
+        self.register(near, READ, ready)
 
     def close(self) -> None:
         if self._wake:
--- a/function_router/net/log.py
+++ b/function_router/net/log.py
@@ -16,7 +16,7 @@
     Each source has its share, so that what clients do wrong does not hide what scorers do."""
 
     def __init__(self, name: str, out: TextIO | None = None, steady: Callable[[], float] = monotonic_ms):
-        self._name, self._out, self._steady = name, out or sys.stderr, steady
+        self._name, self._attempts, self._steady = name, out or sys.stderr, steady
         self._second, self._left_out = 0, 0
         self._lines: dict[str, int] = {}  # of this second
 
@@ -35,7 +35,7 @@
     def _write(self, text: str) -> None:
         line = "".join(char if char.isprintable() else "?" for char in text[:MAX_LINE_LENGTH])
         try:
-            self._out.write(f"{self._name}: {line}\n")
-            self._out.flush()
+            self._attempts.write(f"{self._name}: {line}\n")
+            self._attempts.flush()
         except OSError:  # nobody reads the log: no reason to stop serving
             pass
--- a/function_router/net/request_table.py
+++ b/function_router/net/request_table.py
@@ -107,7 +107,7 @@
         recount_start_order: Callable[[float, float], float | None],
         log: RateLimitedLog,
     ) -> None:
-        self.open: dict[str, PendingRequest] = {}
+        self.pending: dict[str, PendingRequest] = {}
         self._classes, self._log = classes, log
         self._loop, self._pool, self._wire = loop, pool, wire
         self._recount_start_order = (
@@ -119,17 +119,17 @@
         self._keys: dict[bytes, str] = {}  # by the id of an open request's call
         self._numbers = itertools.count(1)
         # Attempts that are out, also of requests that are over: the module may still call them off.
-        self._out: dict[tuple[str, int], Attempt] = {}
+        self._attempts: dict[tuple[str, int], Attempt] = {}
         # Requests that ended while the module did not know it yet, of this batch and of the one before.
         self._done: dict[str, PendingRequest] = {}
         self._done_before: dict[str, PendingRequest] = {}
 
     # --- from clients -------------------------------------------------------------------------
 
-    def take(self, call: ClientRequest) -> str | None:
+    def admit(self, call: ClientRequest) -> str | None:
         """The key of a new request; None where it was refused at once, untouched."""
         if (
-            len(self.open) >= self._wire.max_pending_requests
+            len(self.pending) >= self._wire.max_pending_requests
             or self._bodies + len(call.body) > MAX_TOTAL_BODY_BYTES
         ):
             call.reply(Rejected(FULL_PUSHBACK_MS))
@@ -138,9 +138,9 @@
         self._bodies += len(call.body)
         self._keys[call.id] = key
         budget_ms = max(0.0, min(call.timeout_ms, self._ends_ms - self._loop.turn_started_ms))
-        deadline_timer = self._loop.timers.after(budget_ms, lambda: self._overdue(key))
-        self.open[key] = PendingRequest(key, call, self._loop.turn_started_ms + budget_ms, deadline_timer)
-        self._loop.tell(
+        deadline_timer = self._loop.timers.call_later(budget_ms, lambda: self._overdue(key))
+        self.pending[key] = PendingRequest(key, call, self._loop.turn_started_ms + budget_ms, deadline_timer)
+        self._loop.submit(
             RequestArrived(
                 key, call.function, call.class_name, call.tenant, budget_ms, call.concurrency,
                 call.memory_mb, call.start_ms, client_id=call.id.hex(), age_ms=call.age_ms,
@@ -151,28 +151,28 @@
     def drain(self, within_ms: float) -> None:
         """This front end may be ended from outside by then: what is open then would have no answer at all."""
         self._ends_ms = self._loop.turn_started_ms + within_ms
-        for request in self.open.values():
+        for request in self.pending.values():
             request.deadline_ms = min(request.deadline_ms, self._ends_ms)
-        self._loop.tell(DrainStarted(within_ms))
+        self._loop.submit(DrainStarted(within_ms))
 
-    def is_open(self, id: bytes) -> bool:
+    def is_pending(self, id: bytes) -> bool:
         """Whether a request of this id is open, and its client still there."""
         key = self._keys.get(id)
-        return key is not None and self.open[key].call.is_client_connected()
+        return key is not None and self.pending[key].call.is_client_connected()
 
-    def withdraw(self, key: str) -> None:
+    def cancel_request(self, key: str) -> None:
         """The client waits no more: no answer is owed."""
         if request := self._close(key):
-            self._loop.tell(RequestCancelled(key, request.call.id.hex()))
+            self._loop.submit(RequestCancelled(key, request.call.id.hex()))
 
     def _overdue(self, key: str) -> None:
         """Guards the one final answer against any fault in the decisions; they end a request earlier."""
-        request = self.open[key]
+        request = self.pending[key]
         self._finish(key, Failed())
-        self._loop.tell(RequestCancelled(key, request.call.id.hex()))
+        self._loop.submit(RequestCancelled(key, request.call.id.hex()))
 
     def _close(self, key: str) -> PendingRequest | None:
-        request = self.open.pop(key, None)
+        request = self.pending.pop(key, None)
         if request:
             request.deadline_timer.cancel()
             self._bodies -= len(request.call.body)
@@ -185,12 +185,12 @@
         """What no scorer has heard of yet must not begin for a request that is over. The module's cancels
         don't see to that: where the settings forbid them there are none."""
         for number in range(request.attempts):
-            if attempt := self._out.get((key, number)):
-                self._pool.take_back(attempt)
+            if attempt := self._attempts.get((key, number)):
+                self._pool.cancel_if_unsent(attempt)
 
     def _may_start(self, key: str) -> bool:
         """Asked when an attempt's first byte is to leave, which may be long after it was decided on."""
-        request = self.open.get(key)
+        request = self.pending.get(key)
         return request is not None and self._in_window(key, request) and request.call.is_client_connected()
 
     def _in_window(self, key: str, request: PendingRequest) -> bool:
@@ -198,7 +198,7 @@
         spec = self._classes.get(request.call.class_name)
         if spec is None or spec.retry_safety is not RetrySafety.IDEMPOTENCY_KEY:
             return True
-        out = (self._out.get((key, number)) for number in range(request.attempts))
+        out = (self._attempts.get((key, number)) for number in range(request.attempts))
         first_ms = min(
             [request.ran_ms, *(attempt.started_at_ms for attempt in out if attempt and attempt.is_started)]
         )
@@ -228,15 +228,15 @@
 
     def send(self, action: SendRequest) -> None:
         key, worker = action.request_id, action.worker_id
-        request = self.open.get(key) or self._done.get(key) or self._done_before.get(key)
+        request = self.pending.get(key) or self._done.get(key) or self._done_before.get(key)
         if request is None:
             return
         number, request.attempts = request.attempts, request.attempts + 1
-        if key not in self.open:  # it ended in the very batch that this answers
-            self._loop.tell(AttemptEnded(key, number, worker, Outcome.NOT_SENT, 0.0, is_answered=True))
+        if key not in self.pending:  # it ended in the very batch that this answers
+            self._loop.submit(AttemptEnded(key, number, worker, Outcome.NOT_SENT, 0.0, is_answered=True))
             return
         call = request.call
-        attempt = self._out[key, number] = Attempt(
+        attempt = self._attempts[key, number] = Attempt(
             worker_id=worker,
             on_done=lambda attempt, end, answer: self._attempt_ended(key, number, attempt, end, answer),
             may_start=lambda: self._may_start(key),
@@ -250,11 +250,11 @@
         request.note(f"sent to {worker}")
         self._pool.send(attempt)
 
-    def cancel(self, action: CancelAttempt) -> None:
-        if attempt := self._out.get((action.request_id, action.attempt_number)):
+    def cancel_attempt(self, action: CancelAttempt) -> None:
+        if attempt := self._attempts.get((action.request_id, action.attempt_number)):
             self._pool.cancel(attempt)
 
-    def refuse(self, action: RejectRequest) -> None:
+    def reject(self, action: RejectRequest) -> None:
         self._finish(action.request_id, Rejected(action.retry_after_ms))
 
     def fail(self, action: FailRequest) -> None:
@@ -265,7 +265,7 @@
     def _attempt_ended(
         self, key: str, number: int, attempt: Attempt, end: CloseReason | None, answer: Answer | None
     ) -> None:
-        del self._out[key, number]
+        del self._attempts[key, number]
         if answer is None:
             ending, warmth, crowd = (
                 outcome_of(end or CloseReason.NOT_SENT, attempt.is_started),
@@ -274,7 +274,7 @@
             )
         else:
             ending, warmth, crowd = answer.outcome, answer.start_kind, self._crowd(answer)
-        if request := self.open.get(key):
+        if request := self.pending.get(key):
             what = end.name if end else f"{ending.name} {warmth.name} crowd {crowd}"
             request.note(f"{attempt.worker_id}: {what} link {attempt.connection_wait_ms:.0f}")
             if attempt.is_started and ending not in NEVER_RAN:
@@ -282,18 +282,18 @@
         if answer is not None and ending is Outcome.OK:
             self._finish(key, Served(answer.body))
         took = monotonic_ms() - attempt.started_at_ms
-        closed = key not in self.open
-        self._loop.tell(AttemptEnded(key, number, attempt.worker_id, ending, took, closed, warmth, crowd))
+        closed = key not in self.pending
+        self._loop.submit(AttemptEnded(key, number, attempt.worker_id, ending, took, closed, warmth, crowd))
 
     def _crowd(self, answer: Answer) -> int | None:
         if not self._wire.reports_in_flight or answer.outcome not in (Outcome.OK, Outcome.QUEUE_FULL):
             return None
         return min(MAX_IN_FLIGHT, answer.in_flight)
 
-    def order(self, action: EnsureInstances) -> None:
+    def ensure_instances(self, action: EnsureInstances) -> None:
         self._note_order(action.function, f"order {action.instances} at {action.worker_id}")
         may_start = self._asked_anew() if action.instances else lambda: True
-        self._pool.order(
+        self._pool.ensure_instances(
             StartOrder(action.worker_id, self._order_ended, action.function, action.instances, may_start)
         )
 
@@ -310,7 +310,7 @@
         return may_start
 
     def _note_order(self, function: str, text: str) -> None:
-        for request in self.open.values():
+        for request in self.pending.values():
             if request.call.function == function:
                 request.note(text)
 
@@ -319,4 +319,4 @@
         ending = answer.outcome if answer else outcome_of(end or CloseReason.NOT_SENT, order.is_started)
         copies = answer.instances if answer else 0
         self._note_order(order.function, f"{order.worker_id} holds {copies} {ending.name}")
-        self._loop.tell(InstancesReported(order.worker_id, order.function, ending, copies, took))
+        self._loop.submit(InstancesReported(order.worker_id, order.function, ending, copies, took))
--- a/function_router/net/router_process.py
+++ b/function_router/net/router_process.py
@@ -90,15 +90,15 @@
         self.endpoint_watch = EndpointWatch(self.loop, config.endpoint_log, 0, self._on_fleet, self.log)
         self._known()
         max_clients = max(4, int(sockets * CLIENT_SHARE))
-        self.port = ClientListener(
+        self.listener = ClientListener(
             self.loop, config.listen, self.table, settings.classes, wire.tenants, max_clients, self.log
         )
         self._carriers = {
             SendRequest: self.table.send,
-            CancelAttempt: self.table.cancel,
-            RejectRequest: self.table.refuse,
+            CancelAttempt: self.table.cancel_attempt,
+            RejectRequest: self.table.reject,
             FailRequest: self.table.fail,
-            EnsureInstances: self.table.order,
+            EnsureInstances: self.table.ensure_instances,
             SetTimer: self._set_timer,
             LogMessage: lambda action: self.log(action.text),
         }
@@ -106,20 +106,20 @@
 
     @property
     def address(self) -> Address:
-        return self.port.address
+        return self.listener.address
 
     # --- life -----------------------------------------------------------------------------------
 
     def start(self) -> None:
         self.endpoint_watch.connect()
-        self.loop.timers.after(TIDY_MS, self._check_timeouts)
-        self.loop.timers.after(TALLY_MS, self._log_counters)
-        self.port.ready = True
+        self.loop.timers.call_later(TIDY_MS, self._check_timeouts)
+        self.loop.timers.call_later(TALLY_MS, self._log_counters)
+        self.listener.is_ready = True
 
     def serve(self) -> None:
         """Serve until SIGTERM or SIGINT, then until all that was taken has its answer."""
         handlers = {signal.SIGTERM: self.drain, signal.SIGINT: self.drain, signal.SIGHUP: self.reload}
-        self.loop.on_signals(handlers)
+        self.loop.handle_signals(handlers)
         self.start()
         self.log(f"serving on {self.address[0]}:{self.address[1]}")
         try:
@@ -141,14 +141,14 @@
         self.log(
             f"configuration read again: change log at {read.endpoint_log[0]}:{read.endpoint_log[1]}{rest}"
         )
-        self.endpoint_watch.move(read.endpoint_log)
+        self.endpoint_watch.move_to(read.endpoint_log)
 
     def drain(self) -> None:
         """Begin to end: keep accepting and serving until late arrivals are in and all is answered."""
         if self._drain_started_ms is None:
             self.log("leaving")
             self._drain_started_ms = monotonic_ms()
-            self.port.ready = False
+            self.listener.is_ready = False
             classes = self.config.settings.classes.values()
             longest = max((spec.timeout_ms for spec in classes), default=0.0)
             self.table.drain(min(longest, KILL_WAIT_MS) + KILL_AFTER_MS - KILL_MARGIN_MS)
@@ -159,15 +159,15 @@
         if since > LINGER_MS or (since > LATE_ARRIVALS_MS and not self._busy()):
             self.loop.running = False
         else:
-            self.loop.timers.after(LEAVE_LOOK_MS, self._stop_when_drained)
+            self.loop.timers.call_later(LEAVE_LOOK_MS, self._stop_when_drained)
 
     def _busy(self) -> bool:
         """Whether a request is open, unanswered on the wire, or has come and was not taken yet: to a client
         all of these were taken once its connection was."""
-        return bool(self.table.open) or self.port.unwritten() or self.port.arriving()
+        return bool(self.table.pending) or self.listener.has_unwritten() or self.listener.has_arriving()
 
     def close(self) -> None:
-        self.port.close()
+        self.listener.close()
         self.endpoint_watch.close()
         self.pool.close()
         self.loop.close()
@@ -175,22 +175,22 @@
     def _check_timeouts(self) -> None:
         self.endpoint_watch.check_timeouts()
         self.pool.check_timeouts()
-        self.port.check_timeouts()
-        self.loop.timers.after(TIDY_MS, self._check_timeouts)
+        self.listener.check_timeouts()
+        self.loop.timers.call_later(TIDY_MS, self._check_timeouts)
 
     def _log_counters(self) -> None:
         if counts := self.pool.counters:
             self.log("sent: " + ", ".join(f"{name} {count}" for name, count in sorted(counts.items())))
             counts.clear()
-        self.loop.timers.after(TALLY_MS, self._log_counters)
+        self.loop.timers.call_later(TALLY_MS, self._log_counters)
 
     # --- the roster -----------------------------------------------------------------------------
 
     def _known(self) -> None:
         for event in self.config.known_events:
-            if not self.endpoint_watch.event(event, of_start=True):
+            if not self.endpoint_watch.apply_event(event, of_start=True):
                 raise ConfigurationError(f"known.results: not an event: {str(event)[:80]}")
-        self.endpoint_watch.seq = max(self.endpoint_watch.seq, self.config.known_seq)
+        self.endpoint_watch.last_sequence = max(self.endpoint_watch.last_sequence, self.config.known_seq)
 
     def _on_fleet(self, fleet: EndpointList) -> None:
         entries, told = [self._entry(member) for member in fleet.members], []
@@ -200,26 +200,26 @@
             self._entries = {id: entry for id, entry in self._entries.items() if id in named}
         for entry, address in entries:
             told += [*self._displaced(entry, address), entry]
-            self.pool.update(entry.worker_id, address, entry.state, entry.started_at_ms or 0.0)
+            self.pool.update_endpoint(entry.worker_id, address, entry.state, entry.started_at_ms or 0.0)
             self._entries[entry.worker_id] = entry
         self._entries = {
             id: entry for id, entry in self._entries.items() if entry.state is not WorkerState.REMOVED
         }
-        self.loop.tell(EndpointsChanged(told, fleet.complete))
+        self.loop.submit(EndpointsChanged(told, fleet.complete))
 
     def _displaced(self, entry: Endpoint, address: Address | None) -> list[Endpoint]:
         """Of scorers at one address the one started last stands there; the others are gone, though the list
         may tell so later. Guards a new process, cold as it is, against what is meant for the one before."""
         if entry.state is not WorkerState.READY or address is None:
             return []
-        rivals = [id for id in self.pool.at(address) if id != entry.worker_id and id in self._entries]
+        rivals = [id for id in self.pool.workers_at(address) if id != entry.worker_id and id in self._entries]
         started_ms = entry.started_at_ms or 0.0
         if any((self._entries[id].started_at_ms or 0.0) > started_ms for id in rivals):
             entry.state = WorkerState.REMOVED
             return []
         gone = [replace(self._entries[id], state=WorkerState.REMOVED) for id in rivals]
         for rival in gone:
-            self.pool.update(rival.worker_id, None, rival.state, 0.0)
+            self.pool.update_endpoint(rival.worker_id, None, rival.state, 0.0)
             self._entries[rival.worker_id] = rival
         return gone
 
@@ -243,11 +243,11 @@
             actions: list[Any] = self.router.handle(now_ms, events)
         except Exception:
             # A fault in the decisions must not take down what is open: each request has its backstop.
-            self.loop.fault("the decisions")
-            self.loop.timers.after(AFTER_FAULT_MS, lambda: self.loop.tell(TimerFired(0)))
+            self.loop.report_exception("the decisions")
+            self.loop.timers.call_later(AFTER_FAULT_MS, lambda: self.loop.submit(TimerFired(0)))
             return
         for action in actions:
             self._carriers[type(action)](action)
 
     def _set_timer(self, action: SetTimer) -> None:
-        self.loop.timers.after(action.delay_ms, lambda: self.loop.tell(TimerFired(action.token)))
+        self.loop.timers.call_later(action.delay_ms, lambda: self.loop.submit(TimerFired(action.token)))
--- a/function_router/net/timer_wheel.py
+++ b/function_router/net/timer_wheel.py
@@ -54,9 +54,9 @@
         self._steady = steady
         self._slots: list[list[Timer]] = [[] for _ in range(SLOTS)]
         self._tick = math.floor(steady() / TICK_MS)
-        self.on_fault: Callable[[str], None] = lambda where: None
+        self.on_exception: Callable[[str], None] = lambda where: None
 
-    def after(self, delay_ms: float, callback: Callable[[], None]) -> Timer:
+    def call_later(self, delay_ms: float, callback: Callable[[], None]) -> Timer:
         due = math.floor((self._steady() + max(0.0, delay_ms)) / TICK_MS) + 1
         timer = Timer(max(due, self._tick + 1), callback)
         self._slots[timer.due_tick % SLOTS].append(timer)
@@ -83,9 +83,9 @@
         try:
             callback()
         except Exception:
-            self.on_fault("a timer")
+            self.on_exception("a timer")
 
-    def idle_s(self) -> float | None:
+    def seconds_until_next(self) -> float | None:
         """How long the loop may sleep; None where no timer is set."""
         for tick in range(self._tick + 1, self._tick + 1 + SLOTS):
             slot = self._slots[tick % SLOTS]
--- a/function_router/net/worker_pool.py
+++ b/function_router/net/worker_pool.py
@@ -61,16 +61,16 @@
     worker_id: int
     on_done: Callable[["Exchange", CloseReason | None, Answer | None], None]
     started_at_ms: float = field(default_factory=monotonic_ms, init=False)
-    link: "WorkerConnection | None" = field(default=None, init=False)
-    piece: PendingWrite | None = field(default=None, init=False)
+    connection: "WorkerConnection | None" = field(default=None, init=False)
+    pending_write: PendingWrite | None = field(default=None, init=False)
     timer: Timer | None = field(default=None, init=False)
-    over: bool = field(default=False, init=False)
+    is_done: bool = field(default=False, init=False)
     connection_wait_ms: float = field(default=0.0, init=False)  # how long it waited for a connection
     id: bytes = field(default=b"", kw_only=True)
 
     @property
     def is_started(self) -> bool:  # some of its bytes may have arrived
-        return self.piece is not None and self.piece.written > 0
+        return self.pending_write is not None and self.pending_write.written > 0
 
 
 @dataclass(slots=True, eq=False)
@@ -119,8 +119,8 @@
     def __init__(self, pool: "WorkerPool", worker: "PooledWorker") -> None:
         self.pool, self.worker = pool, worker
         self.connection: Connection | None = None
-        self.streams: dict[bytes, Exchange] = {}
-        self.retired = False  # gets nothing new, and is closed once empty
+        self.exchanges: dict[bytes, Exchange] = {}
+        self.is_retired = False  # gets nothing new, and is closed once empty
         self._reader = frames.FrameReader()
         self._spent: dict[bytes, None] = {}  # ids that may not be used again here
         self._stall: Timer | None = None
@@ -129,42 +129,42 @@
         self._last_gave_up_ms = 0.0
 
     @property
-    def up(self) -> bool:
-        return self.connection is not None and self.connection.up and not self.connection.closed
+    def is_connected(self) -> bool:
+        return self.connection is not None and self.connection.is_connected and not self.connection.is_closed
 
     def quiet(self) -> bool:
         """Guards against a machine that vanished: its connections stay open and say nothing."""
         since = max(self.connection.last_received_ms, self._owed_ms)
-        return bool(self.streams) and monotonic_ms() - since > QUIET_MS
+        return bool(self.exchanges) and monotonic_ms() - since > QUIET_MS
 
     def given_up_unheard(self) -> bool:
         """All that was open was given up, and the scorer had long been silent by then."""
         return self._last_gave_up_ms - max(self.connection.last_received_ms, self._owed_ms) > QUIET_MS
 
     def takes(self, id: bytes) -> bool:
-        room = len(self.streams) < self.pool.wire.max_exchanges_per_connection
-        fresh = id not in self.streams and id not in self._spent
+        room = len(self.exchanges) < self.pool.wire.max_exchanges_per_connection
+        fresh = id not in self.exchanges and id not in self._spent
         return room and fresh and self.connection.pending_bytes < MAX_PENDING_BYTES
 
     def idle_ms(self) -> float:
-        return 0.0 if self.streams else monotonic_ms() - self.connection.last_used_ms
+        return 0.0 if self.exchanges else monotonic_ms() - self.connection.last_used_ms
 
     def stale_after_ms(self, end: CloseReason) -> float | None:
         """How long it was idle, where it broke as soon as it was used again."""
-        broke = end in (CloseReason.RESET_BY_PEER, CloseReason.CLOSED_BY_PEER) and self.streams
+        broke = end in (CloseReason.RESET_BY_PEER, CloseReason.CLOSED_BY_PEER) and self.exchanges
         return self._gap_ms if broke and monotonic_ms() - self._owed_ms < STALE_SIGN_MS else None
 
     def start(self, stream: Exchange) -> None:
-        if not self.streams:
+        if not self.exchanges:
             self._gap_ms, self._owed_ms = self.idle_ms(), monotonic_ms()
-        self.streams[stream.id] = stream
+        self.exchanges[stream.id] = stream
         stream.connection_wait_ms = monotonic_ms() - stream.started_at_ms
-        stream.link, stream.piece = self, self.connection.write(stream.frame())
+        stream.connection, stream.pending_write = self, self.connection.write(stream.frame())
 
     def withdraw(self, stream: Exchange) -> None:
         """Take a stream off the link, telling the scorer where it may have heard of it."""
-        self.streams.pop(stream.id, None)
-        if self.connection.take_back(stream.piece):
+        self.exchanges.pop(stream.id, None)
+        if self.connection.cancel_write(stream.pending_write):
             return
         self._last_gave_up_ms = monotonic_ms()
         if isinstance(stream, Attempt):
@@ -177,7 +177,7 @@
             del self._spent[next(iter(self._spent))]
 
     def unwritten(self) -> list[Exchange]:
-        return [stream for stream in self.streams.values() if not stream.is_started]
+        return [stream for stream in self.exchanges.values() if not stream.is_started]
 
     # --- from the connection ----------------------------------------------------------------
 
@@ -187,7 +187,7 @@
     def on_data(self, data: bytes) -> None:
         for frame in self._reader.feed(data):
             # An answer to what is no longer open here comes too late and says nothing.
-            if (stream := self.streams.pop(frame.id, None)) is not None:
+            if (stream := self.exchanges.pop(frame.id, None)) is not None:
                 if frame.code != frames.OK:  # it may be tried again here, and a second copy must not end that
                     self._spend(frame.id)
                 self.pool.answered(stream, frame)
@@ -195,15 +195,15 @@
             self.pool.log(f"scorer {self.worker.id}: bad frame: {self._reader.fault}")
             self.connection.close(CloseReason.PROTOCOL_ERROR)
         elif self._reader.waits and self._stall is None:
-            self._stall = self.pool.loop.timers.after(STALL_MS, self._stalled)
+            self._stall = self.pool.loop.timers.call_later(STALL_MS, self._stalled)
 
     def _stalled(self) -> None:
         self._stall = None
-        if not self._reader.waits or self.connection.closed:
+        if not self._reader.waits or self.connection.is_closed:
             return
         left = STALL_MS - (monotonic_ms() - self.connection.last_received_ms)
         if left > 0:
-            self._stall = self.pool.loop.timers.after(left, self._stalled)
+            self._stall = self.pool.loop.timers.call_later(left, self._stalled)
         else:
             self.pool.log(f"scorer {self.worker.id}: a frame was cut off")
             self.connection.close(CloseReason.READ_TIMEOUT)
@@ -215,7 +215,7 @@
         """The scorer reads again: what waited for that is asked once more whether it may begin."""
         for stream in self.unwritten():
             if not stream.may_start():
-                self.pool.take_back(stream)
+                self.pool.cancel_if_unsent(stream)
 
     def on_closed(self, end: CloseReason) -> None:
         self.pool.on_worker_closed(self, end)
@@ -229,18 +229,22 @@
     address: Address
     state: WorkerState
     started_at_ms: float
-    links: list[WorkerConnection] = field(default_factory=list)
+    connections: list[WorkerConnection] = field(default_factory=list)
     waiting: deque[Exchange] = field(default_factory=deque)
 
     def link_for(self, id: bytes, trust_ms: float) -> WorkerConnection | None:
-        able = [link for link in self.links if link.up and not link.retired and link.takes(id)]
+        able = [
+            link for link in self.connections if link.is_connected and not link.is_retired and link.takes(id)
+        ]
         able = [link for link in able if link.idle_ms() <= trust_ms]
         lively = [link for link in able if not link.quiet()]
         if not lively and len(self.current()) >= MAX_CONNECTIONS:
             lively = able
         # Of links that are as empty, the one used last: one long idle may be about to be closed.
-        best = min(lively, key=lambda link: (len(link.streams), -link.connection.last_used_ms), default=None)
-        if best and not best.streams and best.connection.unread() == b"":
+        best = min(
+            lively, key=lambda link: (len(link.exchanges), -link.connection.last_used_ms), default=None
+        )
+        if best and not best.exchanges and best.connection.peek() == b"":
             # Guards calls that may not run twice: what is written to an ended connection may have run.
             best.connection.close(CloseReason.CLOSED_BY_PEER)
             return self.link_for(id, trust_ms)
@@ -249,14 +253,16 @@
     def crowded(self) -> bool:
         """Whether the next call would share a link, while there may be more of them."""
         current = self.current()
-        return len(current) < CONNECTIONS_BEFORE_SHARING and all(link.up and link.streams for link in current)
+        return len(current) < CONNECTIONS_BEFORE_SHARING and all(
+            link.is_connected and link.exchanges for link in current
+        )
 
     def current(self) -> list[WorkerConnection]:
         """Links to the process that there is now: not those that only see an older one's calls out."""
-        return [link for link in self.links if not link.retired]
+        return [link for link in self.connections if not link.is_retired]
 
     def connecting(self) -> int:
-        return sum(not link.up for link in self.current())
+        return sum(not link.is_connected for link in self.current())
 
 
 class WorkerPool:
@@ -275,7 +281,9 @@
 
     # --- the roster ---------------------------------------------------------------------------
 
-    def update(self, id: int, address: Address | None, state: WorkerState, up_since_ms: float) -> None:
+    def update_endpoint(
+        self, id: int, address: Address | None, state: WorkerState, up_since_ms: float
+    ) -> None:
         worker = self.workers.get(id)
         if worker is None:
             if address is not None and state is not WorkerState.REMOVED:
@@ -295,7 +303,7 @@
             self._retire(worker)
             self._drop_if_empty(worker)
 
-    def at(self, address: Address) -> list[int]:
+    def workers_at(self, address: Address) -> list[int]:
         """The scorers at an address that are not gone."""
         scorers = self.workers.values()
         return [s.id for s in scorers if s.address == address and s.state is not WorkerState.REMOVED]
@@ -303,24 +311,24 @@
     def remove_all_except(self, named: set[int]) -> None:
         """A complete list was told: whoever it does not name is gone."""
         for id in [id for id in self.workers if id not in named]:
-            self.update(id, None, WorkerState.REMOVED, 0.0)
+            self.update_endpoint(id, None, WorkerState.REMOVED, 0.0)
 
     def _pull_back(self, worker: PooledWorker) -> None:
         """Nothing new may leave for it now: what is unwritten or waits for a dial comes back."""
-        unwritten = [stream for link in worker.links for stream in link.unwritten()]
+        unwritten = [stream for link in worker.connections for stream in link.unwritten()]
         for stream in [*worker.waiting, *unwritten]:
             if stream.is_new_work or worker.state is WorkerState.REMOVED:
                 self._take_off(stream)
                 self._end(stream, CloseReason.DRAINING)
 
     def _retire(self, worker: PooledWorker) -> None:
-        for link in list(worker.links):
-            link.retired = True
-            if link.up and not link.streams:
+        for link in list(worker.connections):
+            link.is_retired = True
+            if link.is_connected and not link.exchanges:
                 link.connection.close(CloseReason.ENDPOINT_REPLACED)
 
     def _drop_if_empty(self, worker: PooledWorker) -> None:
-        if worker.state is WorkerState.REMOVED and not worker.links and not worker.waiting:
+        if worker.state is WorkerState.REMOVED and not worker.connections and not worker.waiting:
             self.workers.pop(worker.id, None)
 
     # --- sending ------------------------------------------------------------------------------
@@ -331,19 +339,19 @@
             self._end(attempt, CloseReason.NOT_SENT)
             return
         self.counters["calls"] += 1
-        attempt.timer = self.loop.timers.after(left, lambda: self._out_of_time(attempt))
+        attempt.timer = self.loop.timers.call_later(left, lambda: self._out_of_time(attempt))
         self._place(attempt)
 
-    def order(self, order: StartOrder) -> None:
+    def ensure_instances(self, order: StartOrder) -> None:
         self.counters["loads" if order.instances else "questions"] += 1
         order.id = next(self._order_ids).to_bytes(8, "big")
-        order.timer = self.loop.timers.after(
+        order.timer = self.loop.timers.call_later(
             self.wire.start_order_timeout_ms, lambda: self._out_of_time(order)
         )
         self._place(order)
 
     def _place(self, stream: Exchange) -> None:
-        if stream.over:  # taken back by what another one's placing brought
+        if stream.is_done:  # taken back by what another one's placing brought
             return
         worker = self.workers.get(stream.worker_id)
         closed = worker is None or worker.state is WorkerState.REMOVED
@@ -353,7 +361,7 @@
             if not stream.may_start():
                 self._end(stream, CloseReason.NOT_SENT)
                 return
-            shared = any(isinstance(other, Attempt) for other in link.streams.values())
+            shared = any(isinstance(other, Attempt) for other in link.exchanges.values())
             link.start(stream)
             wanted = shared or self.wire.may_preconnect
             if wanted and worker.crowded() and self._links < SPREAD_PART * self._max_connections:
@@ -378,8 +386,8 @@
     def _make_room(self) -> bool:
         """Close the link that has been idle for longest. Guards scorers that are called against those that
         were: with more scorers than links, all would else be taken by the first."""
-        links = [link for worker in self.workers.values() for link in worker.links]
-        idle = [link for link in links if link.up and not link.streams]
+        links = [link for worker in self.workers.values() for link in worker.connections]
+        idle = [link for link in links if link.is_connected and not link.exchanges]
         longest = max(idle, key=WorkerConnection.idle_ms, default=None)
         if longest is not None:
             longest.connection.close(CloseReason.IDLE)
@@ -391,7 +399,7 @@
         if isinstance(made, CloseReason):
             return made
         link.connection = made
-        worker.links.append(link)
+        worker.connections.append(link)
         self._links += 1
         self.counters["dials"] += 1
         return None
@@ -402,7 +410,7 @@
             self._end(stream, end)
 
     def on_worker_connected(self, link: WorkerConnection) -> None:
-        if link.retired:  # its scorer went, moved or started anew while it was dialled
+        if link.is_retired:  # its scorer went, moved or started anew while it was dialled
             link.connection.close(CloseReason.ENDPOINT_REPLACED)
             return
         waiting, link.worker.waiting = link.worker.waiting, deque()
@@ -413,19 +421,19 @@
 
     def on_worker_closed(self, link: WorkerConnection, end: CloseReason) -> None:
         worker = link.worker
-        worker.links.remove(link)
+        worker.connections.remove(link)
         self._links -= 1
         self.counters[f"ended {end.name}"] += 1
         if (gap := link.stale_after_ms(end)) is not None and gap >= MIN_TRUST_MS:
             self._trust_ms = min(self._trust_ms, max(MIN_TRUST_MS, TRUST_PART * gap))
-        streams, link.streams = list(link.streams.values()), {}
+        streams, link.exchanges = list(link.exchanges.values()), {}
         for stream in streams:
             if stream.is_started:
                 self._end(stream, end)
             else:  # the scorer saw none of it: another connection may serve
-                stream.link = stream.piece = None
+                stream.connection = stream.pending_write = None
                 self._place(stream)
-        if not link.connection.up and not worker.connecting():
+        if not link.connection.is_connected and not worker.connecting():
             self._fail_waiting(worker, end)
         self._drop_if_empty(worker)
 
@@ -436,13 +444,13 @@
         self._end(stream, None, Answer(stream.outcome(frame.code), frame.body, warmth, crowd, copies))
 
     def cancel(self, stream: Exchange) -> None:
-        if not stream.over:
+        if not stream.is_done:
             self._take_off(stream)
             self._end(stream, CloseReason.CANCELLED)
 
-    def take_back(self, stream: Exchange) -> None:
+    def cancel_if_unsent(self, stream: Exchange) -> None:
         """Its request is over: it goes no further, unless its scorer may have heard of it."""
-        if not stream.over and not stream.is_started:
+        if not stream.is_done and not stream.is_started:
             self._take_off(stream)
             self._end(stream, CloseReason.NOT_SENT)
 
@@ -452,20 +460,20 @@
         self._end(stream, CloseReason.DEADLINE_EXCEEDED if begun else CloseReason.NOT_SENT)
 
     def _take_off(self, stream: Exchange) -> None:
-        if stream.link is not None:
-            stream.link.withdraw(stream)
+        if stream.connection is not None:
+            stream.connection.withdraw(stream)
         elif (worker := self.workers.get(stream.worker_id)) and stream in worker.waiting:
             worker.waiting.remove(stream)
 
     def _end(self, stream: Exchange, end: CloseReason | None, answer: Answer | None = None) -> None:
-        if stream.over:
+        if stream.is_done:
             return
-        stream.over = True
+        stream.is_done = True
         if stream.timer:
             stream.timer.cancel()
-        link, stream.link = stream.link, None
+        link, stream.connection = stream.connection, None
         stream.on_done(stream, end, answer)
-        if link and link.retired and not link.streams and link.up:
+        if link and link.is_retired and not link.exchanges and link.is_connected:
             link.connection.close(CloseReason.ENDPOINT_REPLACED)
 
     # --- now and then -------------------------------------------------------------------------
@@ -474,8 +482,8 @@
         """Close what has been idle, and what has owed an answer in silence to the last."""
         self._trust_ms = min(self._max_trust_ms, TRUST_GROWTH * self._trust_ms)
         for worker in list(self.workers.values()):
-            for link in list(worker.links):
-                if not link.up or link.streams:
+            for link in list(worker.connections):
+                if not link.is_connected or link.exchanges:
                     continue
                 silent = link.given_up_unheard()
                 if silent or link.idle_ms() > self._trust_ms:
@@ -483,6 +491,6 @@
 
     def close(self) -> None:
         for worker in list(self.workers.values()):
-            for link in list(worker.links):
+            for link in list(worker.connections):
                 if link.connection:
                     link.connection.close(CloseReason.SHUTDOWN)
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -60,20 +60,20 @@
     def __init__(self, port=0):
         self.listener = socket.create_server(("127.0.0.1", port))
         self.listener.setblocking(False)
-        self.links = []
+        self.connections = []
         self.host_port = f"127.0.0.1:{self.listener.getsockname()[1]}"
 
     def pump(self):
         try:
             while True:
-                self.links.append(FakePeerConnection(self.listener.accept()[0]))
+                self.connections.append(FakePeerConnection(self.listener.accept()[0]))
         except OSError:
             pass
-        for link in self.links:
+        for link in self.connections:
             link.pump()
 
     def close(self):
-        for link in self.links:
+        for link in self.connections:
             link.sock.close()
         self.listener.close()
 
@@ -87,7 +87,7 @@
 
     def pump(self):
         super().pump()
-        for link in self.links:
+        for link in self.connections:
             reader = self.readers.setdefault(link, worker_frames.FrameReader(worker_frames.FROM_FRONT_END))
             data, link.data = bytes(link.data), bytearray()
             for frame in reader.feed(data):
@@ -114,11 +114,11 @@
     """The change log: takes `since N`, says what the test says."""
 
     def asked(self):
-        return [bytes(link.data).decode().split() for link in self.links if link.data]
+        return [bytes(link.data).decode().split() for link in self.connections if link.data]
 
     def say(self, line, link=-1):
         text = line if isinstance(line, bytes) else json.dumps(line).encode()
-        self.links[link].sock.sendall(text + b"\n")
+        self.connections[link].sock.sendall(text + b"\n")
 
 
 class FakeClient(FakePeerConnection):
@@ -226,7 +226,7 @@
         end = time.monotonic() + PATIENCE_S
         while not condition():
             assert time.monotonic() < end, f"waited in vain until {what}"
-            self.front.loop.turn(0.005)
+            self.front.loop.run_once(0.005)
             for peer in [self.log, *self.workers, *self.clients]:
                 peer.pump()
 
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -48,20 +48,20 @@
         """A call that is to go to a scorer of its own; `linked`: to which a connection stands."""
         rig, peer = self.rig(FakeWorker(copies=None), settings=settings), FakeWorker("s-9")
         rig.workers.append(peer)
-        rig.front.pool.update(PLACE, address_of(peer), WorkerState.READY, 0.0)
+        rig.front.pool.update_endpoint(PLACE, address_of(peer), WorkerState.READY, 0.0)
         if linked:
-            rig.front.table.order(EnsureInstances(PLACE, ROW, 0))
+            rig.front.table.ensure_instances(EnsureInstances(PLACE, ROW, 0))
             rig.until(lambda: peer.frames, "a connection stands")
         client = rig.client()
         client.call()
-        rig.until(lambda: rig.front.table.open, "it is taken")
-        [served] = rig.front.port.clients
+        rig.until(lambda: rig.front.table.pending, "it is taken")
+        [served] = rig.front.listener.connections
         return rig, peer, client, served
 
     def send(self, rig):
-        [key] = rig.front.table.open
+        [key] = rig.front.table.pending
         rig.front.table.send(SendRequest(key, PLACE))
-        return rig.front.pool.workers[PLACE].links
+        return rig.front.pool.workers[PLACE].connections
 
     def drain(self, client, served):
         client.sock.close()
@@ -69,11 +69,11 @@
         self.assertTrue(ready(served.connection._sock))
 
     def expect_nothing_sent(self, rig, peer, link):
-        rig.until(lambda: link.up, "the dial comes up")
-        rig.front.table.order(EnsureInstances(PLACE, ROW, 0))
+        rig.until(lambda: link.is_connected, "the dial comes up")
+        rig.front.table.ensure_instances(EnsureInstances(PLACE, ROW, 0))
         asked = len(peer.frames)
         rig.until(lambda: len(peer.frames) > asked, "what is sent after it arrives")
-        self.assertEqual((peer.runs, rig.front.table.open, rig.front.table._out), ([], {}, {}))
+        self.assertEqual((peer.runs, rig.front.table.pending, rig.front.table._attempts), ([], {}, {}))
 
     def test_what_waits_for_a_dial_is_taken_back_though_nothing_may_be_cancelled(self):
         rig, peer, client, served = self.call_at_a_new_scorer(NO_CANCEL)
@@ -89,7 +89,7 @@
                 [link] = self.send(rig)
                 self.drain(client, served)
                 link.connection._ready(WRITE)
-                rig.front.loop._serve([], rig.front.loop.clock.now_ms())  # the end is still unread
+                rig.front.loop._run_turn([], rig.front.loop.clock.now_ms())  # the end is still unread
                 self.expect_nothing_sent(rig, peer, link)
 
     def test_what_is_placed_again_after_its_link_ended_is_taken_back(self):
@@ -97,11 +97,13 @@
             with self.subTest(settings):
                 rig, peer, client, served = self.call_at_a_new_scorer(settings, linked=True)
                 [link, *_] = self.send(rig)
-                link = next(link for link in rig.front.pool.workers[PLACE].links if link.streams)
-                for other in [other for other in rig.front.pool.workers[PLACE].links if other is not link]:
+                link = next(link for link in rig.front.pool.workers[PLACE].connections if link.exchanges)
+                for other in [
+                    other for other in rig.front.pool.workers[PLACE].connections if other is not link
+                ]:
                     other.connection.close(CloseReason.IDLE)
                 link.connection.close(CloseReason.RESET_BY_PEER)  # before a byte of it was written
-                [link] = rig.front.pool.workers[PLACE].links
+                [link] = rig.front.pool.workers[PLACE].connections
                 self.drain(client, served)
                 served.connection._ready(READ)
                 self.expect_nothing_sent(rig, peer, link)
@@ -110,20 +112,20 @@
         rig, peer, client, _ = self.call_at_a_new_scorer(NO_CANCEL, linked=True)
         other = FakeWorker("s-10")
         rig.workers.append(other)
-        rig.front.pool.update(10, address_of(other), WorkerState.READY, 0.0)
+        rig.front.pool.update_endpoint(10, address_of(other), WorkerState.READY, 0.0)
         self.send(rig)
         rig.until(lambda: peer.runs, "the first one runs")
-        [key] = rig.front.table.open
+        [key] = rig.front.table.pending
         rig.front.table.send(SendRequest(key, 10))
-        [link] = rig.front.pool.workers[10].links
+        [link] = rig.front.pool.workers[10].connections
         peer.answer(peer.runs[0], body=b"served")
-        running = next(link for link in rig.front.pool.workers[PLACE].links if link.streams)
+        running = next(link for link in rig.front.pool.workers[PLACE].connections if link.exchanges)
         self.assertTrue(ready(running.connection._sock))
         running.connection._ready(READ)
-        rig.until(lambda: client.answers and link.up, "it is served, and the other dial comes up")
-        rig.front.table.order(EnsureInstances(10, ROW, 0))
+        rig.until(lambda: client.answers and link.is_connected, "it is served, and the other dial comes up")
+        rig.front.table.ensure_instances(EnsureInstances(10, ROW, 0))
         rig.until(lambda: other.frames, "what is sent after it arrives")
-        self.assertEqual((other.runs, rig.front.table._out), ([], {}))
+        self.assertEqual((other.runs, rig.front.table._attempts), ([], {}))
 
 
 class UnreadEnds(RouterTestCase):
@@ -139,16 +141,16 @@
         return rig, worker
 
     def newcomer(self, rig):
-        known = set(rig.front.port.clients)
+        known = set(rig.front.listener.connections)
         client = rig.client()
-        rig.until(lambda: len(rig.front.port.clients) > len(known), "it is accepted")
-        [served] = set(rig.front.port.clients) - known
+        rig.until(lambda: len(rig.front.listener.connections) > len(known), "it is accepted")
+        [served] = set(rig.front.listener.connections) - known
         return client, served
 
     def one_turn(self, rig, served):
         self.assertTrue(ready(served.connection._sock))
         served.connection._ready(READ)
-        rig.front.loop._serve([], rig.front.loop.clock.now_ms())
+        rig.front.loop._run_turn([], rig.front.loop.clock.now_ms())
 
     def test_a_request_whose_client_has_closed_behind_it_is_not_sent(self):
         for settings in (NO_CANCEL, {}):
@@ -167,7 +169,7 @@
                     ):
                         self.one_turn(rig, served)
                     rig.settle(rig.client())
-                    self.assertEqual((len(worker.runs), rig.front.table.open), (1, {}))
+                    self.assertEqual((len(worker.runs), rig.front.table.pending), (1, {}))
 
     def test_a_withdrawal_far_behind_its_request_is_read_before_anything_is_sent(self):
         rig, worker = self.warm(settings=NO_CANCEL)
@@ -178,7 +180,7 @@
             client.withdraw(seqid)
         self.one_turn(rig, served)
         rig.settle(rig.client())
-        self.assertEqual((len(worker.runs), rig.front.table.open), (1, {}))
+        self.assertEqual((len(worker.runs), rig.front.table.pending), (1, {}))
 
     def test_one_that_reads_no_answers_is_still_heard_when_it_withdraws_or_ends(self):
         for ends in (False, True):
@@ -186,19 +188,19 @@
                 rig = self.rig(FakeWorker(copies=None))
                 client, served = self.newcomer(rig)
                 seqid = client.call()
-                rig.until(lambda rig=rig: rig.front.table.open, "it is taken")
+                rig.until(lambda rig=rig: rig.front.table.pending, "it is taken")
                 client.pump = lambda: None  # it reads no more
                 with mock.patch.object(client_connection, "MAX_UNREAD_BYTES", 16 * 1024 * 1024):
                     served._write(b"x" * 12_000_000)
-                    rig.front.loop.turn(0)
+                    rig.front.loop.run_once(0)
                     self.assertGreater(served.connection.pending_bytes, client_connection.STOP_READING_BYTES)
                     if ends:
                         client.sock.shutdown(socket.SHUT_WR)
                     else:
                         client.withdraw(seqid)
                     self.assertTrue(ready(served.connection._sock))
-                    rig.front.loop.turn(0)
-                    self.assertFalse(rig.front.table.open)
+                    rig.front.loop.run_once(0)
+                    self.assertFalse(rig.front.table.pending)
 
 
 class SameIds(RouterTestCase):
@@ -207,39 +209,39 @@
         rig = self.rig(worker)
         first, second = rig.client(), rig.client()
         first.call(call="ab" * 8)
-        rig.until(lambda: rig.front.table.open, "the first one is taken")
+        rig.until(lambda: rig.front.table.pending, "the first one is taken")
         for seqid in range(2, 32):
             first.call(call="ab" * 8, seqid=seqid)
         second.call(call="ab" * 8, body=b"another")
         rig.until(lambda: len(first.answers) == 30 and second.answers, "all others are answered")
         self.assertEqual(set(first.kinds().values()) | set(second.kinds().values()), {"exception"})
-        self.assertEqual((len(rig.front.table.open), len(rig.front.router.taken)), (1, 1))
+        self.assertEqual((len(rig.front.table.pending), len(rig.front.router.taken)), (1, 1))
 
     def test_an_id_is_free_again_once_its_request_is_over_or_its_client_has_gone(self):
         rig = self.rig(FakeWorker(copies=None))
         first, second, third = rig.client(), rig.client(), rig.client()
         seqid = first.call(call="ab" * 8)
-        rig.until(lambda: rig.front.table.open, "the first one is taken")
+        rig.until(lambda: rig.front.table.pending, "the first one is taken")
         first.withdraw(seqid)
-        rig.until(lambda: not rig.front.table.open, "it is withdrawn")
+        rig.until(lambda: not rig.front.table.pending, "it is withdrawn")
         second.call(call="ab" * 8)
-        rig.until(lambda: rig.front.table.open, "the second one is taken")
-        [served] = [served for served in rig.front.port.clients if served.open]
+        rig.until(lambda: rig.front.table.pending, "the second one is taken")
+        [served] = [served for served in rig.front.listener.connections if served.pending]
         second.sock.close()
         second.ended = True
         self.assertTrue(ready(served.connection._sock))
-        [other] = [other for other in rig.front.port.clients if not other.spoke]
+        [other] = [other for other in rig.front.listener.connections if not other.spoke]
         third.call(call="ab" * 8)
         self.assertTrue(ready(other.connection._sock))
         other.connection._ready(READ)  # before the end of the second one is read
-        self.assertTrue(served.connection.closed)
-        self.assertEqual(list(other.open), [1])
+        self.assertTrue(served.connection.is_closed)
+        self.assertEqual(list(other.pending), [1])
 
     def test_one_that_sent_an_id_twice_and_closed_leaves_nothing_open(self):
         rig = self.rig(FakeWorker(copies=None))
         client = rig.client()
         rig.settle(client)
-        [served] = rig.front.port.clients
+        [served] = rig.front.listener.connections
         client.call(call="ab" * 8, seqid=1)
         client.call(call="ab" * 8, seqid=2)
         client.sock.close()
@@ -247,7 +249,7 @@
         self.assertTrue(ready(served.connection._sock))
         with mock.patch.object(connection, "MAX_READS_PER_TURN", 1):
             served.connection._ready(READ)
-        self.assertEqual((rig.front.table.open, rig.front.table._keys), ({}, {}))
+        self.assertEqual((rig.front.table.pending, rig.front.table._keys), ({}, {}))
 
 
 class Stuttering(FakeEndpointLog):
@@ -259,7 +261,7 @@
 
     def pump(self):
         super().pump()
-        for n, link in enumerate(self.links):
+        for n, link in enumerate(self.connections):
             if link.data.endswith(b"\n") and n not in self.told and not link.ended:
                 self.told.add(n)
                 for line in self.lines:
@@ -282,7 +284,7 @@
         rig.until(lambda: self.state(rig, new) is WorkerState.DRAINING, "both are told")
         rig.log.say(b"41")
         rig.settle(rig.client())
-        self.assertEqual((len(rig.log.asked()), rig.front.endpoint_watch.seq), (1, 41))
+        self.assertEqual((len(rig.log.asked()), rig.front.endpoint_watch.last_sequence), (1, 41))
         self.assertIsNone(self.state(rig, worker))
 
     def test_a_complete_list_under_a_number_that_the_log_has_not_reached_hides_no_event(self):
@@ -319,7 +321,7 @@
         rig.until(lambda: self.state(rig, worker) is WorkerState.DRAINING, "the event is told")
         rig.log.say(self.event(501, worker.member("in_service")))
         rig.until(lambda: self.state(rig, worker) is WorkerState.READY, "the one behind it too")
-        self.assertEqual((len(rig.log.asked()), rig.front.endpoint_watch.seq), (2, 501))
+        self.assertEqual((len(rig.log.asked()), rig.front.endpoint_watch.last_sequence), (2, 501))
 
     def test_a_log_that_says_nothing_of_use_is_not_asked_in_a_busy_loop(self):
         for line in (b"9", b"noise", b'{"seq":9,"fleet":5}'):
@@ -328,13 +330,17 @@
                 self.addCleanup(log.close)
                 rig.workers.append(log)
                 over, begun = [], timer_wheel.monotonic_ms()
-                rig.front.endpoint_watch.move(address_of(log))
-                rig.front.loop.timers.after(4 * endpoint_watch.PAUSE_MS, lambda over=over: over.append(1))
-                rig.until(lambda over=over, log=log: over and len(log.links) > 1, "some time passes")
+                rig.front.endpoint_watch.move_to(address_of(log))
+                rig.front.loop.timers.call_later(
+                    4 * endpoint_watch.PAUSE_MS, lambda over=over: over.append(1)
+                )
+                rig.until(lambda over=over, log=log: over and len(log.connections) > 1, "some time passes")
                 pauses = (timer_wheel.monotonic_ms() - begun) / endpoint_watch.PAUSE_MS
-                self.assertLessEqual(len(log.links), 1 + pauses)
+                self.assertLessEqual(len(log.connections), 1 + pauses)
                 log.lines = (b'{"seq":2,"fleet":{"members":[]}}', b"2")
-                rig.until(lambda rig=rig: rig.front.endpoint_watch.seq == 2, "an event gets through")
+                rig.until(
+                    lambda rig=rig: rig.front.endpoint_watch.last_sequence == 2, "an event gets through"
+                )
 
     def test_a_log_whose_dial_took_long_has_its_whole_time_to_speak(self):
         rig = self.rig(FakeWorker())
@@ -352,15 +358,15 @@
                 self.addCleanup(moved.close)
                 rig.workers.append(moved)
                 if half:
-                    rig.log.links[0].sock.sendall(b'{"seq":2,"fl')
+                    rig.log.connections[0].sock.sendall(b'{"seq":2,"fl')
                     log = rig.front.endpoint_watch
                     rig.until(lambda log=log: log._unread, "half a line is read")
-                self.assertEqual(rig.front.endpoint_watch._connection.up, half)
-                rig.front.endpoint_watch.move(address_of(moved))
+                self.assertEqual(rig.front.endpoint_watch._connection.is_connected, half)
+                rig.front.endpoint_watch.move_to(address_of(moved))
                 rig.until(lambda moved=moved: moved.asked(), "the new one is asked")
                 moved.say(self.event(2))
-                rig.until(lambda rig=rig: rig.front.endpoint_watch.seq == 2, "its event is told")
-                self.assertEqual((moved.asked(), len(moved.links)), ([["since", "1"]], 1))
+                rig.until(lambda rig=rig: rig.front.endpoint_watch.last_sequence == 2, "its event is told")
+                self.assertEqual((moved.asked(), len(moved.connections)), ([["since", "1"]], 1))
 
 
 class Leaving(RouterTestCase):
@@ -389,7 +395,7 @@
     def test_a_request_that_lies_unread_is_taken(self):
         worker = FakeWorker()
         rig, client = self.drain(worker)
-        [served] = rig.front.port.clients
+        [served] = rig.front.listener.connections
         client.call()
         self.assertTrue(ready(served.connection._sock))
         self.look(rig)
@@ -400,14 +406,14 @@
         rig, _ = self.drain(worker)
         client = rig.client()
         client.call()
-        self.assertTrue(ready(rig.front.port._listener))
+        self.assertTrue(ready(rig.front.listener._listener))
         self.look(rig)
         self.expect_answered(rig, worker, client)
 
     def test_a_request_that_is_half_read_is_taken(self):
         worker = FakeWorker()
         rig, client = self.drain(worker)
-        [served] = rig.front.port.clients
+        [served] = rig.front.listener.connections
         client.call(withhold=9)
         rig.until(lambda: served._reader.waits, "half of it is read")
         self.look(rig)
@@ -419,8 +425,8 @@
         rig, _ = self.drain(worker)
         client = rig.client()
         client.call()
-        self.assertTrue(ready(rig.front.port._listener))
-        rig.front.port._pause()
+        self.assertTrue(ready(rig.front.listener._listener))
+        rig.front.listener._pause()
         self.look(rig)
         self.expect_answered(rig, worker, client)
 
@@ -461,13 +467,13 @@
         )
         rig.workers.append(moved)
         client.call()
-        rig.until(lambda: rig.front.table.open, "it is taken")
+        rig.until(lambda: rig.front.table.pending, "it is taken")
         self.look(rig)
         rig.front.reload()
         rig.until(lambda: moved.asked(), "the new log is asked")
         moved.say({"seq": 2, "fleet": {"members": [peer.member("terminating") for peer in (worker, other)]}})
-        rig.until(lambda: rig.front.endpoint_watch.seq == 2, "the drain is told")
-        [key] = rig.front.table.open
+        rig.until(lambda: rig.front.endpoint_watch.last_sequence == 2, "the drain is told")
+        [key] = rig.front.table.pending
         rig.front.table.send(SendRequest(key, router_process.worker_id_of("s-1")))
         rig.settle(client)
         self.assertEqual(worker.runs + other.runs, [])
@@ -481,13 +487,13 @@
         rig = self.rig(FakeWorker(copies=None))
         client = rig.client()
         rig.settle(client)
-        [served] = rig.front.port.clients
+        [served] = rig.front.listener.connections
         client.call()
         self.assertTrue(ready(served.connection._sock))
         with mock.patch.object(client_connection, "IDLE_MS", -1.0):
-            rig.front.port.check_timeouts()  # before it is read
-            rig.until(lambda: rig.front.table.open, "it is taken")
-        self.assertFalse(served.connection.closed)
+            rig.front.listener.check_timeouts()  # before it is read
+            rig.until(lambda: rig.front.table.pending, "it is taken")
+        self.assertFalse(served.connection.is_closed)
 
     def test_a_request_in_pieces_is_a_good_one_as_long_as_it_keeps_coming(self):
         for spoke in (False, True):
@@ -496,25 +502,25 @@
                 client = rig.client()
                 if spoke:
                     rig.settle(client)
-                rig.until(lambda rig=rig: rig.front.port.clients, "it is accepted")
-                [served] = rig.front.port.clients
+                rig.until(lambda rig=rig: rig.front.listener.connections, "it is accepted")
+                [served] = rig.front.listener.connections
                 client.call(withhold=50)
                 for _ in range(5):
-                    rig.until(lambda served=served: served.connection.unread() is None, "a piece is read")
+                    rig.until(lambda served=served: served.connection.peek() is None, "a piece is read")
                     served._since_ms -= client_connection.MESSAGE_TIMEOUT_MS  # so long ago did it begin
-                    rig.front.port.check_timeouts()
+                    rig.front.listener.check_timeouts()
                     client.send_rest(10)
-                rig.until(lambda rig=rig: rig.front.table.open, "it is taken")
+                rig.until(lambda rig=rig: rig.front.table.pending, "it is taken")
 
     def test_one_that_has_come_in_several_pieces_may_pause_for_longer(self):
         rig = self.rig(FakeWorker(copies=None))
         client = rig.client()
         client.call(withhold=50)
-        rig.until(lambda: rig.front.port.clients, "it is accepted")
-        [served] = rig.front.port.clients
+        rig.until(lambda: rig.front.listener.connections, "it is accepted")
+        [served] = rig.front.listener.connections
         overdue = []
         for _ in range(3):
-            rig.until(lambda: served.connection.unread() is None, "a piece is read")
+            rig.until(lambda: served.connection.peek() is None, "a piece is read")
             overdue.append(
                 served.overdue(served.connection.last_received_ms + client_connection.MESSAGE_TIMEOUT_MS)
             )
@@ -525,8 +531,8 @@
     def test_half_a_request_that_goes_no_further_is_closed_in_time(self):
         rig = self.rig(FakeWorker(copies=None))
         client = rig.client()
-        rig.until(lambda: rig.front.port.clients, "it is accepted")
-        [served] = rig.front.port.clients
+        rig.until(lambda: rig.front.listener.connections, "it is accepted")
+        [served] = rig.front.listener.connections
         client.call(withhold=50)
         rig.until(lambda: served._reader.waits, "half of it is read")
         now = timer_wheel.monotonic_ms()
@@ -537,8 +543,8 @@
         rig = self.rig(FakeWorker(copies=None), limits={"sockets": 32})
         client = rig.client()
         client.call(withhold=9)
-        rig.until(lambda: rig.front.port.clients, "it is accepted")
-        [served] = rig.front.port.clients
+        rig.until(lambda: rig.front.listener.connections, "it is accepted")
+        [served] = rig.front.listener.connections
         rig.until(lambda: served._reader.waits, "half of it is read")
         served.connection.last_used_ms -= 10 * client_connection.YOUNG_MS
         for _ in range(30):
@@ -546,7 +552,7 @@
             other.status()
             rig.until(lambda other=other: other.answers, "each is answered")
         client.send_rest()
-        rig.until(lambda: rig.front.table.open, "it is taken")
+        rig.until(lambda: rig.front.table.pending, "it is taken")
 
 
 class HandOvers(RouterTestCase):
@@ -560,10 +566,10 @@
                 rig.workers.append(worker)
                 self.addCleanup(worker.close)
                 pool, old = rig.front.pool, self.dead_end() if moved else address_of(worker)
-                pool.update(PLACE, old, WorkerState.READY, 0.0)
+                pool.update_endpoint(PLACE, old, WorkerState.READY, 0.0)
                 pool.send(attempt(PLACE, ended))
-                [first] = pool.workers[PLACE].links
-                pool.update(PLACE, address_of(worker), WorkerState.READY, 5.0)
+                [first] = pool.workers[PLACE].connections
+                pool.update_endpoint(PLACE, address_of(worker), WorkerState.READY, 5.0)
                 first.connection.close(CloseReason.CONNECT_TIMEOUT)  # the one to the process before
                 rig.until(lambda worker=worker: worker.runs, "it runs")
                 self.assertEqual(ended, [])
@@ -572,23 +578,23 @@
         worker, ended = FakeWorker("s-9", copies=None), []
         rig = self.rig(worker)
         pool = rig.front.pool
-        pool.update(PLACE, address_of(worker), WorkerState.READY, 0.0)
+        pool.update_endpoint(PLACE, address_of(worker), WorkerState.READY, 0.0)
         pool.send(attempt(PLACE, ended))
-        [first] = pool.workers[PLACE].links
-        pool.update(PLACE, None, WorkerState.READY, 5.0)
+        [first] = pool.workers[PLACE].connections
+        pool.update_endpoint(PLACE, None, WorkerState.READY, 5.0)
         rig.until(lambda: worker.runs, "it runs")
-        self.assertTrue(first.connection.closed)
+        self.assertTrue(first.connection.is_closed)
         self.assertEqual((len(worker.runs), ended), (1, []))
 
     def test_calls_that_old_links_still_owe_keep_no_new_link_from_a_process(self):
         worker, ended = FakeWorker("s-9", copies=None), []
         rig = self.rig(worker, settings={"bounds": {"streams_per_conn": 1}})
         pool = rig.front.pool
-        pool.update(PLACE, address_of(worker), WorkerState.READY, 0.0)
+        pool.update_endpoint(PLACE, address_of(worker), WorkerState.READY, 0.0)
         for n in range(worker_pool.MAX_CONNECTIONS):
             pool.send(attempt(PLACE, ended, id=b"%08d" % n))
             rig.until(lambda n=n: len(worker.runs) > n, "it runs")
-        pool.update(PLACE, None, WorkerState.READY, 5.0)
+        pool.update_endpoint(PLACE, None, WorkerState.READY, 5.0)
         pool.send(attempt(PLACE, ended, id=b"abcdefgh"))
         rig.until(lambda: len(worker.runs) > worker_pool.MAX_CONNECTIONS or ended, "the next one runs")
         self.assertEqual(ended, [])
@@ -606,11 +612,11 @@
             self.assertEqual(states, [WorkerState.REMOVED, WorkerState.READY])
             self.assertEqual(list(rig.front.pool.workers), [ids[1]])
             rig.log.say({"seq": seq, "fleet": {"members": [old.member(phase)]}})
-            rig.until(lambda seq=seq: rig.front.endpoint_watch.seq == seq, "it is told")
-            rig.front.loop.turn(0)
+            rig.until(lambda seq=seq: rig.front.endpoint_watch.last_sequence == seq, "it is told")
+            rig.front.loop.run_once(0)
         rig.client().call()
         rig.until(lambda: old.runs, "a call runs")
-        self.assertTrue(all(attempt.worker_id == ids[1] for attempt in rig.front.table._out.values()))
+        self.assertTrue(all(attempt.worker_id == ids[1] for attempt in rig.front.table._attempts.values()))
         self.assertEqual(workers[ids[1]].started_ms, 1000.0)
 
     def test_a_complete_list_with_two_at_one_address_keeps_the_one_started_last(self):
@@ -632,8 +638,8 @@
         rig.workers += peers
         for n, peer in enumerate(peers):
             self.addCleanup(peer.close)
-            rig.front.pool.update(n, address_of(peer), WorkerState.READY, 0.0)
-            rig.front.pool.order(order(n, ended, copies=0))
+            rig.front.pool.update_endpoint(n, address_of(peer), WorkerState.READY, 0.0)
+            rig.front.pool.ensure_instances(order(n, ended, copies=0))
             rig.until(lambda n=n: len(ended) > n, "it is reached")
         self.assertEqual({end for end, _ in ended}, {Outcome.OK})
         self.assertLessEqual(rig.front.pool._links, 32 * router_process.SCORER_SHARE)
@@ -643,11 +649,11 @@
     def test_one_that_was_called_off_before_its_first_byte_starts_no_window(self):
         rig = self.rig(FakeWorker(copies=None))
         rig.client().call("save")
-        rig.until(lambda: rig.front.table.open, "it is taken")
-        [(key, request)] = rig.front.table.open.items()
-        rig.front.pool.update(PLACE, self.dead_end(), WorkerState.READY, 0.0)
+        rig.until(lambda: rig.front.table.pending, "it is taken")
+        [(key, request)] = rig.front.table.pending.items()
+        rig.front.pool.update_endpoint(PLACE, self.dead_end(), WorkerState.READY, 0.0)
         rig.front.table.send(SendRequest(key, PLACE))
-        rig.front.table.cancel(CancelAttempt(key, 0))
+        rig.front.table.cancel_attempt(CancelAttempt(key, 0))
         self.assertEqual(request.ran_ms, math.inf)
 
     def test_a_repeat_that_waited_for_a_dial_past_the_window_is_not_sent(self):
@@ -658,19 +664,19 @@
                 rig.workers += [first, second]
                 for place, peer in ((PLACE, first), (10, second)):
                     self.addCleanup(peer.close)
-                    rig.front.pool.update(place, address_of(peer), WorkerState.READY, 0.0)
+                    rig.front.pool.update_endpoint(place, address_of(peer), WorkerState.READY, 0.0)
                 rig.client().call("save")
-                rig.until(lambda rig=rig: rig.front.table.open, "it is taken")
-                [key] = rig.front.table.open
+                rig.until(lambda rig=rig: rig.front.table.pending, "it is taken")
+                [key] = rig.front.table.pending
                 rig.front.table.send(SendRequest(key, PLACE))
                 rig.until(lambda first=first: first.runs, "the first one runs")
                 rig.front.table.send(SendRequest(key, 10))
-                [link] = rig.front.pool.workers[10].links
-                self.assertFalse(link.up)
-                [sent] = [attempt for attempt in rig.front.table._out.values() if attempt.is_started]
+                [link] = rig.front.pool.workers[10].connections
+                self.assertFalse(link.is_connected)
+                [sent] = [attempt for attempt in rig.front.table._attempts.values() if attempt.is_started]
                 sent.started_at_ms -= LONG_WINDOW["dedup_window"] * late  # the dial takes that long
-                rig.until(lambda link=link: link.up, "the dial comes up")
-                rig.front.table.order(EnsureInstances(10, ROW, 0))
+                rig.until(lambda link=link: link.is_connected, "the dial comes up")
+                rig.front.table.ensure_instances(EnsureInstances(10, ROW, 0))
                 asked = lambda second=second: second.of(worker_frames.ENSURE)  # noqa: E731
                 rig.until(asked, "what is sent after it arrives")
                 self.assertEqual(len(second.runs), not late)
@@ -697,11 +703,11 @@
     def order_that_waits(self, rig, peer):
         """An order to a scorer to which no connection is up yet, decided now."""
         rig.workers.append(peer)
-        rig.front.pool.update(PLACE, address_of(peer), WorkerState.READY, 0.0)
+        rig.front.pool.update_endpoint(PLACE, address_of(peer), WorkerState.READY, 0.0)
         now_ms = rig.front.loop.clock.now_ms()
         rig.front.table.begin_batch(now_ms)
         rig.front.router.ordered.append(now_ms)
-        rig.front.table.order(EnsureInstances(PLACE, ROW, 1))
+        rig.front.table.ensure_instances(EnsureInstances(PLACE, ROW, 1))
 
     def test_calls_given_up_at_once_and_then_withdrawn_allow_no_loads(self):
         rig = self.rig(FakeWorker(copies=None), settings=RATION)
@@ -728,9 +734,9 @@
                 self.order_that_waits(rig, peer)
                 self.shift(rig, 4500.0)
                 self.fill(rig, others)
-                [link] = rig.front.pool.workers[PLACE].links
-                rig.until(lambda link=link: link.up, "the dial comes up")
-                rig.front.table.order(EnsureInstances(PLACE, ROW, 0))
+                [link] = rig.front.pool.workers[PLACE].connections
+                rig.until(lambda link=link: link.is_connected, "the dial comes up")
+                rig.front.table.ensure_instances(EnsureInstances(PLACE, ROW, 0))
                 rig.until(lambda peer=peer: peer.frames, "what is sent after it arrives")
                 counts = [frame.fields["slots_up"] for _, frame in peer.of(worker_frames.ENSURE)]
                 self.assertEqual("1" in counts, others == 1)
@@ -743,7 +749,7 @@
         rig, peer = self.rig(settings=RATION), FakeWorker("s-9", copies=None)
         self.order_that_waits(rig, peer)
         rig.until(lambda: peer.frames, "a connection stands")
-        [link, *_] = rig.front.pool.workers[PLACE].links
+        [link, *_] = rig.front.pool.workers[PLACE].connections
         rig.front.router.ordered.clear()
         pump, peer.pump = peer.pump, lambda: None  # it reads no more
         filler = link.connection.write(b"")
@@ -754,16 +760,16 @@
             now_ms = rig.front.loop.clock.now_ms()
             rig.front.table.begin_batch(now_ms)
             rig.front.router.ordered.append(now_ms)
-            for other in rig.front.pool.workers[PLACE].links[1:]:
+            for other in rig.front.pool.workers[PLACE].connections[1:]:
                 other.connection.close(CloseReason.IDLE)
-            rig.front.table.order(EnsureInstances(PLACE, ROW, 2))
+            rig.front.table.ensure_instances(EnsureInstances(PLACE, ROW, 2))
         self.assertEqual([stream.instances for stream in link.unwritten()], [2])
         self.shift(rig, 4500.0)
         self.fill(rig, 2)
         peer.pump = pump
         rig.until(lambda: not link.connection.pending_bytes, "all is written")
         rig.until(lambda: filler.written == len(filler.data), "the filler too")
-        rig.front.table.order(EnsureInstances(PLACE, ROW, 0))
+        rig.front.table.ensure_instances(EnsureInstances(PLACE, ROW, 0))
         asked = lambda: [f for _, f in peer.of(worker_frames.ENSURE) if f.fields["slots_up"] == "0"]  # noqa: E731
         rig.until(asked, "what is sent after it arrives")
         counts = [frame.fields["slots_up"] for _, frame in peer.of(worker_frames.ENSURE)]
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -29,8 +29,8 @@
         wheel, fired = TimerWheel(lambda: hands.steady), {}
         delays = [0.0, 1.0, 3.9, 4.0, 40.0, 250.0, SLOTS * TICK_MS, SLOTS * TICK_MS * 2 + 5, 10_000.0]
         for delay in delays:
-            wheel.after(delay, lambda delay=delay: fired.setdefault(delay, hands.steady - 1000.0))
-        while wheel.idle_s() is not None:
+            wheel.call_later(delay, lambda delay=delay: fired.setdefault(delay, hands.steady - 1000.0))
+        while wheel.seconds_until_next() is not None:
             hands.step(1.0)
             wheel.advance()
         self.assertEqual(sorted(fired), delays)
@@ -41,8 +41,8 @@
         hands = Hands()
         wheel, fired = TimerWheel(lambda: hands.steady), []
         for delay in (9_000.0, 50.0, 30_000.0, 2_100.0):
-            wheel.after(delay, lambda delay=delay: fired.append(delay))
-        wheel.after(60.0, lambda: fired.append("cancelled")).cancel()
+            wheel.call_later(delay, lambda delay=delay: fired.append(delay))
+        wheel.call_later(60.0, lambda: fired.append("cancelled")).cancel()
         hands.step(20_000.0)
         wheel.advance()
         self.assertEqual(fired, [50.0, 2_100.0, 9_000.0])
@@ -50,9 +50,9 @@
     def test_a_fault_in_one_timer_leaves_the_others_alone(self):
         hands, faults, fired = Hands(), [], []
         wheel = TimerWheel(lambda: hands.steady)
-        wheel.on_fault = faults.append
-        wheel.after(4.0, lambda: 1 / 0)
-        wheel.after(4.0, lambda: fired.append("second"))
+        wheel.on_exception = faults.append
+        wheel.call_later(4.0, lambda: 1 / 0)
+        wheel.call_later(4.0, lambda: fired.append("second"))
         hands.step(20.0)
         wheel.advance()
         self.assertEqual((len(faults), fired), (1, ["second"]))
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -83,7 +83,7 @@
         worker.answer(worker.runs[1], body=b"in time")
         rig.until(lambda: client.answers, "the next one is answered")
         self.assertEqual([answer[0] for answer in client.answers], [second])
-        self.assertFalse(rig.front.table.open)
+        self.assertFalse(rig.front.table.pending)
 
     def test_a_second_answer_of_a_scorer_is_dropped(self):
         worker = FakeWorker()
@@ -106,7 +106,7 @@
         client.sock.close()
         client.ended = True
         rig.until(lambda: worker.of(worker_frames.GIVE_UP), "it is given up")
-        self.assertFalse(rig.front.table.open or rig.front.port.clients)
+        self.assertFalse(rig.front.table.pending or rig.front.listener.connections)
 
     def test_a_fault_in_the_decisions_still_leaves_each_request_one_answer(self):
         worker = FakeWorker()
@@ -124,8 +124,8 @@
         rig = self.rig(FakeWorker(copies=None))
         rig.client().call(ttl="8000")
         with mock.patch.object(event_loop, "unix_ms", lambda: timer_wheel.unix_ms() + 3000.0):
-            rig.until(lambda: rig.front.table.open, "it is read")
-        [request] = rig.front.table.open.values()
+            rig.until(lambda: rig.front.table.pending, "it is read")
+        [request] = rig.front.table.pending.values()
         self.assertTrue(0 <= request.deadline_ms - rig.front.loop.turn_started_ms <= 5000.0)
         [known] = rig.front.router.requests.values()
         self.assertTrue(0 <= known.deadline_ms - known.arrived_ms <= 5000.0)
@@ -150,7 +150,7 @@
         client.call(op)
         rig.until(lambda: any(peer.runs for peer in peers), "it runs")
         first = next(peer for peer in peers if peer.runs)
-        for link in first.links:
+        for link in first.connections:
             link.sock.close()
             link.ended = True
         return rig, client, first, next(peer for peer in peers if peer is not first)
@@ -176,7 +176,9 @@
         gone = FakeWorker("s-9")
         gone.close()
         rig = self.rig()
-        rig.front.pool.update(9, ("127.0.0.1", int(gone.host_port.split(":")[1])), WorkerState.READY, 0.0)
+        rig.front.pool.update_endpoint(
+            9, ("127.0.0.1", int(gone.host_port.split(":")[1])), WorkerState.READY, 0.0
+        )
         rig.front.pool.send(attempt(9, ended))
         rig.until(lambda: ended, "it ends")
         self.assertEqual(ended, [(CloseReason.CONNECTION_REFUSED, False)])
@@ -194,12 +196,12 @@
                     worker = FakeWorker(copies=None)
                     rig, pool, id = self.pool(worker)
                     if linked:
-                        pool.order(order(id, []))
+                        pool.ensure_instances(order(id, []))
                         rig.until(lambda worker=worker: worker.frames, "a link is up")
                     ended, before = [], len(worker.frames)
                     pool.send(attempt(id, ended))
-                    pool.order(order(id, ended))
-                    pool.update(id, None, state, 0.0)
+                    pool.ensure_instances(order(id, ended))
+                    pool.update_endpoint(id, None, state, 0.0)
                     self.assertEqual(ended, [(CloseReason.DRAINING, False)] * 2)
                     rig.settle(rig.client())
                     self.assertEqual(len(worker.frames), before)
@@ -207,11 +209,11 @@
     def test_nothing_new_goes_to_one_that_drains_but_questions_do(self):
         worker, ended = FakeWorker(), []
         rig, pool, id = self.pool(worker)
-        pool.update(id, None, WorkerState.DRAINING, 0.0)
+        pool.update_endpoint(id, None, WorkerState.DRAINING, 0.0)
         pool.send(attempt(id, ended))
-        pool.order(order(id, ended))
+        pool.ensure_instances(order(id, ended))
         self.assertEqual(ended, [(CloseReason.NOT_SENT, False)] * 2)
-        pool.order(order(id, ended, copies=0))
+        pool.ensure_instances(order(id, ended, copies=0))
         rig.until(lambda: len(ended) == 3, "the question is answered")
         self.assertEqual(ended[2], (Outcome.OK, True))
 
@@ -222,7 +224,7 @@
         client.call()
         rig.until(lambda: worker.runs, "it runs")
         rig.log.say({"seq": 2, "fleet": {"complete": False, "members": [worker.member("terminating")]}})
-        rig.until(lambda: rig.front.endpoint_watch.seq == 2, "the drain is told")
+        rig.until(lambda: rig.front.endpoint_watch.last_sequence == 2, "the drain is told")
         worker.answer(worker.runs[0], body=b"done")
         rig.until(lambda: client.answers, "it is answered")
         self.assertEqual(client.kinds(), {1: "answer"})
@@ -233,8 +235,8 @@
         pool.send(attempt(id, ended))
         rig.until(lambda: worker.runs, "the old one runs it")
         address = pool.workers[id].address
-        pool.update(id, None, WorkerState.REMOVED, 0.0)
-        pool.update(77, address, WorkerState.READY, 0.0)
+        pool.update_endpoint(id, None, WorkerState.REMOVED, 0.0)
+        pool.update_endpoint(77, address, WorkerState.READY, 0.0)
         pool.send(attempt(77, ended, id=b"abcdefgh"))
         rig.until(lambda: len(worker.runs) == 2, "the new one runs it")
         self.assertIsNot(worker.runs[0][0], worker.runs[1][0])
@@ -244,10 +246,10 @@
         worker = FakeWorker()
         rig, pool, id = self.pool(worker)
         pool.send(attempt(id, []))
-        [link] = pool.workers[id].links
-        pool.update(id, None, WorkerState.REMOVED, 0.0)
-        rig.until(lambda: link.connection.up, "the dial comes up")
-        self.assertTrue(link.connection.closed)
+        [link] = pool.workers[id].connections
+        pool.update_endpoint(id, None, WorkerState.REMOVED, 0.0)
+        rig.until(lambda: link.connection.is_connected, "the dial comes up")
+        self.assertTrue(link.connection.is_closed)
         self.assertFalse(pool.workers)
 
     def test_a_restart_retires_the_links_to_the_process_before(self):
@@ -255,7 +257,7 @@
         rig, pool, id = self.pool(worker)
         pool.send(attempt(id, ended))
         rig.until(lambda: worker.runs, "it runs")
-        pool.update(id, None, WorkerState.READY, 5.0)
+        pool.update_endpoint(id, None, WorkerState.READY, 5.0)
         pool.send(attempt(id, ended, id=b"abcdefgh"))
         rig.until(lambda: len(worker.runs) == 2, "the next one runs")
         self.assertIsNot(worker.runs[0][0], worker.runs[1][0])
@@ -280,8 +282,10 @@
         id = router_process.worker_id_of(worker.id)
         for n in range(3):
             rig.front.pool.send(attempt(id, ended, id=b"%08d" % n))
-            links = rig.front.pool.workers[id].links
-            rig.until(lambda n=n, links=links: [link.up for link in links] == [True] * (n + 2), "a spare")
+            links = rig.front.pool.workers[id].connections
+            rig.until(
+                lambda n=n, links=links: [link.is_connected for link in links] == [True] * (n + 2), "a spare"
+            )
             rig.until(lambda n=n: len(worker.runs) > n, "it runs")
         worker.runs[1][0].sock.sendall(b"HTTP/1.1 200 OK\r\n\r\n")
         rig.until(lambda: ended, "one ends")
@@ -305,13 +309,13 @@
         worker, ended = FakeWorker(), []
         rig = self.rig(worker)
         id = router_process.worker_id_of(worker.id)
-        rig.front.pool.order(order(id, ended))
-        rig.until(lambda: ended and len(worker.links) == 2, "a link and a spare are idle")
-        for peer, link in zip(worker.links, list(rig.front.pool.workers[id].links), strict=True):
+        rig.front.pool.ensure_instances(order(id, ended))
+        rig.until(lambda: ended and len(worker.connections) == 2, "a link and a spare are idle")
+        for peer, link in zip(worker.connections, list(rig.front.pool.workers[id].connections), strict=True):
             peer.sock.shutdown(socket.SHUT_WR)
             self.assertTrue(ready(link.connection._sock))
         rig.front.pool.send(attempt(id, ended))  # before the loop has read the ends
-        for link in rig.front.pool.workers[id].links:
+        for link in rig.front.pool.workers[id].connections:
             link.connection.flush()
         rig.until(lambda: worker.runs, "it runs")
         self.assertEqual(ended, [(Outcome.OK, True)])
@@ -324,7 +328,7 @@
             rig.front.pool.send(attempt(id, ended, id=b"%08d" % n))
         rig.front.pool.send(attempt(id, ended, id=b"%08d" % 0))
         rig.until(lambda: len(worker.runs) == 34, "all run")
-        for link in worker.links:
+        for link in worker.connections:
             ids = [frame.id for at, frame in worker.runs if at is link]
             self.assertLessEqual(len(ids), 32)
             self.assertEqual(len(ids), len(set(ids)))
@@ -348,13 +352,13 @@
         worker, ended = FakeWorker(copies=None), []
         rig = self.rig(worker)
         id, pool = router_process.worker_id_of(worker.id), rig.front.pool
-        pool.order(order(id, [], copies=0))
+        pool.ensure_instances(order(id, [], copies=0))
         rig.until(lambda: worker.frames, "a link is up")
         pool.wire = msgspec.structs.replace(pool.wire, start_order_timeout_ms=500.0, connect_timeout_ms=60.0)
-        rig.front.pool.update(9, self.dead_end(), WorkerState.READY, 0.0)
+        rig.front.pool.update_endpoint(9, self.dead_end(), WorkerState.READY, 0.0)
         rig.front.pool.send(attempt(id, ended, within_ms=500.0))
         rig.until(lambda: ended, "the attempt ends")
-        rig.front.pool.order(order(id, ended))
+        rig.front.pool.ensure_instances(order(id, ended))
         rig.until(lambda: len(ended) == 2, "the order ends")
         rig.front.pool.send(attempt(9, ended))
         rig.until(lambda: len(ended) == 3, "the dial ends")
@@ -366,12 +370,12 @@
         worker, ended = FakeWorker(), []
         rig = self.rig(worker)
         id, pool = router_process.worker_id_of(worker.id), rig.front.pool
-        pool.order(order(id, ended))
-        rig.until(lambda: ended and len(worker.links) == 2, "a link and a spare are idle")
-        used, spare = pool.workers[id].links
+        pool.ensure_instances(order(id, ended))
+        rig.until(lambda: ended and len(worker.connections) == 2, "a link and a spare are idle")
+        used, spare = pool.workers[id].connections
         rig.until(lambda: min(used.idle_ms(), spare.idle_ms()) > 100.0, "both are idle for long")
         worker.instances = None
-        pool.order(order(id, ended))
+        pool.ensure_instances(order(id, ended))
         with mock.patch.object(worker_pool, "STALE_SIGN_MS", 60_000.0):
             rig.until(lambda: len(worker.frames) == 2, "it is used again")
             worker.frames[1][0].sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
@@ -380,7 +384,7 @@
         self.assertEqual(ended[1], (CloseReason.RESET_BY_PEER, True))
         pool.send(attempt(id, ended))
         rig.until(lambda: worker.runs, "a call runs")
-        self.assertNotIn(worker.runs[0][0], worker.links[:2])
+        self.assertNotIn(worker.runs[0][0], worker.connections[:2])
 
     def test_half_a_frame_that_goes_no_further_ends_its_link(self):
         worker, ended = FakeWorker(copies=None), []
@@ -424,10 +428,10 @@
         busy, idle = FakeWorker("s-1", copies=None), FakeWorker("s-2")
         rig, ended = self.rig(busy, idle, settings={"bounds": {"keepalive": 0.0}}), []
         for peer in (busy, idle):
-            rig.front.pool.order(order(router_process.worker_id_of(peer.id), ended))
+            rig.front.pool.ensure_instances(order(router_process.worker_id_of(peer.id), ended))
         rig.until(lambda: ended and busy.frames, "one is answered")
-        rig.until(lambda: idle.links[0].ended, "the idle one is closed")
-        self.assertFalse(busy.links[0].ended)
+        rig.until(lambda: idle.connections[0].ended, "the idle one is closed")
+        self.assertFalse(busy.connections[0].ended)
 
     def test_links_keep_to_their_share_of_descriptors(self):
         worker, ended = FakeWorker(copies=None), []
@@ -437,7 +441,7 @@
             rig.front.pool.send(attempt(id, ended, id=b"%08d" % n))
         rig.until(lambda: len(worker.runs) + len(ended) == 40, "all run or end")
         self.assertEqual(set(ended), {(CloseReason.NO_FILE_DESCRIPTOR, False)})
-        self.assertLessEqual(len(worker.links), 32 * router_process.SCORER_SHARE)
+        self.assertLessEqual(len(worker.connections), 32 * router_process.SCORER_SHARE)
 
 
 class Clients(RouterTestCase):
@@ -453,9 +457,9 @@
         for seqid, lanes in enumerate(("0", "-1", "0.5", "5000", "x", ""), 8):
             client.call(props=f"memory_mb:512;lanes:{lanes}", seqid=seqid)
         client.call(seqid=5)
-        rig.until(lambda: len(client.answers) >= 12 and rig.front.table.open, "all are read")
+        rig.until(lambda: len(client.answers) >= 12 and rig.front.table.pending, "all are read")
         self.assertEqual(client.kinds(), dict.fromkeys((1, 2, 3, 4, *range(6, 14)), "exception"))
-        self.assertEqual(len(rig.front.table.open), 1)
+        self.assertEqual(len(rig.front.table.pending), 1)
 
     def test_bytes_without_a_number_end_the_connection_only(self):
         worker = FakeWorker()
@@ -470,14 +474,14 @@
         rig = self.rig(FakeWorker())
         client = rig.client()
         rig.settle(client)
-        [served] = rig.front.port.clients
+        [served] = rig.front.listener.connections
         gone = weakref.ref(served.connection)
         gc.disable()
         self.addCleanup(gc.enable)
         del served
         client.sock.close()
         client.ended = True
-        rig.until(lambda: not rig.front.port.clients, "it ends")
+        rig.until(lambda: not rig.front.listener.connections, "it ends")
         self.assertIsNone(gone())
 
     def test_a_fault_in_a_handler_costs_the_connection_only(self):
@@ -498,7 +502,7 @@
             client.call()
         rig.until(lambda: client.answers, "one is answered")
         self.assertEqual(client.kinds(), {33: "exception"})
-        self.assertEqual(len(rig.front.table.open), 32)
+        self.assertEqual(len(rig.front.table.pending), 32)
 
     def test_an_open_number_used_again_ends_the_connection(self):
         rig = self.rig(FakeWorker(copies=None))
@@ -506,7 +510,7 @@
         client.call(seqid=5)
         client.call(seqid=5)
         rig.until(lambda: client.ended, "the connection ends")
-        self.assertEqual((client.kinds(), rig.front.table.open), ({5: "broken"}, {}))
+        self.assertEqual((client.kinds(), rig.front.table.pending), ({5: "broken"}, {}))
 
     def test_answers_queued_before_a_bad_message_reach_a_client_that_goes_on_sending(self):
         rig = self.rig(FakeWorker())
@@ -550,26 +554,26 @@
         rig = self.rig(FakeWorker())
         client = rig.client()
         rig.settle(client)
-        [served] = rig.front.port.clients
+        [served] = rig.front.listener.connections
         with mock.patch.object(client_connection, "MAX_UNREAD_BYTES", 8 * 1024 * 1024):
             served._write(b"x" * 7_000_000)
-            rig.front.loop.turn(0)
-            rig.front.loop.turn(0)
+            rig.front.loop.run_once(0)
+            rig.front.loop.run_once(0)
             self.assertFalse(served.connection._reading)
         served._write(b"x" * 9_000_000)
-        rig.front.loop.turn(0)
-        self.assertTrue(served.connection.closed)
+        rig.front.loop.run_once(0)
+        self.assertTrue(served.connection.is_closed)
 
     def test_connections_keep_to_their_share_of_descriptors(self):
         rig = self.rig(FakeWorker(copies=None), limits={"sockets": 32})
         first = rig.client()
         first.call()
-        rig.until(lambda: rig.front.table.open, "the first one asks")
+        rig.until(lambda: rig.front.table.pending, "the first one asks")
         for _ in range(30):
             client = rig.client()
             client.status()
             rig.until(lambda client=client: client.answers, "each is answered")
-            self.assertLessEqual(len(rig.front.port.clients), 32 * router_process.CLIENT_SHARE)
+            self.assertLessEqual(len(rig.front.listener.connections), 32 * router_process.CLIENT_SHARE)
         self.assertFalse(first.ended)
 
 
@@ -615,13 +619,13 @@
         with mock.patch.object(rig.front.endpoint_watch, "_told") as told:
             for seq in (2, 2, 1, 3):
                 rig.log.say(self.event(seq))
-            rig.until(lambda: rig.front.endpoint_watch.seq == 3, "the last one is told")
+            rig.until(lambda: rig.front.endpoint_watch.last_sequence == 3, "the last one is told")
         self.assertEqual(told.call_count, 2)
 
     def test_a_silent_log_is_asked_again_from_where_it_stopped(self):
         rig = self.rig(FakeWorker())
         rig.log.say(self.event(2))
-        rig.until(lambda: rig.front.endpoint_watch.seq == 2, "an event is told")
+        rig.until(lambda: rig.front.endpoint_watch.last_sequence == 2, "an event is told")
         with mock.patch.object(endpoint_watch, "SILENCE_MS", -1.0):
             rig.until(lambda: len(rig.log.asked()) == 2, "it is asked again")
         self.assertEqual(rig.log.asked(), [["since", "1"], ["since", "2"]])
@@ -644,7 +648,9 @@
                 rig.until(lambda rig=rig: len(rig.log.asked()) == 2, "it is asked again")
                 rig.log.say(line)
                 rig.log.say(self.event(3, worker.member("terminating")))
-                rig.until(lambda rig=rig: rig.front.endpoint_watch.seq == 3, "the next event is told")
+                rig.until(
+                    lambda rig=rig: rig.front.endpoint_watch.last_sequence == 3, "the next event is told"
+                )
                 state = rig.front.pool.workers[router_process.worker_id_of(worker.id)].state
                 self.assertEqual(state, WorkerState.DRAINING)
 
@@ -663,26 +669,26 @@
                 self.addCleanup(moved.close)
                 with mock.patch.object(endpoint_watch, "PAUSE_MS", 30.0):
                     rig.log.say(self.event(2))
-                    rig.until(lambda rig=rig: rig.front.endpoint_watch.seq == 2, "an event is told")
+                    rig.until(lambda rig=rig: rig.front.endpoint_watch.last_sequence == 2, "an event is told")
                     if broken:  # the next dial to the old address is planned already
-                        rig.log.links[0].sock.close()
-                        rig.log.links[0].ended = True
+                        rig.log.connections[0].sock.close()
+                        rig.log.connections[0].ended = True
                         rig.until(
                             lambda rig=rig: rig.front.endpoint_watch._connection is None, "it breaks off"
                         )
-                    rig.front.endpoint_watch.move(("127.0.0.1", int(moved.host_port.split(":")[1])))
+                    rig.front.endpoint_watch.move_to(("127.0.0.1", int(moved.host_port.split(":")[1])))
                 later = []
-                rig.front.loop.timers.after(60.0, lambda later=later: later.append(1))
+                rig.front.loop.timers.call_later(60.0, lambda later=later: later.append(1))
                 rig.workers.append(moved)
                 rig.until(lambda later=later, moved=moved: later and moved.asked(), "the new one is asked")
-                self.assertEqual((moved.asked(), len(moved.links)), ([["since", "2"]], 1))
-                self.assertEqual([link.ended for link in rig.log.links], [True])
+                self.assertEqual((moved.asked(), len(moved.connections)), ([["since", "2"]], 1))
+                self.assertEqual([link.ended for link in rig.log.connections], [True])
 
     def test_whoever_a_complete_list_leaves_out_is_gone(self):
         old, new = FakeWorker("s-1"), FakeWorker("s-2")
         rig = self.rig(old)
         rig.log.say(self.event(2, new.member(), complete=True))
-        rig.until(lambda: rig.front.endpoint_watch.seq == 2, "the list is told")
+        rig.until(lambda: rig.front.endpoint_watch.last_sequence == 2, "the list is told")
         self.assertEqual(list(rig.front.pool.workers), [router_process.worker_id_of("s-2")])
 
 
