--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -4,11 +4,19 @@
 named but passes fails the run: it is to be taken off the list.
 """
 
+import contextlib
+import os
 import re
+import socket
+import subprocess
+import sys
 from pathlib import Path
 
+import msgspec
 import pytest
 
+ROOT = Path(__file__).parent.parent
+
 LIST = Path(__file__).parent.parent / "KNOWN-RED.txt"
 MAX_LINES = 3
 
@@ -39,3 +47,98 @@
     whole = config.args_source is not config.ArgsSource.ARGS and not config.option.keyword
     if whole and (missing := listed.keys() - {item.nodeid for item in items}):
         raise pytest.UsageError(f"KNOWN-RED.txt names no test: {', '.join(sorted(missing))}")
+
+
+@pytest.fixture
+def cleanups():
+    """Callbacks that run when the test has ended, last one first."""
+    with contextlib.ExitStack() as stack:
+        yield stack
+
+
+@pytest.fixture
+def start_router(cleanups):
+    """Start routers in this thread, with their endpoint log, workers and clients; closed at the end."""
+    from fakes import RouterHarness
+
+    def start(*workers, **options):
+        harness = RouterHarness(*workers, **options)
+        cleanups.callback(harness.close)
+        return harness
+
+    return start
+
+
+@pytest.fixture
+def unreachable_address(cleanups):
+    """Make addresses at which no connection comes up: listeners whose queue is full."""
+
+    def make():
+        full = socket.socket()
+        full.bind(("127.0.0.1", 0))
+        full.listen(0)
+        fillers = [socket.socket() for _ in range(4)]
+        for filler in fillers:
+            filler.setblocking(False)
+            filler.connect_ex(full.getsockname())
+        for sock in (full, *fillers):
+            cleanups.callback(sock.close)
+        return full.getsockname()
+
+    return make
+
+
+class Programs:
+    """Starts the program itself on a configuration; `endpoint_log` is the log of the last one."""
+
+    def __init__(self, cleanups, folder):
+        self._cleanups = cleanups
+        self._folder = folder
+        self._started = 0
+
+    def launch(self, config, *words):
+        """The started process: `serve`, or the command that the words are."""
+        self._started += 1
+        path = self._folder / f"config-{self._started}.json"
+        path.write_bytes(msgspec.json.encode(config))
+        env = {**os.environ, "ROUTER_CONFIG": str(path), "PYTHONPATH": str(ROOT)}
+        env = {name: value for name, value in env.items() if name not in ("ROUTER_LISTEN", "ROUTER_NAME")}
+        command = [sys.executable, "-m", "function_router", *(words or ["serve"])]
+        program = subprocess.Popen(command, env=env, cwd=ROOT, stdout=-1, stderr=-1, text=True)
+        for cleanup in (program.stderr.close, program.stdout.close, program.wait, program.kill):
+            self._cleanups.callback(cleanup)
+        return program
+
+    def config(self, *records, **more):
+        """A configuration with these endpoint records, and a fresh endpoint log."""
+        from fakes import SETTINGS, FakeEndpointLog
+
+        self.endpoint_log = FakeEndpointLog()
+        self._cleanups.callback(self.endpoint_log.close)
+        event = {"seq": 1, "fleet": {"complete": True, "members": list(records)}}
+        return {
+            "listen": "127.0.0.1:0",
+            "changelog": self.endpoint_log.host_port,
+            "settings": SETTINGS,
+            "seed": "1",
+            "known": {"seq": 1, "results": [event]},
+            **more,
+        }
+
+    def pump(self, client, condition, *others):
+        """Serve the client and the other peers until something is so."""
+        from fakes import ready
+
+        for _ in range(4000):
+            for peer in (client, *others):
+                peer.pump()
+            if condition():
+                return
+            ready(client.sock, 0.005)
+        pytest.fail("waited in vain")
+
+
+@pytest.fixture
+def programs(cleanups, tmp_path):
+    """The program as a process of its own."""
+    return Programs(cleanups, tmp_path)
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -1,19 +1,12 @@
 """The other ends of a front end's sockets, driven from the test's own thread on loopback port 0."""
 
 import json
-import os
 import selectors
 import socket
 import struct
-import subprocess
-import sys
-import tempfile
 import time
-import unittest
 from pathlib import Path
 
-import msgspec
-
 from function_router.config import parse_config
 from function_router.net import worker_pool
 from function_router.net.codecs import thrift, worker_frames
@@ -81,9 +74,9 @@
 class FakeWorker(FakeListener):
     """Answers orders by itself, so that a copy stands; runs are left to the test."""
 
-    def __init__(self, id="s-1", copies=1):
+    def __init__(self, id="s-1", instances=1):
         super().__init__()
-        self.id, self.instances, self.frames, self.readers = id, copies, [], {}
+        self.id, self.instances, self.frames, self.readers = id, instances, [], {}
 
     def pump(self):
         super().pump()
@@ -99,24 +92,24 @@
         link, frame = item
         link.sock.sendall(worker_frames.encode(code, frame.id, fields, body, worker_frames.FROM_SCORER))
 
-    def of(self, code):
+    def received(self, code):
         return [(link, frame) for link, frame in self.frames if frame.code == code]
 
     @property
-    def runs(self):
-        return self.of(worker_frames.RUN)
+    def requests(self):
+        return self.received(worker_frames.RUN)
 
-    def member(self, phase="in_service", **more):
+    def record(self, phase="in_service", **more):
         return {"id": self.id, "host_port": self.host_port, "phase": phase, "size": 4, **more}
 
 
 class FakeEndpointLog(FakeListener):
     """The change log: takes `since N`, says what the test says."""
 
-    def asked(self):
+    def queries(self):
         return [bytes(link.data).decode().split() for link in self.connections if link.data]
 
-    def say(self, line, link=-1):
+    def send_line(self, line, link=-1):
         text = line if isinstance(line, bytes) else json.dumps(line).encode()
         self.connections[link].sock.sendall(text + b"\n")
 
@@ -148,14 +141,14 @@
         self.sock.sendall(self.withheld[:most])
         self.withheld = self.withheld[most:]
 
-    def withdraw(self, seqid):
+    def cancel(self, seqid):
         payload = struct.pack(">bhib", thrift.I32, 1, seqid, 0)
         self.sock.sendall(thrift._frame(thrift.ONEWAY, b"withdraw", 99, payload))
 
     def status(self, seqid=500):
         self.sock.sendall(thrift._frame(thrift.CALL, b"status", seqid, struct.pack(">bhbb", 2, 1, 1, 0)))
 
-    def kinds(self):
+    def answer_kinds(self):
         return {seqid: kind for seqid, kind, _ in self.answers}
 
 
@@ -200,45 +193,46 @@
 class RouterHarness:
     """A front end in this thread, with its change log, scorers and clients."""
 
-    def __init__(self, *scorers, settings=None, limits=None, start=True):
-        self.workers, self.log, self.clients, self.lines = list(scorers), FakeEndpointLog(), [], []
-        event = {"seq": 1, "fleet": {"complete": True, "members": [peer.member() for peer in scorers]}}
+    def __init__(self, *workers, settings=None, limits=None, start=True):
+        self.workers, self.endpoint_log = list(workers), FakeEndpointLog()
+        self.clients, self.log_lines = [], []
+        event = {"seq": 1, "fleet": {"complete": True, "members": [peer.record() for peer in workers]}}
         config = {
             "listen": "127.0.0.1:0",
-            "changelog": self.log.host_port,
+            "changelog": self.endpoint_log.host_port,
             "seed": "7",
             "known": {"seq": 1, "results": [event]},
             "settings": SETTINGS | (settings or {}),
             "limits": limits or {},
         }
-        note = lambda text, source="": self.lines.append(text)  # noqa: E731
-        self.front = RouterProcess(parse_config(config, {}), log=note)
-        self.front.start()
+        note = lambda text, source="": self.log_lines.append(text)  # noqa: E731
+        self.process = RouterProcess(parse_config(config, {}), log=note)
+        self.process.start()
         if start:
-            self.until(lambda: self.log.asked(), "the change log is asked")
+            self.run_until(lambda: self.endpoint_log.queries(), "the change log is asked")
 
-    def client(self):
-        self.clients.append(FakeClient(self.front.address))
+    def connect_client(self):
+        self.clients.append(FakeClient(self.process.address))
         return self.clients[-1]
 
-    def until(self, condition, what="it happens"):
+    def run_until(self, condition, what="it happens"):
         """Turn the loop and the peers until something is so; the wait ends by the event itself."""
         end = time.monotonic() + PATIENCE_S
         while not condition():
             assert time.monotonic() < end, f"waited in vain until {what}"
-            self.front.loop.run_once(0.005)
-            for peer in [self.log, *self.workers, *self.clients]:
+            self.process.loop.run_once(0.005)
+            for peer in [self.endpoint_log, *self.workers, *self.clients]:
                 peer.pump()
 
-    def settle(self, client):
+    def round_trip(self, client):
         """All that was on its way has been seen: a status answer has made the whole round."""
         seqid = 1000 + len(client.answers)
         client.status(seqid)
-        self.until(lambda: seqid in client.kinds(), "the status comes")
+        self.run_until(lambda: seqid in client.answer_kinds(), "the status comes")
 
     def close(self):
-        self.front.close()
-        for peer in [*self.workers, self.log]:
+        self.process.close()
+        for peer in [*self.workers, self.endpoint_log]:
             peer.close()
         for client in self.clients:
             client.sock.close()
@@ -250,26 +244,6 @@
         return bool(selector.select(seconds))
 
 
-class RouterTestCase(unittest.TestCase):
-    def rig(self, *peers, **more):
-        rig = RouterHarness(*peers, **more)
-        self.addCleanup(rig.close)
-        return rig
-
-    def dead_end(self):
-        """An address that no dial comes up at: a listener whose queue is full."""
-        full = socket.socket()
-        full.bind(("127.0.0.1", 0))
-        full.listen(0)
-        fillers = [socket.socket() for _ in range(4)]
-        for filler in fillers:
-            filler.setblocking(False)
-            filler.connect_ex(full.getsockname())
-        for sock in (full, *fillers):
-            self.addCleanup(sock.close)
-        return full.getsockname()
-
-
 def attempt(worker, ended, id=b"12345678", body=b"", within_ms=8000.0):
     return worker_pool.Attempt(
         worker, lambda stream, end, answer: ended.append((end or answer.outcome, stream.is_started)), id=id,
@@ -277,45 +251,10 @@
     )  # fmt: skip
 
 
-def order(worker, ended, copies=1):
+def order(worker, ended, instances=1):
     return worker_pool.StartOrder(
         worker,
         lambda stream, end, answer: ended.append((end or answer.outcome, stream.is_started)),
         ROW,
-        copies,
+        instances,
     )
-
-
-class ProgramTestCase(unittest.TestCase):
-    """The program itself, started on a configuration."""
-
-    def launch(self, config, *words):
-        folder = tempfile.TemporaryDirectory()
-        self.addCleanup(folder.cleanup)
-        path = Path(folder.name, "config.json")
-        path.write_bytes(msgspec.json.encode(config))
-        env = {**os.environ, "ROUTER_CONFIG": str(path), "PYTHONPATH": str(ROOT)}
-        env = {name: value for name, value in env.items() if name not in ("ROUTER_LISTEN", "ROUTER_NAME")}
-        command = [sys.executable, "-m", "function_router", *(words or ["serve"])]
-        program = subprocess.Popen(command, env=env, cwd=ROOT, stdout=-1, stderr=-1, text=True)
-        self.addCleanup(program.stderr.close)
-        self.addCleanup(program.stdout.close)
-        self.addCleanup(program.wait)
-        self.addCleanup(program.kill)
-        return program
-
-    def config(self, *members, **more):
-        self.log = FakeEndpointLog()
-        self.addCleanup(self.log.close)
-        event = {"seq": 1, "fleet": {"complete": True, "members": list(members)}}
-        return {"listen": "127.0.0.1:0", "changelog": self.log.host_port, "settings": SETTINGS, "seed": "1",
-                "known": {"seq": 1, "results": [event]}, **more}  # fmt: skip
-
-    def pump(self, client, condition, *others):
-        for _ in range(4000):
-            for peer in (client, *others):
-                peer.pump()
-            if condition():
-                return
-            ready(client.sock, 0.005)
-        self.fail("waited in vain")
