--- a/function_router/config.py
+++ b/function_router/config.py
@@ -16,6 +16,7 @@
 
 from function_router.decisions.settings import RequestClass, Settings
 from function_router.decisions.types import DeduplicationScope, RetrySafety
+from function_router.errors import FunctionRouterError
 
 Count = Annotated[int, Meta(ge=0)]
 Least = Annotated[int, Meta(ge=1)]
@@ -23,7 +24,7 @@
 Address = tuple[str, int]
 
 
-class ConfigurationError(ValueError):
+class ConfigurationError(FunctionRouterError, ValueError):
     """A faulty configuration; the text names the key."""
 
 
--- a/function_router/net/client_connection.py
+++ b/function_router/net/client_connection.py
@@ -1,95 +1,36 @@
 """Clients: the listener, their connections, and the translation between Thrift and calls."""
 
-import errno
 import math
-import re
 import socket
-from typing import Any
+from typing import TYPE_CHECKING
 
-from function_router.config import Address
-from function_router.decisions.settings import RequestClass
-from function_router.decisions.types import RetrySafety
-from function_router.net.close_reason import CloseReason, reason_of_os_error
+from function_router.net.client_request import call_from
+from function_router.net.clock import monotonic_ms
+from function_router.net.close_reason import CloseReason
 from function_router.net.codecs import thrift
-from function_router.net.connection import Connection, enable_receive_timestamps
-from function_router.net.event_loop import READ, EventLoop
-from function_router.net.log import RateLimitedLog
+from function_router.net.connection import Connection
 from function_router.net.request_table import (
     ClientRequest,
     Failed,
     FinalAnswer,
     Rejected,
-    RequestTable,
     Served,
 )
-from function_router.net.timer_wheel import monotonic_ms
 
 MAX_PENDING_REQUESTS = 32  # requests open on one connection
-BACKLOG = 1024
-MAX_ACCEPTS_PER_TURN = 64  # in a turn, and never more than half of all, so that a first request can be read
-ACCEPT_PAUSE_MS = 50.0  # where the system has no descriptor left
-IDLE_MS = 30_000.0  # clients close after 4 s; one that asked and is still here holds its connection for good
 # A peer is owed an answer or a close within 3 s of connecting; what a client sends comes within a round trip.
 MESSAGE_TIMEOUT_MS = 2_300.0  # for a first message, and for the rest of one that has begun
 PIECE_MS = 700.0  # and as long as it keeps coming: so long after its last piece, with SPEAK_MS 3 s
 PIECES_SURE = 3  # of so many, the next may take SPEAK_MS: one that stops short sends less
 MAX_PIECES_MS = 30_000.0  # but no longer than this in all
 SKIP_MS = 6_000.0  # for the rest of an oversized one, which was refused when its head came
-YOUNG_MS = 250.0  # a connection that said nothing yet may be about to: others give way first
-TTL_ROOM = 1.1  # a client waits for its class's time at the most; room for rounding
 STOP_READING_BYTES = 64 * 1024  # bytes that wait for a client which does not read: it is not read either
 MAX_UNREAD_BYTES = 1024 * 1024  # and with these it is dropped
 MAX_TOTAL_UNREAD_BYTES = 32 * 1024 * 1024  # of all clients together: part of the memory limit
-MAX_CONCURRENCY = 4_096
 
-_HEX16 = re.compile(r"[0-9a-fA-F]{16}\Z")
-_TOKEN = re.compile(r"[0-9A-Za-z_.:-]{1,128}\Z")
-_NUMBER = re.compile(r"[0-9]{1,12}(\.[0-9]{1,9})?\Z")
 
-
-def _number(text: str | None, name: str) -> float | None:
-    if text is None:
-        return None
-    if not _NUMBER.match(text):
-        raise thrift.MalformedMessageError(f"{name}: not a number")
-    return float(text)
-
-
-def call_from(
-    message: thrift.Handle, classes: dict[str, RequestClass], tenants: frozenset[str] = frozenset()
-) -> dict[str, Any]:
-    """What a call's fields say; raises Malformed for what no scorer could be passed."""
-    fields = message.fields
-    spec, token = classes.get(fields.get("op", "")), fields.get("dedupe", "")
-    if spec is None:
-        raise thrift.MalformedMessageError("op: no such class")
-    if tenants and fields.get("org") not in tenants:
-        raise thrift.MalformedMessageError("org: no such tenant")
-    for name in ("call", "row"):
-        if not _HEX16.match(fields.get(name, "")):
-            raise thrift.MalformedMessageError(f"{name}: not 16 hex digits")
-    if (token or spec.retry_safety is RetrySafety.IDEMPOTENCY_KEY) and not _TOKEN.match(token):
-        raise thrift.MalformedMessageError("dedupe: missing, or not a key")
-    budget = _number(fields.get("ttl"), "ttl")
-    if not budget or budget > TTL_ROOM * spec.timeout_ms:
-        raise thrift.MalformedMessageError("ttl: missing, or not a time to wait")
-    parts = (part.partition(":") for part in fields.get("props", "").split(";") if part)
-    props = {name: value for name, _, value in parts}
-    lanes = _number(props.get("lanes", "1"), "lanes")
-    if not 1 <= lanes <= MAX_CONCURRENCY:
-        raise thrift.MalformedMessageError("lanes: out of range")
-    return {
-        "id": bytes.fromhex(fields["call"]),
-        "class_name": spec.name,
-        "tenant": fields.get("org", "")[:128],
-        "function": fields["row"],
-        "timeout_ms": budget,
-        "body": message.body,
-        "idempotency_key": token,
-        "concurrency": int(lanes),
-        "memory_mb": _number(props.get("memory_mb"), "memory_mb"),
-        "start_ms": _number(props.get("load_ms"), "load_ms"),
-    }
+if TYPE_CHECKING:
+    from function_router.net.client_listener import ClientListener
 
 
 class ClientConnection:
@@ -236,116 +177,3 @@
         for key in keys:
             self.listener.table.cancel_request(key)
         self.listener.ended(self)
-
-
-class ClientListener:
-    """Owns the listener and the client connections, within a share of the descriptors."""
-
-    def __init__(
-        self,
-        loop: EventLoop,
-        address: Address,
-        table: RequestTable,
-        classes: dict[str, RequestClass],
-        tenants: frozenset[str],
-        most: int,
-        log: RateLimitedLog,
-    ) -> None:
-        self.loop, self.table, self.log = loop, table, log
-        self.classes, self.tenants = classes, tenants
-        self.is_ready = False
-        self.connections: dict[ClientConnection, None] = {}
-        self._most = most
-        family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
-        self._listener: socket.socket | None = socket.socket(family, socket.SOCK_STREAM)
-        self._listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        enable_receive_timestamps(self._listener)
-        self._listener.bind(address)
-        self._listener.listen(BACKLOG)
-        self._listener.setblocking(False)
-        self.address: Address = self._listener.getsockname()[:2]
-        self._paused = False
-        loop.register(self._listener, READ, self._accept)
-
-    def _accept(self, _mask: int) -> None:
-        for _ in range(min(MAX_ACCEPTS_PER_TURN, max(1, self._most // 2))):
-            if self._listener is None or (len(self.connections) >= self._most and not self._make_room()):
-                self._pause()
-                return
-            try:
-                sock, _ = self._listener.accept()
-            except BlockingIOError:
-                return
-            except OSError as error:
-                if reason_of_os_error(error) is CloseReason.NO_FILE_DESCRIPTOR:
-                    self._pause()
-                    return
-                if error.errno in (errno.ECONNABORTED, errno.EINTR):
-                    continue
-                self.log(f"accept: {error}")
-                self._pause()
-                return
-            client = ClientConnection(self, sock)
-            self.connections[client] = None
-
-    def _make_room(self) -> bool:
-        """Close what has nothing open: all that should have spoken by now, else one that is finished with,
-        else the one that has been idle for longest. What has something unread is about to ask."""
-        idle = [
-            client
-            for client in self.connections
-            if not client.pending and not client.connection.pending_bytes
-        ]
-        since = monotonic_ms() - YOUNG_MS
-        silent = [client for client in idle if client.silent_since(since)]
-        closed = [client for client in silent if client.close_unheard()]
-        while idle and not closed:
-            last = min(idle, key=ClientConnection.giving_way)
-            idle.remove(last)
-            closed = [last] if last.close_unheard() else []
-        return bool(closed)
-
-    def _pause(self) -> None:
-        """Leave new connections to the system's queue for a moment, rather than spin on them."""
-        if self._listener is not None and not self._paused:
-            self._paused = True
-            self.loop.unregister(self._listener)
-            self.loop.timers.call_later(ACCEPT_PAUSE_MS, self._resume)
-
-    def _resume(self) -> None:
-        self._paused = False
-        if self._listener is not None:
-            self.loop.register(self._listener, READ, self._accept)
-
-    def unread_bytes(self) -> int:
-        return sum(client.connection.pending_bytes for client in self.connections)
-
-    def has_unwritten(self) -> bool:
-        return any(client.connection.pending_bytes for client in self.connections)
-
-    def has_arriving(self) -> bool:
-        """Whether anything of a client lies unread, also on connections that were yet to be accepted."""
-        if not self._paused:
-            self._accept(READ)
-        return self._paused or any(client.has_arriving() for client in self.connections)
-
-    def ended(self, client: ClientConnection) -> None:
-        self.connections.pop(client, None)
-
-    def check_timeouts(self) -> None:
-        now = monotonic_ms()
-        for client in list(self.connections):
-            idle = not client.pending and now - client.connection.last_used_ms > IDLE_MS
-            if idle:
-                client.close_unheard()  # but not on a request that has come and is yet to be read
-            elif client.overdue(now):
-                client.end_overdue()
-
-    def close(self) -> None:
-        if self._listener is not None:
-            if not self._paused:
-                self.loop.unregister(self._listener)
-            self._listener.close()
-            self._listener = None
-        for client in list(self.connections):
-            client.connection.close(CloseReason.SHUTDOWN)
--- a/function_router/net/codecs/thrift.py
+++ b/function_router/net/codecs/thrift.py
@@ -6,6 +6,8 @@
 import struct
 from dataclasses import dataclass
 
+from function_router.errors import FunctionRouterError
+
 MAX_FRAME_BYTES = 48 * 1024  # a body of 16 KiB and its fields take far less
 MAX_HEAD_BYTES = 256  # bytes kept of an oversized frame, to read its sequence number from
 MAX_BODY_BYTES = 16 * 1024
@@ -26,7 +28,7 @@
 _MAP = struct.Struct(">bbi")
 
 
-class MalformedMessageError(ValueError):
+class MalformedMessageError(FunctionRouterError, ValueError):
     """A frame that is no valid message; `seqid` is None where it can't be told what it answers to."""
 
     def __init__(self, text: str, seqid: int | None = None, kind: int = PROTOCOL_ERROR) -> None:
--- a/function_router/net/connection.py
+++ b/function_router/net/connection.py
@@ -10,9 +10,10 @@
 from typing import Protocol
 
 from function_router.config import Address
+from function_router.net.clock import monotonic_ms
 from function_router.net.close_reason import CloseReason, reason_of_os_error
 from function_router.net.event_loop import READ, WRITE, EventLoop
-from function_router.net.timer_wheel import Timer, monotonic_ms
+from function_router.net.timer_wheel import Timer
 
 MAX_READ_BYTES = 64 * 1024  # bytes taken at once
 MAX_READS_PER_TURN = (
--- a/function_router/net/endpoint_watch.py
+++ b/function_router/net/endpoint_watch.py
@@ -6,11 +6,12 @@
 import msgspec
 
 from function_router.config import Address, ConfigurationError, EndpointList, parse_endpoint_list
+from function_router.net.clock import monotonic_ms
 from function_router.net.close_reason import CloseReason
 from function_router.net.connection import Connection
 from function_router.net.event_loop import EventLoop
 from function_router.net.log import RateLimitedLog
-from function_router.net.timer_wheel import Timer, monotonic_ms
+from function_router.net.timer_wheel import Timer
 
 SILENCE_MS = 2_000.0  # it says its last number each second; what it holds back counts as told after 4 s
 PAUSE_MS = 200.0  # before the next dial; what a broken one would have told counts as told after 2 s
--- a/function_router/net/event_loop.py
+++ b/function_router/net/event_loop.py
@@ -8,7 +8,8 @@
 from typing import Protocol
 
 from function_router.decisions.events import Event
-from function_router.net.timer_wheel import Clock, TimerWheel, monotonic_ms, unix_ms
+from function_router.net.clock import Clock, monotonic_ms, unix_ms
+from function_router.net.timer_wheel import TimerWheel
 
 SLOW_TURN_MS = 80.0  # a process that was held up for longer endangers answers that are due
 
--- a/function_router/net/log.py
+++ b/function_router/net/log.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 from typing import TextIO
 
-from function_router.net.timer_wheel import monotonic_ms
+from function_router.net.clock import monotonic_ms
 
 LINES_A_SECOND = 20
 MAX_LINE_LENGTH = 600
--- a/function_router/net/request_table.py
+++ b/function_router/net/request_table.py
@@ -26,11 +26,13 @@
 )
 from function_router.decisions.settings import RequestClass
 from function_router.decisions.types import Outcome, RetrySafety, StartKind
-from function_router.net.close_reason import CloseReason, outcome_of
+from function_router.net.clock import monotonic_ms
+from function_router.net.close_reason import outcome_of
 from function_router.net.event_loop import EventLoop
 from function_router.net.log import RateLimitedLog
-from function_router.net.timer_wheel import Timer, monotonic_ms
-from function_router.net.worker_pool import Answer, Attempt, StartOrder, WorkerPool
+from function_router.net.timer_wheel import Timer
+from function_router.net.worker_messages import Answer, Attempt, Result, StartOrder
+from function_router.net.worker_pool import WorkerPool
 
 MAX_TOTAL_BODY_BYTES = 32 * 1024 * 1024  # bytes of open requests' bodies: part of the memory limit
 FULL_PUSHBACK_MS = 250.0  # advice where this front end can hold no more; the module never saw the request
@@ -200,7 +202,7 @@
             return True
         out = (self._attempts.get((key, number)) for number in range(request.attempts))
         first_ms = min(
-            [request.ran_ms, *(attempt.started_at_ms for attempt in out if attempt and attempt.is_started)]
+            [request.ran_ms, *(attempt.created_at_ms for attempt in out if attempt and attempt.is_started)]
         )
         return monotonic_ms() - first_ms < spec.idempotency_window_ms - REPEAT_MARGIN_MS
 
@@ -238,9 +240,9 @@
         call = request.call
         attempt = self._attempts[key, number] = Attempt(
             worker_id=worker,
-            on_done=lambda attempt, end, answer: self._attempt_ended(key, number, attempt, end, answer),
+            on_done=lambda attempt, result: self._on_attempt_done(key, number, attempt, result),
             may_start=lambda: self._may_start(key),
-            id=call.id,
+            exchange_id=call.id,
             class_name=call.class_name,
             function=call.function,
             idempotency_key=call.idempotency_key,
@@ -262,30 +264,34 @@
 
     # --- from scorers -------------------------------------------------------------------------
 
-    def _attempt_ended(
-        self, key: str, number: int, attempt: Attempt, end: CloseReason | None, answer: Answer | None
-    ) -> None:
+    def _on_attempt_done(self, key: str, number: int, attempt: Attempt, result: Result) -> None:
         del self._attempts[key, number]
-        if answer is None:
-            ending, warmth, crowd = (
-                outcome_of(end or CloseReason.NOT_SENT, attempt.is_started),
-                StartKind.UNKNOWN,
-                None,
-            )
+        if isinstance(result, Answer):
+            outcome, start_kind, in_flight = result.outcome, result.start_kind, self._in_flight(result)
+            what = f"{outcome.name} {start_kind.name} crowd {in_flight}"
         else:
-            ending, warmth, crowd = answer.outcome, answer.start_kind, self._crowd(answer)
+            outcome, start_kind, in_flight = outcome_of(result, attempt.is_started), StartKind.UNKNOWN, None
+            what = result.name
         if request := self.pending.get(key):
-            what = end.name if end else f"{ending.name} {warmth.name} crowd {crowd}"
             request.note(f"{attempt.worker_id}: {what} link {attempt.connection_wait_ms:.0f}")
-            if attempt.is_started and ending not in NEVER_RAN:
-                request.ran_ms = min(request.ran_ms, attempt.started_at_ms)
-        if answer is not None and ending is Outcome.OK:
-            self._finish(key, Served(answer.body))
-        took = monotonic_ms() - attempt.started_at_ms
-        closed = key not in self.pending
-        self._loop.submit(AttemptEnded(key, number, attempt.worker_id, ending, took, closed, warmth, crowd))
-
-    def _crowd(self, answer: Answer) -> int | None:
+            if attempt.is_started and outcome not in NEVER_RAN:
+                request.ran_ms = min(request.ran_ms, attempt.created_at_ms)
+        if isinstance(result, Answer) and outcome is Outcome.OK:
+            self._finish(key, Served(result.body))
+        self._loop.submit(
+            AttemptEnded(
+                request_id=key,
+                attempt_number=number,
+                worker_id=attempt.worker_id,
+                outcome=outcome,
+                duration_ms=monotonic_ms() - attempt.created_at_ms,
+                is_answered=key not in self.pending,
+                start_kind=start_kind,
+                in_flight=in_flight,
+            )
+        )
+
+    def _in_flight(self, answer: Answer) -> int | None:
         if not self._wire.reports_in_flight or answer.outcome not in (Outcome.OK, Outcome.QUEUE_FULL):
             return None
         return min(MAX_IN_FLIGHT, answer.in_flight)
@@ -294,7 +300,13 @@
         self._note_order(action.function, f"order {action.instances} at {action.worker_id}")
         may_start = self._asked_anew() if action.instances else lambda: True
         self._pool.ensure_instances(
-            StartOrder(action.worker_id, self._order_ended, action.function, action.instances, may_start)
+            StartOrder(
+                worker_id=action.worker_id,
+                on_done=self._on_start_order_done,
+                function=action.function,
+                instances=action.instances,
+                may_start=may_start,
+            )
         )
 
     def _asked_anew(self) -> Callable[[], bool]:
@@ -314,9 +326,11 @@
             if request.call.function == function:
                 request.note(text)
 
-    def _order_ended(self, order: StartOrder, end: CloseReason | None, answer: Answer | None) -> None:
-        took = monotonic_ms() - order.started_at_ms
-        ending = answer.outcome if answer else outcome_of(end or CloseReason.NOT_SENT, order.is_started)
-        copies = answer.instances if answer else 0
-        self._note_order(order.function, f"{order.worker_id} holds {copies} {ending.name}")
-        self._loop.submit(InstancesReported(order.worker_id, order.function, ending, copies, took))
+    def _on_start_order_done(self, order: StartOrder, result: Result) -> None:
+        if isinstance(result, Answer):
+            outcome, instances = result.outcome, result.instances
+        else:
+            outcome, instances = outcome_of(result, order.is_started), 0
+        self._note_order(order.function, f"{order.worker_id} holds {instances} {outcome.name}")
+        duration_ms = monotonic_ms() - order.created_at_ms
+        self._loop.submit(InstancesReported(order.worker_id, order.function, outcome, instances, duration_ms))
--- a/function_router/net/router_process.py
+++ b/function_router/net/router_process.py
@@ -1,6 +1,5 @@
 """The front end as an object that others can embed: the parts, wired round one Router."""
 
-import hashlib
 import signal
 from collections.abc import Callable
 from typing import Any
@@ -27,12 +26,13 @@
 from function_router.decisions.events import Endpoint, EndpointsChanged, Event, TimerFired
 from function_router.decisions.router import Router
 from function_router.decisions.types import WorkerState
-from function_router.net.client_connection import ClientListener
+from function_router.net.client_listener import ClientListener
+from function_router.net.clock import monotonic_ms
+from function_router.net.endpoint_registry import worker_id_of
 from function_router.net.endpoint_watch import EndpointWatch
 from function_router.net.event_loop import EventLoop
 from function_router.net.log import RateLimitedLog
 from function_router.net.request_table import RequestTable
-from function_router.net.timer_wheel import monotonic_ms
 from function_router.net.worker_pool import WorkerPool
 
 TALLY_MS = 5_000.0  # pace of the line that counts what was sent
@@ -61,11 +61,6 @@
 }
 
 
-def worker_id_of(id: str) -> int:
-    """The same at every front end, so that all make the same hash orders."""
-    return int.from_bytes(hashlib.blake2b(id.encode(), digest_size=4).digest(), "big")
-
-
 class RouterProcess:
     """One front end: owns the loop and the parts, and carries the module's actions out."""
 
--- a/function_router/net/worker_pool.py
+++ b/function_router/net/worker_pool.py
@@ -3,17 +3,18 @@
 import itertools
 import random
 from collections import Counter, deque
-from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from function_router.config import Address, TransportSettings
-from function_router.decisions.types import Outcome, StartKind, WorkerState
+from function_router.decisions.types import StartKind, WorkerState
+from function_router.net.clock import monotonic_ms
 from function_router.net.close_reason import CloseReason
 from function_router.net.codecs import worker_frames as frames
-from function_router.net.connection import Connection, PendingWrite
+from function_router.net.connection import Connection
 from function_router.net.event_loop import EventLoop
 from function_router.net.log import RateLimitedLog
-from function_router.net.timer_wheel import Timer, monotonic_ms
+from function_router.net.timer_wheel import Timer
+from function_router.net.worker_messages import Answer, Attempt, Exchange, Result, StartOrder
 
 QUIET_MS = 1_000.0  # a link that owes an answer and says nothing for this long gets nothing new
 STALL_MS = 250.0  # half a frame that goes no further for this long was cut off: nothing after it can be read
@@ -30,83 +31,12 @@
 SPREAD_PART = 0.7  # of the descriptors for links: the rest is kept for calls that find none
 MAX_PENDING_BYTES = 256 * 1024  # unwritten on one link: a scorer that does not read gets no more
 
-WARMTHS = {
+_START_KINDS = {
     "reused": StartKind.WARM,
     "init": StartKind.COLD_START,
     "shared_init": StartKind.JOINED_COLD_START,
     "init_error": StartKind.START_FAILED,
 }
-ATTEMPT_ENDINGS = {
-    frames.OK: Outcome.OK,
-    frames.MISS: Outcome.NOT_LOADED,
-    frames.FULL: Outcome.QUEUE_FULL,
-    frames.OVER: Outcome.NOT_SENT,
-}
-ORDER_ENDINGS = {frames.OK: Outcome.OK, frames.FULL: Outcome.QUEUE_FULL}
-
-
-@dataclass(slots=True)
-class Answer:
-    outcome: Outcome
-    body: bytes
-    start_kind: StartKind
-    in_flight: int
-    instances: int
-
-
-@dataclass(slots=True, eq=False)
-class Exchange:
-    """Something sent to a scorer that gets one end: by an answer or by an End."""
-
-    worker_id: int
-    on_done: Callable[["Exchange", CloseReason | None, Answer | None], None]
-    started_at_ms: float = field(default_factory=monotonic_ms, init=False)
-    connection: "WorkerConnection | None" = field(default=None, init=False)
-    pending_write: PendingWrite | None = field(default=None, init=False)
-    timer: Timer | None = field(default=None, init=False)
-    is_done: bool = field(default=False, init=False)
-    connection_wait_ms: float = field(default=0.0, init=False)  # how long it waited for a connection
-    id: bytes = field(default=b"", kw_only=True)
-
-    @property
-    def is_started(self) -> bool:  # some of its bytes may have arrived
-        return self.pending_write is not None and self.pending_write.written > 0
-
-
-@dataclass(slots=True, eq=False)
-class Attempt(Exchange):
-    class_name: str = ""
-    function: str = ""
-    idempotency_key: str = ""
-    body: bytes = b""
-    deadline_ms: float = 0.0
-    may_start: Callable[[], bool] = lambda: True  # asked when its first byte is to leave
-
-    is_new_work = True
-
-    def frame(self) -> bytes:
-        left = self.deadline_ms - monotonic_ms()
-        return frames.run(self.id, self.class_name, self.function, left, self.idempotency_key, self.body)
-
-    def outcome(self, code: int) -> Outcome:
-        return ATTEMPT_ENDINGS.get(code, Outcome.ERROR)  # what it can't read may have run
-
-
-@dataclass(slots=True, eq=False)
-class StartOrder(Exchange):
-    function: str = ""
-    instances: int = 0
-    may_start: Callable[[], bool] = lambda: True  # asked when its first byte is to leave
-
-    @property
-    def is_new_work(self) -> bool:  # a question is none
-        return self.instances > 0
-
-    def frame(self) -> bytes:
-        return frames.ensure(self.id, self.function, self.instances)
-
-    def outcome(self, code: int) -> Outcome:
-        return ORDER_ENDINGS.get(code, Outcome.ERROR)
 
 
 def _number(text: str | None) -> int:
@@ -157,19 +87,19 @@
     def start(self, stream: Exchange) -> None:
         if not self.exchanges:
             self._gap_ms, self._owed_ms = self.idle_ms(), monotonic_ms()
-        self.exchanges[stream.id] = stream
-        stream.connection_wait_ms = monotonic_ms() - stream.started_at_ms
-        stream.connection, stream.pending_write = self, self.connection.write(stream.frame())
+        self.exchanges[stream.exchange_id] = stream
+        stream.connection_wait_ms = monotonic_ms() - stream.created_at_ms
+        stream.connection, stream.pending_write = self, self.connection.write(stream.encode())
 
     def withdraw(self, stream: Exchange) -> None:
         """Take a stream off the link, telling the scorer where it may have heard of it."""
-        self.exchanges.pop(stream.id, None)
+        self.exchanges.pop(stream.exchange_id, None)
         if self.connection.cancel_write(stream.pending_write):
             return
         self._last_gave_up_ms = monotonic_ms()
         if isinstance(stream, Attempt):
-            self.connection.write(frames.give_up(stream.id))
-        self._spend(stream.id)
+            self.connection.write(frames.give_up(stream.exchange_id))
+        self._spend(stream.exchange_id)
 
     def _spend(self, id: bytes) -> None:
         self._spent[id] = None
@@ -344,7 +274,7 @@
 
     def ensure_instances(self, order: StartOrder) -> None:
         self.counters["loads" if order.instances else "questions"] += 1
-        order.id = next(self._order_ids).to_bytes(8, "big")
+        order.exchange_id = next(self._order_ids).to_bytes(8, "big")
         order.timer = self.loop.timers.call_later(
             self.wire.start_order_timeout_ms, lambda: self._out_of_time(order)
         )
@@ -357,7 +287,7 @@
         closed = worker is None or worker.state is WorkerState.REMOVED
         if closed or (stream.is_new_work and worker.state is not WorkerState.READY):
             self._end(stream, CloseReason.NOT_SENT)
-        elif link := worker.link_for(stream.id, self._trust_ms):
+        elif link := worker.link_for(stream.exchange_id, self._trust_ms):
             if not stream.may_start():
                 self._end(stream, CloseReason.NOT_SENT)
                 return
@@ -439,9 +369,9 @@
 
     def answered(self, stream: Exchange, frame: frames.Frame) -> None:
         fields = frame.fields
-        warmth = WARMTHS.get(fields.get("res", ""), StartKind.UNKNOWN)
+        warmth = _START_KINDS.get(fields.get("res", ""), StartKind.UNKNOWN)
         crowd, copies = _number(fields.get("company")), _number(fields.get("slots_up"))
-        self._end(stream, None, Answer(stream.outcome(frame.code), frame.body, warmth, crowd, copies))
+        self._end(stream, Answer(stream.outcome_of(frame.code), frame.body, warmth, crowd, copies))
 
     def cancel(self, stream: Exchange) -> None:
         if not stream.is_done:
@@ -465,14 +395,14 @@
         elif (worker := self.workers.get(stream.worker_id)) and stream in worker.waiting:
             worker.waiting.remove(stream)
 
-    def _end(self, stream: Exchange, end: CloseReason | None, answer: Answer | None = None) -> None:
+    def _end(self, stream: Exchange, result: Result) -> None:
         if stream.is_done:
             return
         stream.is_done = True
         if stream.timer:
             stream.timer.cancel()
         link, stream.connection = stream.connection, None
-        stream.on_done(stream, end, answer)
+        stream.finish(result)
         if link and link.is_retired and not link.exchanges and link.is_connected:
             link.connection.close(CloseReason.ENDPOINT_REPLACED)
 
--- a/function_router/simulator_adapter.py
+++ b/function_router/simulator_adapter.py
@@ -31,11 +31,12 @@
 )
 from function_router.decisions.router import Router
 from function_router.decisions.types import Outcome, StartKind, WorkerState
+from function_router.errors import FunctionRouterError
 
 ENDINGS = {ending.value: ending for ending in Outcome}
 
 
-class InvalidBatchError(ValueError):
+class InvalidBatchError(FunctionRouterError, ValueError):
     """A line that is no valid batch; the text names what is wrong."""
 
 
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -8,9 +8,10 @@
 from pathlib import Path
 
 from function_router.config import parse_config
-from function_router.net import worker_pool
+from function_router.net.clock import monotonic_ms
 from function_router.net.codecs import thrift, worker_frames
 from function_router.net.router_process import RouterProcess
+from function_router.net.worker_messages import Attempt, StartOrder
 
 ROOT = Path(__file__).parent.parent
 PATIENCE_S = 20.0
@@ -244,17 +245,28 @@
         return bool(selector.select(seconds))
 
 
-def attempt(worker, ended, id=b"12345678", body=b"", within_ms=8000.0):
-    return worker_pool.Attempt(
-        worker, lambda stream, end, answer: ended.append((end or answer.outcome, stream.is_started)), id=id,
-        class_name="view", function=ROW, body=body, deadline_ms=worker_pool.monotonic_ms() + within_ms,
-    )  # fmt: skip
+def _recorder(results):
+    """A callback that keeps each result, as a close reason or an outcome, and whether a byte was sent."""
 
+    def on_done(exchange, result):
+        results.append((getattr(result, "outcome", result), exchange.is_started))
 
-def order(worker, ended, instances=1):
-    return worker_pool.StartOrder(
-        worker,
-        lambda stream, end, answer: ended.append((end or answer.outcome, stream.is_started)),
-        ROW,
-        instances,
+    return on_done
+
+
+def attempt(worker_id, results, exchange_id=b"12345678", body=b"", within_ms=8000.0):
+    """An attempt whose result is added to a list."""
+    return Attempt(
+        worker_id=worker_id,
+        on_done=_recorder(results),
+        exchange_id=exchange_id,
+        class_name="view",
+        function=ROW,
+        body=body,
+        deadline_ms=monotonic_ms() + within_ms,
     )
+
+
+def start_order(worker_id, results, instances=1):
+    """A start order whose result is added to a list."""
+    return StartOrder(worker_id=worker_id, on_done=_recorder(results), function=ROW, instances=instances)
--- a/tests/test_client_connection.py
+++ b/tests/test_client_connection.py
@@ -15,9 +15,10 @@
 
 from function_router.net import (
     client_connection,
+    client_listener,
+    clock,
     connection,
     router_process,
-    timer_wheel,
 )
 from function_router.net.event_loop import READ
 
@@ -266,7 +267,7 @@
     [served] = harness.process.listener.connections
     client.call()
     assert ready(served.connection._sock)
-    with mock.patch.object(client_connection, "IDLE_MS", -1.0):
+    with mock.patch.object(client_listener, "IDLE_MS", -1.0):
         harness.process.listener.check_timeouts()  # before it is read
         harness.run_until(lambda: harness.process.table.pending, "it is taken")
     assert not served.connection.is_closed
@@ -313,7 +314,7 @@
     [served] = harness.process.listener.connections
     client.call(withhold=50)
     harness.run_until(lambda: served._reader.waits, "half of it is read")
-    now = timer_wheel.monotonic_ms()
+    now = clock.monotonic_ms()
     assert not served.overdue(now)
     assert served.overdue(served._since_ms + 3000.0 - router_process.TIDY_MS)
 
@@ -325,7 +326,7 @@
     harness.run_until(lambda: harness.process.listener.connections, "it is accepted")
     [served] = harness.process.listener.connections
     harness.run_until(lambda: served._reader.waits, "half of it is read")
-    served.connection.last_used_ms -= 10 * client_connection.YOUNG_MS
+    served.connection.last_used_ms -= 10 * client_listener.YOUNG_MS
     for _ in range(30):
         other = harness.connect_client()
         other.status()
--- a/tests/test_client_request.py
+++ b/tests/test_client_request.py
@@ -6,7 +6,7 @@
 from fakes import ROW
 
 from function_router.config import parse_settings
-from function_router.net.client_connection import call_from
+from function_router.net.client_request import call_from
 from function_router.net.codecs import thrift
 
 FIELDS = {"op": "view", "call": "9b1f03aa5c7e2d41", "ttl": "1500", "org": "acme", "row": ROW}
--- a/tests/test_close_reason.py
+++ b/tests/test_close_reason.py
@@ -6,8 +6,8 @@
 
 from function_router.decisions.types import Outcome
 from function_router.net.close_reason import CloseReason, outcome_of
+from function_router.net.endpoint_registry import worker_id_of
 from function_router.net.log import LINES_A_SECOND, RateLimitedLog
-from function_router.net.router_process import worker_id_of
 
 
 class Hands:
--- a/tests/test_endpoint_watch.py
+++ b/tests/test_endpoint_watch.py
@@ -11,9 +11,9 @@
 
 from function_router.decisions.types import WorkerState
 from function_router.net import (
+    clock,
+    endpoint_registry,
     endpoint_watch,
-    router_process,
-    timer_wheel,
 )
 
 ROOT = Path(__file__).parent.parent
@@ -99,7 +99,7 @@
             lambda harness=harness: harness.process.endpoint_watch.last_sequence == 3,
             "the next event is told",
         )
-        state = harness.process.pool.workers[router_process.worker_id_of(worker.id)].state
+        state = harness.process.pool.workers[endpoint_registry.worker_id_of(worker.id)].state
         assert state == WorkerState.DRAINING
 
 
@@ -144,11 +144,11 @@
     harness = start_router(old)
     harness.endpoint_log.send_line(event(2, new.record(), complete=True))
     harness.run_until(lambda: harness.process.endpoint_watch.last_sequence == 2, "the list is told")
-    assert list(harness.process.pool.workers) == [router_process.worker_id_of("s-2")]
+    assert list(harness.process.pool.workers) == [endpoint_registry.worker_id_of("s-2")]
 
 
 def state(harness, worker):
-    known = harness.process.pool.workers.get(router_process.worker_id_of(worker.id))
+    known = harness.process.pool.workers.get(endpoint_registry.worker_id_of(worker.id))
     return known and known.state
 
 
@@ -211,11 +211,11 @@
         harness, log = start_router(FakeWorker()), Stuttering(line, line, line)
         cleanups.callback(log.close)
         harness.workers.append(log)
-        over, begun = [], timer_wheel.monotonic_ms()
+        over, begun = [], clock.monotonic_ms()
         harness.process.endpoint_watch.move_to(address_of(log))
         harness.process.loop.timers.call_later(4 * endpoint_watch.PAUSE_MS, lambda over=over: over.append(1))
         harness.run_until(lambda over=over, log=log: over and len(log.connections) > 1, "some time passes")
-        pauses = (timer_wheel.monotonic_ms() - begun) / endpoint_watch.PAUSE_MS
+        pauses = (clock.monotonic_ms() - begun) / endpoint_watch.PAUSE_MS
         assert len(log.connections) <= 1 + pauses
         log.lines = (b'{"seq":2,"fleet":{"members":[]}}', b"2")
         harness.run_until(
--- a/tests/test_request_table.py
+++ b/tests/test_request_table.py
@@ -15,11 +15,11 @@
 from function_router.decisions.actions import CancelAttempt, EnsureInstances, SendRequest
 from function_router.decisions.types import WorkerState
 from function_router.net import (
+    clock,
     connection,
+    endpoint_registry,
     event_loop,
     request_table,
-    router_process,
-    timer_wheel,
 )
 from function_router.net.close_reason import CloseReason
 from function_router.net.codecs import worker_frames
@@ -133,7 +133,7 @@
 def test_the_time_that_a_call_lay_unread_counts(start_router):
     harness = start_router(FakeWorker(instances=None))
     harness.connect_client().call(ttl="8000")
-    with mock.patch.object(event_loop, "unix_ms", lambda: timer_wheel.unix_ms() + 3000.0):
+    with mock.patch.object(event_loop, "unix_ms", lambda: clock.unix_ms() + 3000.0):
         harness.run_until(lambda: harness.process.table.pending, "it is read")
     [request] = harness.process.table.pending.values()
     assert 0 <= request.deadline_ms - harness.process.loop.turn_started_ms <= 5000.0
@@ -203,7 +203,7 @@
     client.call(call="9b1f03aa5c7e2d41", ttl="80")
     harness.run_until(lambda: client.answers, "it is given up")
     [line] = [line for line in harness.log_lines if "9b1f03aa5c7e2d41" in line]
-    worker = router_process.worker_id_of(worker.id)
+    worker = endpoint_registry.worker_id_of(worker.id)
     assert f"view of {ROW} rejected after" in line
     assert f"order 0 at {worker}" in line
 
@@ -402,7 +402,7 @@
         [link] = harness.process.pool.workers[10].connections
         assert not link.is_connected
         [sent] = [attempt for attempt in harness.process.table._attempts.values() if attempt.is_started]
-        sent.started_at_ms -= LONG_WINDOW["dedup_window"] * late  # the dial takes that long
+        sent.created_at_ms -= LONG_WINDOW["dedup_window"] * late  # the dial takes that long
         harness.run_until(lambda link=link: link.is_connected, "the dial comes up")
         harness.process.table.ensure_instances(EnsureInstances(10, ROW, 0))
         asked = lambda second=second: second.received(worker_frames.ENSURE)  # noqa: E731
--- a/tests/test_router_process.py
+++ b/tests/test_router_process.py
@@ -11,8 +11,9 @@
 
 from function_router.decisions.actions import SendRequest
 from function_router.net import (
+    clock,
+    endpoint_registry,
     router_process,
-    timer_wheel,
 )
 
 NO_CANCEL = {"bounds": {**SETTINGS["bounds"], "cancel": False}}
@@ -114,12 +115,12 @@
     for seqid, op in enumerate(("view", "settle"), 1):
         client.call(op, seqid=seqid, row=f"{seqid:016x}")
         harness.run_until(lambda seqid=seqid: len(worker.requests) == seqid, "it runs")
-    begun = timer_wheel.monotonic_ms()
+    begun = clock.monotonic_ms()
     with mock.patch.object(router_process, "KILL_WAIT_MS", 0.0):  # 0.5 s are left of what would be 9 s
         harness.process.drain()
     client.call("view", seqid=3, row="ff" * 8)
     harness.run_until(lambda: len(client.answer_kinds()) == 4, "all are answered")
-    assert timer_wheel.monotonic_ms() - begun < 4000.0  # their clients would wait for twice that
+    assert clock.monotonic_ms() - begun < 4000.0  # their clients would wait for twice that
     kinds = {seqid: kind for seqid, kind in client.answer_kinds().items() if seqid < 10}
     assert kinds == {1: "throttled", 2: "broken", 3: "throttled"}
     harness.run_until(lambda: not harness.process.loop.running, "it ends")
@@ -149,7 +150,7 @@
     )
     harness.run_until(lambda: harness.process.endpoint_watch.last_sequence == 2, "the drain is told")
     [key] = harness.process.table.pending
-    harness.process.table.send(SendRequest(key, router_process.worker_id_of("s-1")))
+    harness.process.table.send(SendRequest(key, endpoint_registry.worker_id_of("s-1")))
     harness.round_trip(client)
     assert worker.requests + other.requests == []
     assert harness.process.loop.running
--- a/tests/test_timer_wheel.py
+++ b/tests/test_timer_wheel.py
@@ -4,7 +4,8 @@
 from fakes import SETTINGS
 
 from function_router.decisions.types import Outcome
-from function_router.net.timer_wheel import SLOTS, TICK_MS, Clock, TimerWheel
+from function_router.net.clock import Clock
+from function_router.net.timer_wheel import SLOTS, TICK_MS, TimerWheel
 
 
 class Hands:
--- a/tests/test_worker_pool.py
+++ b/tests/test_worker_pool.py
@@ -10,13 +10,14 @@
     SETTINGS,
     FakeWorker,
     attempt,
-    order,
     ready,
+    start_order,
 )
 
 from function_router.decisions.actions import EnsureInstances
 from function_router.decisions.types import Outcome, WorkerState
 from function_router.net import (
+    endpoint_registry,
     router_process,
     worker_pool,
 )
@@ -44,7 +45,7 @@
 
 def router_and_pool(start_router, worker):
     harness = start_router(worker)
-    return harness, harness.process.pool, router_process.worker_id_of(worker.id)
+    return harness, harness.process.pool, endpoint_registry.worker_id_of(worker.id)
 
 
 def test_what_waits_for_a_dial_or_is_unwritten_is_pulled_back(start_router):
@@ -53,11 +54,11 @@
             worker = FakeWorker(instances=None)
             harness, pool, id = router_and_pool(start_router, worker)
             if linked:
-                pool.ensure_instances(order(id, []))
+                pool.ensure_instances(start_order(id, []))
                 harness.run_until(lambda worker=worker: worker.frames, "a link is up")
             ended, before = [], len(worker.frames)
             pool.send(attempt(id, ended))
-            pool.ensure_instances(order(id, ended))
+            pool.ensure_instances(start_order(id, ended))
             pool.update_endpoint(id, None, state, 0.0)
             assert ended == [(CloseReason.DRAINING, False)] * 2
             harness.round_trip(harness.connect_client())
@@ -69,9 +70,9 @@
     harness, pool, id = router_and_pool(start_router, worker)
     pool.update_endpoint(id, None, WorkerState.DRAINING, 0.0)
     pool.send(attempt(id, ended))
-    pool.ensure_instances(order(id, ended))
+    pool.ensure_instances(start_order(id, ended))
     assert ended == [(CloseReason.NOT_SENT, False)] * 2
-    pool.ensure_instances(order(id, ended, instances=0))
+    pool.ensure_instances(start_order(id, ended, instances=0))
     harness.run_until(lambda: len(ended) == 3, "the question is answered")
     assert ended[2] == (Outcome.OK, True)
 
@@ -99,7 +100,7 @@
     address = pool.workers[id].address
     pool.update_endpoint(id, None, WorkerState.REMOVED, 0.0)
     pool.update_endpoint(77, address, WorkerState.READY, 0.0)
-    pool.send(attempt(77, ended, id=b"abcdefgh"))
+    pool.send(attempt(77, ended, exchange_id=b"abcdefgh"))
     harness.run_until(lambda: len(worker.requests) == 2, "the new one runs it")
     assert worker.requests[0][0] is not worker.requests[1][0]
     assert ended == []
@@ -122,7 +123,7 @@
     pool.send(attempt(id, ended))
     harness.run_until(lambda: worker.requests, "it runs")
     pool.update_endpoint(id, None, WorkerState.READY, 5.0)
-    pool.send(attempt(id, ended, id=b"abcdefgh"))
+    pool.send(attempt(id, ended, exchange_id=b"abcdefgh"))
     harness.run_until(lambda: len(worker.requests) == 2, "the next one runs")
     assert worker.requests[0][0] is not worker.requests[1][0]
 
@@ -131,7 +132,7 @@
     peers = FakeWorker("s-1"), FakeWorker("s-2")
     harness, ended = start_router(*peers), {"s-1": [], "s-2": []}
     for peer in peers:
-        harness.process.pool.send(attempt(router_process.worker_id_of(peer.id), ended[peer.id]))
+        harness.process.pool.send(attempt(endpoint_registry.worker_id_of(peer.id), ended[peer.id]))
     harness.run_until(lambda: all(peer.requests for peer in peers), "both run")
     peers[0].requests[0][0].sock.sendall(b"HTTP/1.1 200 OK\r\n\r\n")
     harness.run_until(lambda: ended["s-1"], "the first one ends")
@@ -143,9 +144,9 @@
 def test_what_spoils_a_link_leaves_the_calls_on_the_others_alone(start_router):
     worker, ended = FakeWorker(instances=None), []
     harness = start_router(worker)
-    id = router_process.worker_id_of(worker.id)
+    id = endpoint_registry.worker_id_of(worker.id)
     for n in range(3):
-        harness.process.pool.send(attempt(id, ended, id=b"%08d" % n))
+        harness.process.pool.send(attempt(id, ended, exchange_id=b"%08d" % n))
         links = harness.process.pool.workers[id].connections
         harness.run_until(
             lambda n=n, links=links: [link.is_connected for link in links] == [True] * (n + 2), "a spare"
@@ -162,10 +163,10 @@
 def test_no_spare_link_is_opened_where_new_ones_are_charged_until_calls_share_one(start_router):
     worker = FakeWorker(instances=None)
     harness = start_router(worker, settings={"costs": {"handshake": 0.08}})
-    id = router_process.worker_id_of(worker.id)
+    id = endpoint_registry.worker_id_of(worker.id)
     dials = []
     for n in range(3):
-        harness.process.pool.send(attempt(id, [], id=b"%08d" % n))
+        harness.process.pool.send(attempt(id, [], exchange_id=b"%08d" % n))
         harness.run_until(lambda n=n: len(worker.requests) > n, "it runs")
         dials.append(harness.process.pool.counters["dials"])
     assert dials == [1, 2, 2]
@@ -174,8 +175,8 @@
 def test_a_link_that_the_scorer_has_just_ended_is_not_used_again(start_router):
     worker, ended = FakeWorker(), []
     harness = start_router(worker)
-    id = router_process.worker_id_of(worker.id)
-    harness.process.pool.ensure_instances(order(id, ended))
+    id = endpoint_registry.worker_id_of(worker.id)
+    harness.process.pool.ensure_instances(start_order(id, ended))
     harness.run_until(lambda: ended and len(worker.connections) == 2, "a link and a spare are idle")
     for peer, link in zip(
         worker.connections, list(harness.process.pool.workers[id].connections), strict=True
@@ -192,10 +193,10 @@
 def test_a_connection_carries_so_many_streams_and_no_id_twice(start_router):
     worker, ended = FakeWorker(instances=None), []
     harness = start_router(worker)
-    id = router_process.worker_id_of(worker.id)
+    id = endpoint_registry.worker_id_of(worker.id)
     for n in range(33):
-        harness.process.pool.send(attempt(id, ended, id=b"%08d" % n))
-    harness.process.pool.send(attempt(id, ended, id=b"%08d" % 0))
+        harness.process.pool.send(attempt(id, ended, exchange_id=b"%08d" % n))
+    harness.process.pool.send(attempt(id, ended, exchange_id=b"%08d" % 0))
     harness.run_until(lambda: len(worker.requests) == 34, "all run")
     for link in worker.connections:
         ids = [frame.id for at, frame in worker.requests if at is link]
@@ -206,7 +207,7 @@
 def test_an_id_that_was_given_up_is_not_used_again_on_its_connection(start_router):
     worker, ended = FakeWorker(), []
     harness = start_router(worker)
-    id, first = router_process.worker_id_of(worker.id), []
+    id, first = endpoint_registry.worker_id_of(worker.id), []
     harness.process.pool.send(given_up := attempt(id, first))
     harness.run_until(lambda: worker.requests, "it runs")
     harness.process.pool.cancel(given_up)
@@ -222,14 +223,14 @@
 def test_silence_ends_in_time_for_attempts_orders_and_dials(start_router, unreachable_address):
     worker, ended = FakeWorker(instances=None), []
     harness = start_router(worker)
-    id, pool = router_process.worker_id_of(worker.id), harness.process.pool
-    pool.ensure_instances(order(id, [], instances=0))
+    id, pool = endpoint_registry.worker_id_of(worker.id), harness.process.pool
+    pool.ensure_instances(start_order(id, [], instances=0))
     harness.run_until(lambda: worker.frames, "a link is up")
     pool.wire = msgspec.structs.replace(pool.wire, start_order_timeout_ms=500.0, connect_timeout_ms=60.0)
     harness.process.pool.update_endpoint(9, unreachable_address(), WorkerState.READY, 0.0)
     harness.process.pool.send(attempt(id, ended, within_ms=500.0))
     harness.run_until(lambda: ended, "the attempt ends")
-    harness.process.pool.ensure_instances(order(id, ended))
+    harness.process.pool.ensure_instances(start_order(id, ended))
     harness.run_until(lambda: len(ended) == 2, "the order ends")
     harness.process.pool.send(attempt(9, ended))
     harness.run_until(lambda: len(ended) == 3, "the dial ends")
@@ -239,13 +240,13 @@
 def test_a_link_forgotten_while_idle_makes_others_as_idle_unused(start_router):
     worker, ended = FakeWorker(), []
     harness = start_router(worker)
-    id, pool = router_process.worker_id_of(worker.id), harness.process.pool
-    pool.ensure_instances(order(id, ended))
+    id, pool = endpoint_registry.worker_id_of(worker.id), harness.process.pool
+    pool.ensure_instances(start_order(id, ended))
     harness.run_until(lambda: ended and len(worker.connections) == 2, "a link and a spare are idle")
     used, spare = pool.workers[id].connections
     harness.run_until(lambda: min(used.idle_ms(), spare.idle_ms()) > 100.0, "both are idle for long")
     worker.instances = None
-    pool.ensure_instances(order(id, ended))
+    pool.ensure_instances(start_order(id, ended))
     with mock.patch.object(worker_pool, "STALE_SIGN_MS", 60_000.0):
         harness.run_until(lambda: len(worker.frames) == 2, "it is used again")
         worker.frames[1][0].sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
@@ -260,7 +261,7 @@
 def test_half_a_frame_that_goes_no_further_ends_its_link(start_router):
     worker, ended = FakeWorker(instances=None), []
     harness = start_router(worker)
-    harness.process.pool.send(attempt(router_process.worker_id_of(worker.id), ended))
+    harness.process.pool.send(attempt(endpoint_registry.worker_id_of(worker.id), ended))
     harness.run_until(lambda: worker.requests, "it runs")
     link, frame = worker.requests[0]
     whole = worker_frames.encode(0, frame.id, body=b"x" * 50, mark=worker_frames.FROM_SCORER)
@@ -272,7 +273,7 @@
 def test_a_second_copy_of_an_answer_ends_no_later_attempt(start_router):
     worker, ended = FakeWorker(instances=None), []
     harness = start_router(worker)
-    id = router_process.worker_id_of(worker.id)
+    id = endpoint_registry.worker_id_of(worker.id)
     with mock.patch.object(worker_pool, "CONNECTIONS_BEFORE_SHARING", 1):
         harness.process.pool.send(attempt(id, ended))
         harness.run_until(lambda: worker.requests, "it runs")
@@ -289,11 +290,11 @@
 def test_a_link_that_owes_an_answer_in_silence_gets_nothing_new(start_router):
     worker, ended = FakeWorker(instances=None), []
     harness = start_router(worker)
-    id = router_process.worker_id_of(worker.id)
+    id = endpoint_registry.worker_id_of(worker.id)
     harness.process.pool.send(attempt(id, ended))
     harness.run_until(lambda: worker.requests, "it runs")
     with mock.patch.object(worker_pool, "QUIET_MS", -1.0):
-        harness.process.pool.send(attempt(id, ended, id=b"abcdefgh"))
+        harness.process.pool.send(attempt(id, ended, exchange_id=b"abcdefgh"))
         harness.run_until(lambda: len(worker.requests) == 2, "the second runs")
     assert worker.requests[0][0] is not worker.requests[1][0]
 
@@ -302,7 +303,7 @@
     busy, idle = FakeWorker("s-1", instances=None), FakeWorker("s-2")
     harness, ended = start_router(busy, idle, settings={"bounds": {"keepalive": 0.0}}), []
     for peer in (busy, idle):
-        harness.process.pool.ensure_instances(order(router_process.worker_id_of(peer.id), ended))
+        harness.process.pool.ensure_instances(start_order(endpoint_registry.worker_id_of(peer.id), ended))
     harness.run_until(lambda: ended and busy.frames, "one is answered")
     harness.run_until(lambda: idle.connections[0].ended, "the idle one is closed")
     assert not busy.connections[0].ended
@@ -311,9 +312,9 @@
 def test_links_keep_to_their_share_of_descriptors(start_router):
     worker, ended = FakeWorker(instances=None), []
     harness = start_router(worker, limits={"sockets": 32}, settings={"bounds": {"streams_per_conn": 1}})
-    id = router_process.worker_id_of(worker.id)
+    id = endpoint_registry.worker_id_of(worker.id)
     for n in range(40):
-        harness.process.pool.send(attempt(id, ended, id=b"%08d" % n))
+        harness.process.pool.send(attempt(id, ended, exchange_id=b"%08d" % n))
     harness.run_until(lambda: len(worker.requests) + len(ended) == 40, "all run or end")
     assert set(ended) == {(CloseReason.NO_FILE_DESCRIPTOR, False)}
     assert len(worker.connections) <= 32 * router_process.SCORER_SHARE
@@ -359,10 +360,10 @@
     pool = harness.process.pool
     pool.update_endpoint(PLACE, address_of(worker), WorkerState.READY, 0.0)
     for n in range(worker_pool.MAX_CONNECTIONS):
-        pool.send(attempt(PLACE, ended, id=b"%08d" % n))
+        pool.send(attempt(PLACE, ended, exchange_id=b"%08d" % n))
         harness.run_until(lambda n=n: len(worker.requests) > n, "it runs")
     pool.update_endpoint(PLACE, None, WorkerState.READY, 5.0)
-    pool.send(attempt(PLACE, ended, id=b"abcdefgh"))
+    pool.send(attempt(PLACE, ended, exchange_id=b"abcdefgh"))
     harness.run_until(
         lambda: len(worker.requests) > worker_pool.MAX_CONNECTIONS or ended, "the next one runs"
     )
@@ -370,7 +371,7 @@
 
 
 def test_a_new_scorer_at_an_address_whose_old_one_is_not_told_gone_yet_stands_there_alone(start_router):
-    old, ids = FakeWorker("s-1"), [router_process.worker_id_of(name) for name in ("s-1", "s-2")]
+    old, ids = FakeWorker("s-1"), [endpoint_registry.worker_id_of(name) for name in ("s-1", "s-2")]
     harness = start_router(old)
     workers = harness.process.router.workers
     harness.run_until(lambda: ids[0] in workers, "the old one is known")
@@ -399,7 +400,7 @@
         harness.endpoint_log.send_line({"seq": 2, "fleet": {"complete": True, "members": members}})
         harness.run_until(lambda harness=harness: harness.process.router.ready, "it is told")
         ready_ones = [worker.id for worker in harness.process.router.ready]
-        assert ready_ones == [router_process.worker_id_of("s-2")]
+        assert ready_ones == [endpoint_registry.worker_id_of("s-2")]
         assert list(harness.process.pool.workers) == ready_ones
 
 
@@ -410,7 +411,7 @@
     for n, peer in enumerate(peers):
         cleanups.callback(peer.close)
         harness.process.pool.update_endpoint(n, address_of(peer), WorkerState.READY, 0.0)
-        harness.process.pool.ensure_instances(order(n, ended, instances=0))
+        harness.process.pool.ensure_instances(start_order(n, ended, instances=0))
         harness.run_until(lambda n=n: len(ended) > n, "it is reached")
     assert {end for end, _ in ended} == {Outcome.OK}
     assert harness.process.pool._links <= 32 * router_process.SCORER_SHARE
