--- /dev/null
+++ b/function_router/hashing.py
@@ -0,0 +1,25 @@
+"""Hashes that are the same in every process, and weighted rendezvous hashing."""
+
+import hashlib
+import math
+
+
+def mix64(bits: int) -> int:
+    """Spread a number over 64 well-mixed bits: the finalizer of splitmix64 (Steele, Lea, Flood 2014)."""
+    bits = (bits ^ (bits >> 30)) * 0xBF58476D1CE4E5B9 % 2**64
+    bits = (bits ^ (bits >> 27)) * 0x94D049BB133111EB % 2**64
+    return bits ^ (bits >> 31)
+
+
+def hash64(name: str) -> int:
+    """A 64-bit hash of a name, the same in every process."""
+    return int.from_bytes(hashlib.blake2b(name.encode(), digest_size=8).digest(), "big")
+
+
+def rendezvous_rank(key: int, node: int, weight: float) -> float:
+    """The rank of a node for a key, both 64-bit hashes; the node with the least rank comes first.
+
+    Weighted rendezvous hashing: a node comes first for a part of the keys in proportion to its weight
+    (Schindelhauer, Schomaker 2005).
+    """
+    return -math.log((mix64(key ^ node) + 1) / 2**64) / weight
--- a/function_router/statistics.py
+++ b/function_router/statistics.py
@@ -1,32 +1,11 @@
-"""General structures of statistics and hashing, which know no request, worker or setting.
+"""General structures of statistics, which know no request, worker or setting.
 
 Times are milliseconds of the caller's clock. Nothing here reads a clock or is random.
 """
 
-import hashlib
 import math
 from collections import deque
-
-
-def mix64(bits: int) -> int:
-    """Spread a number over 64 well-mixed bits: the finalizer of splitmix64 (Steele, Lea, Flood 2014)."""
-    bits = (bits ^ (bits >> 30)) * 0xBF58476D1CE4E5B9 % 2**64
-    bits = (bits ^ (bits >> 27)) * 0x94D049BB133111EB % 2**64
-    return bits ^ (bits >> 31)
-
-
-def hash64(name: str) -> int:
-    """A 64-bit hash of a name, the same in every process."""
-    return int.from_bytes(hashlib.blake2b(name.encode(), digest_size=8).digest(), "big")
-
-
-def rendezvous_rank(key: int, node: int, weight: float) -> float:
-    """The rank of a node for a key, both 64-bit hashes; the node with the least rank comes first.
-
-    Weighted rendezvous hashing: a node comes first for a part of the keys in proportion to its weight
-    (Schindelhauer, Schomaker 2005).
-    """
-    return -math.log((mix64(key ^ node) + 1) / 2**64) / weight
+from collections.abc import Iterator
 
 
 class SlidingMedian:
@@ -92,22 +71,72 @@
         self._updated_at_ms = now_ms
 
 
-class TokenBucket:
-    """Tokens that refill at a rate up to a capacity; both may change between two looks."""
+class SlidingWindow:
+    """Moments of late, oldest first."""
 
-    __slots__ = ("_tokens", "_updated_at_ms")
+    __slots__ = ("_times_ms",)
 
-    def __init__(self, now_ms: float, tokens: float) -> None:
-        """Start with so many tokens."""
-        self._tokens = tokens
-        self._updated_at_ms = now_ms
+    def __init__(self) -> None:
+        """Start empty."""
+        self._times_ms: deque[float] = deque()
 
-    def try_take(self, now_ms: float, rate_per_s: float, capacity: float) -> bool:
-        """Take one token, where a whole one is there; False where none is."""
-        refilled = self._tokens + rate_per_s * (now_ms - self._updated_at_ms) / 1000
-        self._tokens = min(capacity, refilled)
-        self._updated_at_ms = now_ms
-        if self._tokens < 1:
-            return False
-        self._tokens -= 1
-        return True
+    def __len__(self) -> int:
+        """How many moments are kept."""
+        return len(self._times_ms)
+
+    def __iter__(self) -> Iterator[float]:
+        """The moments that are kept."""
+        return iter(self._times_ms)
+
+    def clear(self) -> None:
+        """Forget all."""
+        self._times_ms.clear()
+
+    def add(self, time_ms: float) -> None:
+        """Keep a moment, not before the last one."""
+        self._times_ms.append(time_ms)
+
+    def discard(self, time_ms: float) -> None:
+        """Forget one such moment, if it is kept."""
+        if time_ms in self._times_ms:
+            self._times_ms.remove(time_ms)
+
+    def forget_before(self, time_ms: float, *, inclusive: bool = False) -> None:
+        """Forget what is older, or with `inclusive` as old."""
+        times_ms = self._times_ms
+        while times_ms and (times_ms[0] < time_ms or (inclusive and times_ms[0] == time_ms)):
+            times_ms.popleft()
+
+
+class ArrivalRate:
+    """A rate of arrivals: a count that decays exponentially, or the last few if they came in a burst."""
+
+    __slots__ = ("_count", "_fade_ms", "_last_ms")
+
+    def __init__(self, fade_ms: float, burst: int) -> None:
+        """Decay over `fade_ms`; the last `burst` arrivals count by themselves."""
+        self._fade_ms = fade_ms
+        self._count = 0.0
+        self._last_ms: deque[float] = deque(maxlen=burst)
+
+    @property
+    def last_ms(self) -> float:
+        """When the last one came; minus infinity before the first."""
+        return self._last_ms[-1] if self._last_ms else -math.inf
+
+    def decay(self, now_ms: float) -> float:
+        """The factor by which a count of the last arrival's time has decayed by now."""
+        return math.exp((self._last_ms[-1] - now_ms) / self._fade_ms) if self._last_ms else 1.0
+
+    def rate(self, now_ms: float, since_ms: float, min_stretch_ms: float) -> float:
+        """Arrivals a millisecond, of a process that began at `since_ms`; no rate is taken over less."""
+        stretch_ms = min(self._fade_ms, now_ms - since_ms + min_stretch_ms)
+        rate = self._count * self.decay(now_ms) / stretch_ms
+        if len(self._last_ms) == self._last_ms.maxlen:
+            rate = max(rate, len(self._last_ms) / max(now_ms - self._last_ms[0], min_stretch_ms))
+        return rate
+
+    def add(self, now_ms: float) -> None:
+        """Count an arrival."""
+        self._count = self._count * self.decay(now_ms) + 1
+        self._last_ms.append(now_ms)
--- a/tests/test_many_routers.py
+++ b/tests/test_many_routers.py
@@ -7,9 +7,10 @@
 
 from function_router.decisions.actions import EnsureInstances, RejectRequest, SendRequest
 from function_router.decisions.events import Endpoint, EndpointsChanged
-from function_router.decisions.router import ASK_FACTOR, Function, Router
+from function_router.decisions.router import FAR_FACTOR, Router
+from function_router.decisions.state import Function
 from function_router.decisions.types import Outcome
-from function_router.statistics import hash64
+from function_router.hashing import hash64
 
 SOLD = {"t": 100.0}
 
@@ -51,8 +52,8 @@
     router = drive.router
     for name in (f"f{n}" for n in range(400)):  # those whose first worker is the same
         router.functions[name] = Function(name, "safe", 2, None, hash64(name))
-    first = router._ordered(router.functions["f0"])[0]
-    meeting = [fn.name for fn in router.functions.values() if router._ordered(fn)[0] is first]
+    first = router._hash_order(router.functions["f0"])[0]
+    meeting = [fn.name for fn in router.functions.values() if router._hash_order(fn)[0] is first]
     router.functions.clear()
     homes = Counter()
     for turn in range(60):
@@ -61,15 +62,15 @@
             homes[send.worker_id] += 1
             drive.end(send)
     assert len(meeting) >= 5 and sum(homes.values()) >= 60
-    assert homes[first.id] <= 60 / 20 * ASK_FACTOR + 2
+    assert homes[first.id] <= 60 / 20 * FAR_FACTOR + 2
 
 
 def test_the_switch_goes_off_at_te_here_too():
     [drive, *_] = fleet(40)
     fn = Function("f", "safe", 2, None, hash64("f"))
-    drive.router.runs.add(0.0, 100.0)
+    drive.router.run_times.add(0.0, 100.0)
     fn.idle_ms = 150.0  # longer than a run
-    assert not drive.router._load_path(fn)
+    assert not drive.router._speculates(fn)
 
 
 def test_who_knows_no_copy_asks_the_fit_worker_that_all_ask_first():
@@ -79,9 +80,9 @@
         for send in standing(drive, drive.ask(f"r{turn}", "hot", lanes=2, tenant="t")):
             drive.end(send)
     fn = drive.router.functions["hot"]
-    fn.instances.clear()
-    fn.known = None
-    first = next(filter(drive.router._fit, drive.router._ordered(fn)))
+    fn.pools.clear()
+    fn.known_workers = None
+    first = next(filter(drive.router._is_fit, drive.router._hash_order(fn)))
     asks = of(drive.ask("next", "hot", lanes=2, tenant="t"), EnsureInstances)
     assert fn.width > 1 and [ask.worker_id for ask in asks] == [first.id]
 
@@ -104,7 +105,7 @@
     for count in (4.5, 8.0):
         worker.sends.reset(drive.now, count)
         router.sends.reset(drive.now, 60.0)  # a share of three
-        assert not router._fit(worker)
+        assert not router._is_fit(worker)
         asked.append(bool(of(drive.ask(f"r{count}", lanes=2, tenant="t"), EnsureInstances)))
     assert asked == [False, True]
 
@@ -113,14 +114,14 @@
     [drive, *_] = fleet(40)
     router = drive.router
     for _ in range(5):
-        router.runs.add(0.0, 200.0)
+        router.run_times.add(0.0, 200.0)
     [send] = standing(drive, drive.ask("long", tenant="t"))
     worker = router.workers[send.worker_id]
     worker.sends.reset(drive.now)
     signs, fit = [], []
     for ms in (540, 200, 1000):  # three runs, and eight
         signs.append([h for h in of(drive.sweep(drive.now + ms), EnsureInstances) if not h.instances])
-        fit.append(router._fit(worker))
+        fit.append(router._is_fit(worker))
     assert fit == [True, False, False]
     assert [bool(asked) for asked in signs] == [False, False, True]
 
@@ -135,19 +136,19 @@
 def test_the_limit_in_flight_shrinks_with_the_workers_that_live():
     [drive, *_] = fleet(40)
     router = drive.router
-    router._refresh()
-    whole = router.limit
+    router._refresh_limits()
+    whole = router.max_in_flight
     for worker in router.ready[:10]:
-        router._suspect(worker)
-    router._refresh()
-    assert router.wide and router.limit == whole / 2
+        router._hold_unresponsive(worker)
+    router._refresh_limits()
+    assert router.many_routers and router.max_in_flight == whole / 2
 
 
 def test_a_call_that_is_late_and_out_nowhere_is_given_up_before_its_deadline():
     [drive, *_] = fleet(40)
     [send] = standing(drive, drive.ask("r", tenant="t", budget=2500.0))
     for worker in drive.router.ready:  # nobody else can take it
-        worker.limit = 0.0
+        worker.max_in_flight = 0.0
     drive.end(send, Outcome.ERROR, closed=False)
     drive.sweep(2500.0)
     [given_up] = [now for now, action in drive.log if isinstance(action, RejectRequest)]
@@ -238,7 +239,7 @@
         drive.now += 2000.0
         for send in standing(drive, drive.ask(f"r{n}", tenant="t")):
             drive.end(send)
-    assert not any(worker.sent for worker in drive.router.ready)
+    assert not any(worker.slow_start_sends for worker in drive.router.ready)
 
 
 def test_a_worker_that_is_full_is_passed_over_for_a_while():
@@ -302,13 +303,13 @@
 
 def test_attempts_out_past_the_promise_leave_the_own_limit():
     drive = fleet(100)[0]
-    limit = drive.router.limit
+    limit = drive.router.max_in_flight
     for n in range(12):
         standing(drive, drive.ask(f"r{n}", fn=f"f{n}", tenant="t"))
-    held = len(drive.router.flying)
+    held = len(drive.router.in_flight)
     assert held <= limit + 1 < 12
     drive.sweep(drive.now + 1200)
-    assert not any(drive.now - a.sent_ms > 1100 for a in drive.router.flying)
+    assert not any(drive.now - a.sent_ms > 1100 for a in drive.router.in_flight)
 
 
 def steps(workers):
--- a/tests/test_repository.py
+++ b/tests/test_repository.py
@@ -13,7 +13,8 @@
 ROOT = Path(__file__).parent.parent
 DEPLOYMENT = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())
 POLICY_SOURCES = [(ROOT / path).read_text() for path in DEPLOYMENT["policy"]]
-STATISTICS = (ROOT / "function_router" / "statistics.py").read_text()
+GENERAL = ["statistics.py", "limits.py", "hashing.py"]  # structures that the decisions use
+GENERAL_SOURCES = [(ROOT / "function_router" / name).read_text() for name in GENERAL]
 
 
 def test_policy_keeps_its_limits():
@@ -22,7 +23,7 @@
     assert max(len(line) for line in lines) <= 110
 
 
-@pytest.mark.parametrize("source", [*POLICY_SOURCES, STATISTICS], ids=[*DEPLOYMENT["policy"], "statistics"])
+@pytest.mark.parametrize("source", [*POLICY_SOURCES, *GENERAL_SOURCES], ids=[*DEPLOYMENT["policy"], *GENERAL])
 def test_policy_has_no_clock_no_random_source_and_no_builtin_hash(source):
     tree = ast.parse(source)
     modules = set()
@@ -33,7 +34,8 @@
             modules.add(node.module)
     allowed = {"hashlib", "math", "collections", "dataclasses", "itertools"}
     allowed |= {f"function_router.decisions.{name}" for name in ("actions", "events", "settings", "types")}
-    allowed |= {"function_router", "function_router.decisions", "function_router.statistics"}
+    allowed |= {"collections.abc", "msgspec", "function_router.decisions", "function_router.decisions.state"}
+    allowed |= {f"function_router.{name.removesuffix('.py')}" for name in GENERAL}
     assert modules <= allowed
     calls = {n.func.id for n in ast.walk(tree) if isinstance(n, ast.Call) and isinstance(n.func, ast.Name)}
     assert "hash" not in calls
--- a/tests/test_request_table.py
+++ b/tests/test_request_table.py
@@ -335,7 +335,7 @@
     second.call(call="ab" * 8, body=b"another")
     harness.run_until(lambda: len(first.answers) == 30 and second.answers, "all others are answered")
     assert set(first.answer_kinds().values()) | set(second.answer_kinds().values()) == {"exception"}
-    assert (len(harness.process.table.pending), len(harness.process.router.taken)) == (1, 1)
+    assert (len(harness.process.table.pending), len(harness.process.router.recent_arrivals)) == (1, 1)
 
 
 def test_an_id_is_free_again_once_its_request_is_over_or_its_client_has_gone(start_router):
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -1,6 +1,7 @@
 """The decision module, driven by events."""
 
 from decision_harness import DecisionHarness, of
+from msgspec import structs
 
 from function_router.decisions.actions import (
     EnsureInstances,
@@ -10,7 +11,8 @@
     SendRequest,
 )
 from function_router.decisions.events import Endpoint, EndpointsChanged, RequestCancelled, TimerFired
-from function_router.decisions.router import MAX_FUNCTIONS, Function
+from function_router.decisions.router import MAX_FUNCTIONS
+from function_router.decisions.state import Function
 from function_router.decisions.types import Outcome, StartKind, WorkerState
 
 # --- the ordinary path ---------------------------------------------------------------------
@@ -82,7 +84,8 @@
     d.now += 20
     d.count(load.worker_id, 1)
     d.now += 150  # the raced copy idles for longer than the run of 100 ms
-    d.router.workers[load.worker_id].entry.state = WorkerState.DRAINING  # and is out of reach
+    worker = d.router.workers[load.worker_id]
+    worker.endpoint = structs.replace(worker.endpoint, state=WorkerState.DRAINING)  # and is out of reach
     actions = d.ask("r3")
     assert not [hold for hold in of(actions, EnsureInstances) if hold.instances]
     waited = d.now
@@ -120,7 +123,7 @@
         if known:
             d.end(send, Outcome.RESET)
     assert "g" not in d.router.functions and len(d.router.workers) == 3
-    assert not [fn for fn in d.router.functions.values() if home in fn.instances]
+    assert not [fn for fn in d.router.functions.values() if home in fn.pools]
 
 
 def test_same_home_at_all_front_ends():
@@ -310,7 +313,7 @@
     d.end(send, Outcome.RESET, closed=False)
     d.feed(EndpointsChanged([Endpoint(home, started_at_ms=started)], is_complete=False))
     worker, fn = d.router.workers[home], d.router.functions["f"]
-    assert d.router._copies(fn.instances[home], worker) == 0
+    assert d.router._instances(fn.pools[home], worker) == 0
 
 
 def test_a_call_that_found_no_copy_takes_the_belief_in_several_away():
@@ -324,7 +327,7 @@
             d.now += 1.0
             d.count(home, 3)
         d.end(send, warmth=StartKind.COLD_START, crowd=crowd)
-        assert d.router.functions["f"].instances[home].instances == left
+        assert d.router.functions["f"].pools[home].count == left
 
 
 def test_ration_of_loads_at_its_edge():
@@ -402,7 +405,7 @@
         if answered:
             d.count(home, 1)
         d.sweep(d.now + 200)
-        assert (d.router.workers[home].suspect_ms is None) is answered
+        assert (d.router.workers[home].unresponsive_since_ms is None) is answered
         assert [send.worker_id for send in of(d.ask("r2"), SendRequest)] == [home] * answered
 
 
@@ -426,12 +429,12 @@
         send.worker_id for send in of(d.answer_asks(d.ask("r3", lanes=2), {home: 1}), SendRequest)
     ]
     router, fn, worker = d.router, d.router.functions["f"], d.router.workers[home]
-    assert router._usable(worker, Function("g", "unsafe", 1, None, 0))  # another class goes on there
+    assert router._is_usable(worker, Function("g", "unsafe", 1, None, 0))  # another class goes on there
     for send in lost:
         d.end(send, Outcome.CANCELLED, closed=True)
     d.now += 2000
     assert [(send.request_id, send.worker_id) for send in of(d.count(home, 1), SendRequest)] == [("r3", home)]
-    assert not router._usable(worker, fn.kind)
+    assert not router._is_usable(worker, fn.class_name)
     assert not of(d.ask("r4", lanes=2), SendRequest)
 
 
@@ -441,11 +444,11 @@
         home = d.warm(lanes=4, spec="unsafe")
         worker, fn = d.router.workers[home], d.router.functions["f"]
         if not served:
-            fn.runs.clear()
+            fn.run_times.clear()
         sends = of(d.ask("r1", spec="unsafe", lanes=4) + d.ask("r2", spec="unsafe", lanes=4), SendRequest)
         for send in sends:
             d.end(send, Outcome.ERROR, closed=False)
-        assert len(sends) == 2 and d.router._usable(worker, fn.kind) is not served
+        assert len(sends) == 2 and d.router._is_usable(worker, fn.class_name) is not served
 
 
 def test_answers_that_come_after_all_take_their_losses_back():
@@ -461,13 +464,13 @@
     d.ask("r1")
     d.sweep(d.now + 1000)
     assert [a for a in of(d.count(home, 1), LogMessage) if "again" in a.text]
-    assert d.router.workers[home].suspect_ms is None
+    assert d.router.workers[home].unresponsive_since_ms is None
 
 
 def test_suspicion_never_takes_most_of_the_fleet():
     d = DecisionHarness(workers=2)
     for n in (1, 2):
-        d.router._suspect(d.router.workers[n])
+        d.router._hold_unresponsive(d.router.workers[n])
     assert [hold for hold in of(d.ask("r1"), EnsureInstances)]
 
 
@@ -491,15 +494,15 @@
 
 def test_slow_loads_lower_the_number_under_way_and_timely_ones_raise_it():
     d = DecisionHarness()
-    start = d.router.loads_limit
+    start = d.router.start_order_limit.value
     loads = of(d.answer_asks(d.ask("r1", load_ms=100.0)), EnsureInstances)
     d.now += 1000
     d.count(loads[0].worker_id, 1)
-    low = d.router.loads_limit
+    low = d.router.start_order_limit.value
     loads = of(d.answer_asks(d.ask("r2", fn="g")), EnsureInstances)
     d.now += 200
     d.count(loads[0].worker_id, 1, "g")
-    assert low < start and d.router.loads_limit > low
+    assert low < start and d.router.start_order_limit.value > low
 
 
 def test_a_try_with_little_time_is_answered_before_the_next_sweep():
@@ -511,7 +514,7 @@
 
 def test_workers_that_leave_do_not_raise_the_limit_of_the_others():
     d = DecisionHarness(workers=4, tenant_quotas_rps={"t": 40.0})
-    before = d.router.workers[1].limit
+    before = d.router.workers[1].max_in_flight
     d.feed(EndpointsChanged([Endpoint(n, WorkerState.REMOVED) for n in (2, 3, 4)], is_complete=False))
     d.sweep(40)
-    assert d.router.workers[1].limit == before < 20
+    assert d.router.workers[1].max_in_flight == before < 20
--- a/tests/test_worker_pool.py
+++ b/tests/test_worker_pool.py
@@ -379,7 +379,7 @@
     harness.endpoint_log.send_line({"seq": 2, "fleet": {"members": [member]}})
     harness.run_until(lambda: ids[1] in workers, "the new one is told")
     for seq, phase in ((3, "in_service"), (4, "terminated")):  # what is told late of the old one
-        states = [workers[id].entry.state for id in ids]
+        states = [workers[id].endpoint.state for id in ids]
         assert states == [WorkerState.REMOVED, WorkerState.READY]
         assert list(harness.process.pool.workers) == [ids[1]]
         harness.endpoint_log.send_line({"seq": seq, "fleet": {"members": [old.record(phase)]}})
@@ -431,7 +431,7 @@
     """So many orders leave now."""
     now_ms = harness.process.loop.clock.now_ms()
     for _ in range(count):
-        harness.process.router.ordered.append(now_ms)
+        harness.process.router.start_order_times.add(now_ms)
 
 
 def order_that_waits(harness, peer):
@@ -440,7 +440,7 @@
     harness.process.pool.update_endpoint(PLACE, address_of(peer), WorkerState.READY, 0.0)
     now_ms = harness.process.loop.clock.now_ms()
     harness.process.table.begin_batch(now_ms)
-    harness.process.router.ordered.append(now_ms)
+    harness.process.router.start_order_times.add(now_ms)
     harness.process.table.ensure_instances(EnsureInstances(PLACE, ROW, 1))
 
 
@@ -451,7 +451,7 @@
         client.call(call="ab" * 8, seqid=seqid, ttl="52")
         client.cancel(seqid)
     harness.round_trip(client)
-    assert harness.process.router.taken == {}
+    assert harness.process.router.recent_arrivals == {}
 
 
 def test_an_id_that_comes_again_each_time_that_it_is_turned_away_counts_once(start_router):
@@ -461,7 +461,7 @@
         client.call(call="ab" * 8, seqid=seqid, ttl="52")
         harness.run_until(lambda seqid=seqid: seqid in client.answer_kinds(), "it is turned away")
     assert set(client.answer_kinds().values()) == {"throttled"}
-    assert list(harness.process.router.taken) == ["ab" * 8]
+    assert list(harness.process.router.recent_arrivals) == ["ab" * 8]
 
 
 def test_an_order_whose_connection_comes_up_late_keeps_to_the_ration_of_then(start_router):
@@ -476,7 +476,7 @@
         harness.run_until(lambda peer=peer: peer.frames, "what is sent after it arrives")
         counts = [frame.fields["slots_up"] for _, frame in peer.received(worker_frames.ENSURE)]
         assert ("1" in counts) == (others == 1)
-        ordered = list(harness.process.router.ordered)
+        ordered = list(harness.process.router.start_order_times)
         assert len(ordered) == 2
         then_ms = harness.process.loop.clock.now_ms() - 1000.0
         assert min(ordered) > then_ms
@@ -487,7 +487,7 @@
     order_that_waits(harness, peer)
     harness.run_until(lambda: peer.frames, "a connection stands")
     [link, *_] = harness.process.pool.workers[PLACE].connections
-    harness.process.router.ordered.clear()
+    harness.process.router.start_order_times.clear()
     pump, peer.pump = peer.pump, lambda: None  # it reads no more
     filler = link.connection.write(b"")
     while not link.connection._blocked:
@@ -496,7 +496,7 @@
     with mock.patch.object(worker_pool, "MAX_PENDING_BYTES", 1 << 30):
         now_ms = harness.process.loop.clock.now_ms()
         harness.process.table.begin_batch(now_ms)
-        harness.process.router.ordered.append(now_ms)
+        harness.process.router.start_order_times.add(now_ms)
         for other in harness.process.pool.workers[PLACE].connections[1:]:
             other.connection.close(CloseReason.IDLE)
         harness.process.table.ensure_instances(EnsureInstances(PLACE, ROW, 2))
