--- /dev/null
+++ b/tests/test_sequence_tracker.py
@@ -0,0 +1,102 @@
+"""Tests of `sequence_tracker`."""
+
+import pytest
+
+from function_router.net.sequence_tracker import Announcement, SequenceTracker
+
+
+@pytest.fixture
+def tracker():
+    """A tracker at sequence number 5."""
+    return SequenceTracker(5)
+
+
+@pytest.mark.parametrize(("sequence", "is_applied"), [(4, True), (5, True), (6, False)])
+def test_events_up_to_the_last_sequence_are_applied(tracker, sequence, is_applied):
+    assert tracker.is_applied(sequence) is is_applied
+
+
+@pytest.mark.parametrize(("sequence", "has_gap"), [(6, False), (7, True)])
+def test_only_the_next_sequence_has_no_gap_before_it(tracker, sequence, has_gap):
+    assert tracker.has_gap_before(sequence) is has_gap
+
+
+@pytest.mark.parametrize(("sequence", "last_sequence"), [(3, 5), (9, 9)])
+def test_advance_never_goes_back(tracker, sequence, last_sequence):
+    tracker.advance_to(sequence)
+
+    assert tracker.last_sequence == last_sequence
+
+
+def test_invalid_line_is_requested_again_once_and_then_skipped(tracker):
+    decisions = [tracker.record_invalid_line() for _ in range(3)]
+
+    assert decisions == [True, False, True]
+
+
+def test_applied_event_makes_the_next_invalid_line_a_first_one(tracker):
+    tracker.record_invalid_line()
+    tracker.record_applied(6, is_ahead_of_gap=False)
+
+    assert not tracker.awaits_repeat
+    assert tracker.record_invalid_line()
+
+
+def test_skipped_event_is_still_applied_if_it_comes(tracker):
+    tracker.skip_through(8)
+
+    assert tracker.position == 8
+    assert not tracker.is_applied(7)
+    assert not tracker.has_gap_before(9)
+
+
+def test_announced_position_clears_skips_beyond_it(tracker):
+    tracker.skip_through(8)
+    tracker.record_invalid_line()
+
+    announcement = tracker.record_announcement(7, may_repeat_request=False)
+
+    assert announcement is Announcement.CAUGHT_UP
+    assert tracker.position == 7
+    assert not tracker.awaits_repeat
+
+
+def test_missing_events_are_requested_once_until_a_repeat_is_due(tracker):
+    first = tracker.record_announcement(7, may_repeat_request=False)
+    early = tracker.record_announcement(7, may_repeat_request=False)
+    repeated = tracker.record_announcement(7, may_repeat_request=True)
+
+    assert first is Announcement.EVENTS_MISSING
+    assert early is Announcement.EVENTS_STILL_MISSING
+    assert repeated is Announcement.EVENTS_MISSING
+
+
+def test_forgotten_requests_may_be_made_again(tracker):
+    tracker.record_announcement(7, may_repeat_request=False)
+    tracker.record_invalid_line()
+
+    tracker.forget_requests()
+
+    assert tracker.record_announcement(7, may_repeat_request=False) is Announcement.EVENTS_MISSING
+    assert tracker.record_invalid_line()
+
+
+def test_snapshot_beyond_the_announced_sequence_is_revoked(tracker):
+    tracker.record_applied(99, is_ahead_of_gap=True)
+
+    announcement = tracker.record_announcement(6, may_repeat_request=False)
+
+    assert announcement is Announcement.SNAPSHOT_REVOKED
+    assert tracker.last_sequence == 5
+    assert tracker.position == 5
+
+
+def test_snapshot_that_an_announcement_confirms_stays(tracker):
+    tracker.record_applied(99, is_ahead_of_gap=True)
+
+    confirmed = tracker.record_announcement(99, may_repeat_request=False)
+    later = tracker.record_announcement(6, may_repeat_request=False)
+
+    assert confirmed is Announcement.CAUGHT_UP
+    assert later is Announcement.CAUGHT_UP
+    assert tracker.last_sequence == 99
