--- a/function_router/net/endpoint_registry.py
+++ b/function_router/net/endpoint_registry.py
@@ -1,8 +1,124 @@
-"""The workers that the endpoint list names: their ids and addresses."""
+"""The workers that the endpoint list names: their ids, addresses and states as last notified."""
 
 import hashlib
+from collections.abc import Callable
+from dataclasses import dataclass
 
+from msgspec.structs import replace
 
-def worker_id_of(id: str) -> int:
-    """The same at every front end, so that all make the same hash orders."""
-    return int.from_bytes(hashlib.blake2b(id.encode(), digest_size=4).digest(), "big")
+from function_router.config import Address, EndpointList, EndpointRecord, parse_address
+from function_router.decisions.events import Endpoint, EndpointsChanged
+from function_router.decisions.types import WorkerState
+from function_router.net.worker_pool import WorkerPool
+
+# Bytes of a worker id: enough for the workers of one list to have different ones.
+WORKER_ID_BYTES = 4
+# The key of the address in an endpoint record, for the text of an error.
+ADDRESS_FIELD = "host_port"
+
+_STATES_BY_PHASE = {
+    "in_service": WorkerState.READY,
+    "terminating": WorkerState.DRAINING,
+    "terminated": WorkerState.REMOVED,
+}
+
+
+def worker_id_of(name: str) -> int:
+    """The number of the worker that has this name; the same in every router, as the hash orders use it."""
+    return int.from_bytes(hashlib.blake2b(name.encode(), digest_size=WORKER_ID_BYTES).digest(), "big")
+
+
+@dataclass(frozen=True, slots=True)
+class AddressedEndpoint:
+    """An endpoint for the decisions, and the address that only the network needs."""
+
+    endpoint: Endpoint
+    address: Address | None  # None: not given, and unchanged if it was before
+
+    @classmethod
+    def from_record(cls, record: EndpointRecord) -> "AddressedEndpoint":
+        """Convert a record of the endpoint list.
+
+        Raises:
+            ConfigurationError: The record's address is not a numeric one with a port.
+        """
+        address = parse_address(record.host_port, ADDRESS_FIELD) if record.host_port else None
+        endpoint = Endpoint(
+            worker_id=worker_id_of(record.id),
+            state=_STATES_BY_PHASE[record.phase],
+            machine_kind=record.flavor,
+            zone=record.locality,
+            cell=record.cell,
+            size=record.size,
+            started_at_ms=record.up_since_ms or None,
+        )
+        return cls(endpoint, address)
+
+
+def _started_at_ms(endpoint: Endpoint) -> float:
+    return endpoint.started_at_ms or 0.0
+
+
+class EndpointRegistry:
+    """Keeps the endpoint list, and passes its changes on to the worker pool and to the decisions."""
+
+    def __init__(self, pool: WorkerPool, on_changed: Callable[[EndpointsChanged], None]) -> None:
+        self._pool = pool
+        self._on_changed = on_changed
+        self._endpoints: dict[int, Endpoint] = {}  # by worker id, without the removed ones
+
+    def apply(self, endpoint_list: EndpointList) -> None:
+        """Take over a complete list, or the changed endpoints of one.
+
+        Raises:
+            ConfigurationError: The list has an invalid address; nothing of it is taken over.
+        """
+        notified = [AddressedEndpoint.from_record(record) for record in endpoint_list.members]
+        if endpoint_list.complete:
+            self._remove_all_except({item.endpoint.worker_id for item in notified})
+        changed: list[Endpoint] = []
+        for item in notified:
+            changed += self._update(item)
+        self._endpoints = {
+            worker_id: endpoint
+            for worker_id, endpoint in self._endpoints.items()
+            if endpoint.state is not WorkerState.REMOVED
+        }
+        self._on_changed(EndpointsChanged(changed, endpoint_list.complete))
+
+    def _remove_all_except(self, worker_ids: set[int]) -> None:
+        self._pool.remove_all_except(worker_ids)
+        self._endpoints = {
+            worker_id: endpoint for worker_id, endpoint in self._endpoints.items() if worker_id in worker_ids
+        }
+
+    def _update(self, item: AddressedEndpoint) -> list[Endpoint]:
+        """Store an endpoint; all that changed by it, those that it displaces at its address first.
+
+        Of the workers at one address, only the one started last is there, though the list may name the
+        others as removed only later. Requests for an earlier process must not reach the new one, whose
+        instances are all cold.
+        """
+        endpoint = item.endpoint
+        displaced = self._others_at_address(item)
+        if any(_started_at_ms(other) > _started_at_ms(endpoint) for other in displaced):
+            endpoint = replace(endpoint, state=WorkerState.REMOVED)
+            displaced = []
+        removed = [replace(other, state=WorkerState.REMOVED) for other in displaced]
+        for other in removed:
+            self._pool.update_endpoint(other.worker_id, None, other.state, 0.0)
+            self._endpoints[other.worker_id] = other
+        started_at_ms = _started_at_ms(endpoint)
+        self._pool.update_endpoint(endpoint.worker_id, item.address, endpoint.state, started_at_ms)
+        self._endpoints[endpoint.worker_id] = endpoint
+        return [*removed, endpoint]
+
+    def _others_at_address(self, item: AddressedEndpoint) -> list[Endpoint]:
+        """The other workers at the address of a ready one."""
+        if item.endpoint.state is not WorkerState.READY or item.address is None:
+            return []
+        return [
+            self._endpoints[worker_id]
+            for worker_id in self._pool.workers_at(item.address)
+            if worker_id != item.endpoint.worker_id and worker_id in self._endpoints
+        ]
--- /dev/null
+++ b/tests/test_endpoint_registry.py
@@ -0,0 +1,184 @@
+"""Tests of `endpoint_registry`."""
+
+import pytest
+from fakes import FakeWorker
+
+from function_router.config import ConfigurationError, EndpointList, EndpointRecord
+from function_router.decisions.types import WorkerState
+from function_router.net.endpoint_registry import AddressedEndpoint, EndpointRegistry, worker_id_of
+
+ADDRESS = ("127.0.0.1", 4000)
+HOST_PORT = "127.0.0.1:4000"
+
+
+class FakePool:
+    """Keeps the updates that it gets, and the address of each worker that is not removed."""
+
+    def __init__(self):
+        self.updates = []
+        self.kept = None  # the ids that the last complete list names
+        self.addresses = {}
+
+    def update_endpoint(self, worker_id, address, state, started_at_ms):
+        """Note the update."""
+        self.updates.append((worker_id, address, state, started_at_ms))
+        if state is WorkerState.REMOVED:
+            self.addresses.pop(worker_id, None)
+        elif address is not None:
+            self.addresses[worker_id] = address
+
+    def workers_at(self, address):
+        """The ids of the workers at an address."""
+        return [worker_id for worker_id, at in self.addresses.items() if at == address]
+
+    def remove_all_except(self, worker_ids):
+        """Note the ids and forget all other workers."""
+        self.kept = worker_ids
+        self.addresses = {key: at for key, at in self.addresses.items() if key in worker_ids}
+
+
+class Harness:
+    """A registry with a fake pool, and the changes that it passes on."""
+
+    def __init__(self):
+        self.pool = FakePool()
+        self.changes = []
+        self.registry = EndpointRegistry(self.pool, self.changes.append)
+
+    def apply(self, *records, complete=False):
+        """Apply a list; the workers of the change and their states, in order."""
+        self.registry.apply(EndpointList(list(records), complete=complete))
+        return [(endpoint.worker_id, endpoint.state) for endpoint in self.changes[-1].endpoints]
+
+
+@pytest.fixture
+def harness():
+    """A registry without endpoints."""
+    return Harness()
+
+
+def record(name, phase="in_service", host_port=HOST_PORT, **fields):
+    return EndpointRecord(id=name, phase=phase, host_port=host_port, **fields)
+
+
+@pytest.mark.parametrize(
+    ("phase", "state"),
+    [
+        ("in_service", WorkerState.READY),
+        ("terminating", WorkerState.DRAINING),
+        ("terminated", WorkerState.REMOVED),
+    ],
+)
+def test_record_is_converted_to_an_endpoint_and_its_address(phase, state):
+    fields = {"locality": "east", "flavor": "large", "cell": 3, "size": 2.5, "up_since_ms": 7.0}
+
+    converted = AddressedEndpoint.from_record(record("s-1", phase, **fields))
+
+    endpoint = converted.endpoint
+    assert converted.address == ADDRESS
+    assert endpoint.worker_id == worker_id_of("s-1")
+    assert endpoint.state is state
+    assert (endpoint.zone, endpoint.machine_kind, endpoint.cell, endpoint.size) == ("east", "large", 3, 2.5)
+    assert endpoint.started_at_ms == 7.0
+
+
+def test_record_without_address_and_start_time_leaves_both_open():
+    converted = AddressedEndpoint.from_record(record("s-1", host_port=""))
+
+    assert converted.address is None
+    assert converted.endpoint.started_at_ms is None
+
+
+def test_list_with_an_invalid_address_changes_nothing(harness):
+    with pytest.raises(ConfigurationError, match="host_port"):
+        harness.apply(record("s-1"), record("s-2", host_port="here"), complete=True)
+
+    assert harness.pool.updates == []
+    assert harness.pool.kept is None
+    assert harness.changes == []
+
+
+def test_complete_list_removes_the_workers_that_it_leaves_out(harness):
+    harness.apply(record("s-1"))
+
+    changed = harness.apply(record("s-2", host_port="127.0.0.1:4001"), complete=True)
+
+    assert harness.pool.kept == {worker_id_of("s-2")}
+    assert changed == [(worker_id_of("s-2"), WorkerState.READY)]
+    assert harness.changes[-1].is_complete
+
+
+def test_later_worker_displaces_the_earlier_one_at_its_address(harness):
+    old = worker_id_of("s-1")
+    new = worker_id_of("s-2")
+    harness.apply(record("s-1", up_since_ms=1.0))
+
+    changed = harness.apply(record("s-2", up_since_ms=2.0))
+
+    assert changed == [(old, WorkerState.REMOVED), (new, WorkerState.READY)]
+    assert harness.pool.updates[-2:] == [
+        (old, None, WorkerState.REMOVED, 0.0),
+        (new, ADDRESS, WorkerState.READY, 2.0),
+    ]
+
+
+def test_earlier_worker_at_the_address_of_a_later_one_counts_as_removed(harness):
+    harness.apply(record("s-2", up_since_ms=2.0))
+
+    changed = harness.apply(record("s-1", up_since_ms=1.0))
+
+    assert changed == [(worker_id_of("s-1"), WorkerState.REMOVED)]
+    assert harness.pool.workers_at(ADDRESS) == [worker_id_of("s-2")]
+
+
+def test_draining_worker_displaces_nobody(harness):
+    harness.apply(record("s-1"))
+
+    changed = harness.apply(record("s-2", "terminating", up_since_ms=2.0))
+
+    assert changed == [(worker_id_of("s-2"), WorkerState.DRAINING)]
+
+
+def test_new_worker_at_the_address_of_one_not_yet_notified_as_removed_is_there_alone(start_router):
+    old = FakeWorker("s-1")
+    old_id = worker_id_of("s-1")
+    new_id = worker_id_of("s-2")
+    harness = start_router(old)
+    workers = harness.process.router.workers
+    watch = harness.process.endpoint_watch
+    harness.run_until(lambda: old_id in workers, "the old one is known")
+    member = old.record(up_since_ms=1000.0) | {"id": "s-2", "locality": "east"}
+
+    harness.endpoint_log.send_line({"seq": 2, "fleet": {"members": [member]}})
+    harness.run_until(lambda: new_id in workers, "the new one is known")
+
+    for sequence, phase in ((3, "in_service"), (4, "terminated")):  # late events of the old one
+        states = [workers[worker_id].entry.state for worker_id in (old_id, new_id)]
+        assert states == [WorkerState.REMOVED, WorkerState.READY]
+        assert list(harness.process.pool.workers) == [new_id]
+        harness.endpoint_log.send_line({"seq": sequence, "fleet": {"members": [old.record(phase)]}})
+        harness.run_until(lambda awaited=sequence: watch.last_sequence == awaited, "the event is applied")
+        harness.process.loop.run_once(0)
+    harness.connect_client().call()
+    harness.run_until(lambda: old.requests, "a request runs")
+    assert all(attempt.worker_id == new_id for attempt in harness.process.table._attempts.values())
+    assert workers[new_id].started_ms == 1000.0
+
+
+@pytest.mark.parametrize("is_later_one_last", [True, False])
+def test_complete_list_with_two_at_one_address_keeps_the_one_started_last(
+    cleanups, start_router, is_later_one_last
+):
+    worker = FakeWorker("s-2")
+    cleanups.callback(worker.close)
+    harness = start_router()
+    members = [worker.record() | {"id": "s-1"}, worker.record(up_since_ms=9.0)]
+    if not is_later_one_last:
+        members.reverse()
+
+    harness.endpoint_log.send_line({"seq": 2, "fleet": {"complete": True, "members": members}})
+    harness.run_until(lambda: harness.process.router.ready, "the list is applied")
+
+    ready_ids = [ready.id for ready in harness.process.router.ready]
+    assert ready_ids == [worker_id_of("s-2")]
+    assert list(harness.process.pool.workers) == ready_ids
