--- a/function_router/net/__init__.py
+++ b/function_router/net/__init__.py
@@ -1,1 +1,1 @@
-"""The real front end: sockets, protocols and timers round the decision module."""
+"""The network side of the router: sockets, protocols and timers around the decision module."""
--- a/function_router/net/endpoint_watch.py
+++ b/function_router/net/endpoint_watch.py
@@ -1,7 +1,11 @@
-"""The change log: the numbered events of the list of scorers, read over one connection that is kept up."""
+"""Follows the endpoint log: numbered events with the list of workers, read over one kept-up connection.
+
+The client sends one line, `since N`; the log answers with the events after N, a line of JSON each. A line
+with a bare number announces the last sequence number of the log and serves as its heartbeat.
+"""
 
 from collections.abc import Callable
-from typing import Any
+from dataclasses import dataclass
 
 import msgspec
 
@@ -10,192 +14,255 @@
 from function_router.net.close_reason import CloseReason
 from function_router.net.connection import Connection
 from function_router.net.event_loop import EventLoop
-from function_router.net.log import RateLimitedLog
+from function_router.net.sequence_tracker import Announcement, SequenceTracker
 from function_router.net.timer_wheel import Timer
 
-SILENCE_MS = 2_000.0  # it says its last number each second; what it holds back counts as told after 4 s
-PAUSE_MS = 200.0  # before the next dial; what a broken one would have told counts as told after 2 s
-MAX_PAUSE_MS = 1_000.0  # it doubles up to this where a log answers, but with nothing of use
-DIAL_MS = 1_000.0
-MAX_LINE_BYTES = 4 * 1024 * 1024  # a complete list of some ten thousand scorers
-
-
-def _is_number(value: Any) -> bool:
-    return isinstance(value, int) and not isinstance(value, bool) and value >= 0
-
-
-def _number_of(event: Any) -> int | None:
-    seq = event.get("seq") if isinstance(event, dict) else None
-    return seq if _is_number(seq) else None
+# The log sends a heartbeat each second, and an event that it holds back counts as published after 4 s.
+SILENCE_TIMEOUT_MS = 2_000.0
+# Before the next connection attempt: an event of a broken connection counts as published after 2 s.
+RECONNECT_DELAY_MS = 200.0
+# The delay doubles up to this where a log answers, but sends nothing valid.
+MAX_RECONNECT_DELAY_MS = 1_000.0
+CONNECT_TIMEOUT_MS = 1_000.0
+# A complete list of some ten thousand workers.
+MAX_LINE_BYTES = 4 * 1024 * 1024
+# Of an invalid line, in the program's log.
+MAX_LOGGED_LINE_BYTES = 80
+
+REQUEST_FORMAT = b"since %d\n"
+SEQUENCE_FIELD = "seq"
+ENDPOINTS_FIELD = "fleet"
+IS_COMPLETE_FIELD = "complete"
+MEMBERS_FIELD = "members"
+
+
+@dataclass(frozen=True, slots=True)
+class EndpointEvent:
+    """An event of the endpoint log; its list of endpoints is checked only when it is to be applied."""
+
+    sequence: int
+    has_endpoints: bool  # an event may be without; it only takes a sequence number then
+    endpoints: object = None  # as decoded from JSON
+
+    @classmethod
+    def from_json(cls, decoded: object) -> "EndpointEvent | None":
+        """The event that a decoded line holds; None where the line is no event."""
+        if not isinstance(decoded, dict):
+            return None
+        sequence = _sequence_number(decoded.get(SEQUENCE_FIELD))
+        if sequence is None:
+            return None
+        return cls(sequence, ENDPOINTS_FIELD in decoded, decoded.get(ENDPOINTS_FIELD))
+
+    @property
+    def is_snapshot(self) -> bool:
+        """Whether it holds the complete list, which replaces all events before it."""
+        endpoints = self.endpoints
+        if not isinstance(endpoints, dict):
+            return False
+        return endpoints.get(IS_COMPLETE_FIELD) is True and bool(endpoints.get(MEMBERS_FIELD))
 
 
-def _is_complete(event: dict[str, Any]) -> bool:
-    fleet = event.get("fleet")
-    return isinstance(fleet, dict) and fleet.get("complete") is True and bool(fleet.get("members"))
+def _sequence_number(value: object) -> int | None:
+    if isinstance(value, int) and not isinstance(value, bool) and value >= 0:
+        return value
+    return None
 
 
 class EndpointWatch:
-    """Follows the log: each event is told once and in order; what is missing or bad is asked for again."""
+    """Follows the endpoint log: each event is applied once and in order.
+
+    What is missing or invalid is requested again. It owns its connection, and is the handler of it.
+    """
 
     def __init__(
         self,
         loop: EventLoop,
         address: Address,
-        seq: int,
-        told: Callable[[EndpointList], None],
-        log: RateLimitedLog,
+        last_sequence: int,
+        on_endpoints: Callable[[EndpointList], None],
+        log: Callable[[str], None],
     ) -> None:
-        self.last_sequence = seq  # of the last event that was told
-        self._loop, self._address, self._told, self._log = loop, address, told, log
+        now_ms = monotonic_ms()
+        self._loop = loop
+        self._address = address
+        self._on_endpoints = on_endpoints  # may raise ConfigurationError, which makes the event invalid
+        self._log = log
+        self._tracker = SequenceTracker(last_sequence)
         self._connection: Connection | None = None
-        self._planned: Timer | None = None
-        self._line_ms = self._asked_ms = monotonic_ms()  # when the last whole line came; the last dial
-        self._pause_ms = PAUSE_MS
-        self._unread = b""  # the line that is not whole yet
-        self._passed = 0  # up to this number, what is missing was asked for in vain: all that comes is taken
-        self._stumbled_at: int | None = None  # a line of no use came here, and was asked for again
-        self._missed_at: int | None = None  # more was said to be there than came, and was asked for again
-        self._leapt_from: int | None = None  # a complete list came past a gap, its number not borne out yet
+        self._reconnect_timer: Timer | None = None
+        self._reconnect_delay_ms = RECONNECT_DELAY_MS  # after an invalid line
+        self._last_connect_ms = now_ms
+        self._last_line_ms = now_ms  # when the last whole line came
+        self._partial_line = b""
+
+    @property
+    def last_sequence(self) -> int:
+        """The sequence number of the last event that was applied."""
+        return self._tracker.last_sequence
 
     # --- the connection -------------------------------------------------------------------------
 
     def connect(self) -> None:
-        self._planned, self._unread = None, b""
-        self._line_ms = self._asked_ms = monotonic_ms()
-        made = Connection.connect(self._loop, self._address, self, DIAL_MS)
-        if isinstance(made, CloseReason):
-            self._connect_later()
+        """Connect to the log; where not even an attempt can be made, do so after a delay."""
+        now_ms = monotonic_ms()
+        self._reconnect_timer = None
+        self._partial_line = b""
+        self._last_connect_ms = now_ms
+        self._last_line_ms = now_ms
+        connection = Connection.connect(self._loop, self._address, self, CONNECT_TIMEOUT_MS)
+        if isinstance(connection, CloseReason):
+            self._connect_after(RECONNECT_DELAY_MS)
         else:
-            self._connection = made
-
-    def _connect_later(self, pause_ms: float = PAUSE_MS) -> None:
-        self._planned = self._loop.timers.call_later(pause_ms, self.connect)
-
-    def _drop(self, end: CloseReason) -> None:
-        """End what there is, without the next dial that a broken connection brings."""
-        if self._planned:
-            self._planned.cancel()
-            self._planned = None
-        connection, self._connection = self._connection, None
-        if connection:
-            connection.close(end)
-
-    def _ask_again(self, why: str) -> None:
-        self._log(f"change log: {why}; asked again from {self.last_sequence}")
-        self._drop(CloseReason.PROTOCOL_ERROR)
-        if monotonic_ms() - self._asked_ms >= self._pause_ms:
-            self.connect()
-        else:  # a log that says nothing else brings no busy loop
-            self._connect_later(self._pause_ms)
-            self._pause_ms = min(MAX_PAUSE_MS, 2 * self._pause_ms)
+            self._connection = connection
 
     def move_to(self, address: Address) -> None:
-        """Go on at another address, with the same numbers."""
-        self._address, self._pause_ms = address, PAUSE_MS
-        self._stumbled_at = self._missed_at = None
-        self._drop(CloseReason.ENDPOINT_REPLACED)
+        """Go on at another address, with the same sequence numbers."""
+        self._address = address
+        self._reconnect_delay_ms = RECONNECT_DELAY_MS
+        self._tracker.forget_requests()
+        self._disconnect(CloseReason.ENDPOINT_REPLACED)
         self.connect()
 
     def check_timeouts(self) -> None:
-        """Guards against a log that stops and stays open: a whole line is due each second."""
-        up = self._connection is not None and self._connection.is_connected
-        if up and monotonic_ms() - self._line_ms > SILENCE_MS:
-            self._ask_again("silent")
+        """Connect anew where no whole line came for too long: a log that stopped may not close its end."""
+        is_connected = self._connection is not None and self._connection.is_connected
+        if is_connected and monotonic_ms() - self._last_line_ms > SILENCE_TIMEOUT_MS:
+            self._request_again("silent")
 
     def close(self) -> None:
-        self._drop(CloseReason.SHUTDOWN)
+        """Close the connection for good."""
+        self._disconnect(CloseReason.SHUTDOWN)
+
+    def _connect_after(self, delay_ms: float) -> None:
+        self._reconnect_timer = self._loop.timers.call_later(delay_ms, self.connect)
+
+    def _disconnect(self, reason: CloseReason) -> None:
+        """Close the connection without the reconnect that follows when it breaks."""
+        if self._reconnect_timer is not None:
+            self._reconnect_timer.cancel()
+            self._reconnect_timer = None
+        connection = self._connection
+        self._connection = None
+        if connection is not None:
+            connection.close(reason)
+
+    def _request_again(self, cause: str) -> None:
+        """Request the events after the last one on a new connection, with a growing delay between requests.
+
+        Without the delay, a log that sends nothing valid would be asked in a busy loop.
+        """
+        self._log(f"endpoint log: {cause}; requested again from {self.last_sequence}")
+        self._disconnect(CloseReason.PROTOCOL_ERROR)
+        if monotonic_ms() - self._last_connect_ms >= self._reconnect_delay_ms:
+            self.connect()
+        else:
+            self._connect_after(self._reconnect_delay_ms)
+            self._reconnect_delay_ms = min(MAX_RECONNECT_DELAY_MS, 2 * self._reconnect_delay_ms)
 
     # --- from the connection --------------------------------------------------------------------
 
     def on_connected(self) -> None:
-        self._line_ms = monotonic_ms()
-        self._connection.write(b"since %d\n" % self.last_sequence)
+        """Request the events after the last one."""
+        self._last_line_ms = monotonic_ms()
+        if self._connection is not None:
+            self._connection.write(REQUEST_FORMAT % self.last_sequence)
 
     def on_flushed(self) -> None:
-        pass
+        """Nothing to do: the one request is small."""
 
     def on_writable(self) -> None:
-        pass
+        """Nothing to do: the one request is small."""
 
-    def on_closed(self, end: CloseReason) -> None:
-        if self._connection is None:  # ended here
+    def on_closed(self, reason: CloseReason) -> None:
+        """Connect again after a delay, unless the connection was closed by this object."""
+        if self._connection is None:
             return
         self._connection = None
-        self._log(f"change log: {end.name}; dialled again from {self.last_sequence}")
-        self._connect_later()
+        self._log(f"endpoint log: {reason.name}; connecting again from {self.last_sequence}")
+        self._connect_after(RECONNECT_DELAY_MS)
 
     def on_data(self, data: bytes) -> None:
-        *lines, self._unread = (self._unread + data).split(b"\n")
+        """Take in the whole lines, up to one after which the rest is requested again."""
+        *lines, self._partial_line = (self._partial_line + data).split(b"\n")
         connection = self._connection
         for line in lines:
-            self._line_ms = monotonic_ms()
-            self._take(line)
-            if self._connection is not connection:  # asked anew: the rest will come again
+            self._last_line_ms = monotonic_ms()
+            self._take_line(line)
+            if self._connection is not connection:
                 return
-        if len(self._unread) > MAX_LINE_BYTES:
+        if len(self._partial_line) > MAX_LINE_BYTES and connection is not None:
             connection.close(CloseReason.PROTOCOL_ERROR)
 
     # --- the lines ------------------------------------------------------------------------------
 
-    def _take(self, line: bytes) -> None:
-        try:
-            read = msgspec.json.decode(line)
-        except (msgspec.DecodeError, RecursionError):
-            read = None
-        if _is_number(read):
-            self._last_is(read)
-        elif not self.apply_event(read):
-            self._stumble(read, line)
-
-    def _last_is(self, seq: int) -> None:
-        self._pause_ms = PAUSE_MS
-        if self._leapt_from is not None and seq < self.last_sequence:
-            self.last_sequence, self._passed, self._leapt_from = self._leapt_from, 0, None
-            self._ask_again(f"it stands at {seq}, before the complete list that it told")
-        elif seq > self._reached():
-            if self._missed_at != self.last_sequence or monotonic_ms() - self._asked_ms > SILENCE_MS:
-                self._missed_at = self.last_sequence
-                self._ask_again(f"it stands at {seq}")
-        else:  # what was passed over beyond its last number was no event
-            self._passed, self._stumbled_at, self._leapt_from = seq, None, None
-
-    def _reached(self) -> int:
-        return max(self.last_sequence, self._passed)
-
-    def _stumble(self, event: Any, line: bytes) -> None:
-        """A line of no use: ask once whether it comes better, then pass over what was due.
-        Guards the events behind it, which one bad line must not keep away for good."""
-        if self._stumbled_at != self._reached():
-            self._stumbled_at = self._reached()
-            self._ask_again(f"not the next event: {line[:80]!r}")
-            return
-        self._stumbled_at = None
-        seq = _number_of(event)
-        if seq is not None and seq > self._reached() and self._tell(event):
-            self._passed = seq  # but what may still come from before it is taken too
-        else:
-            self._passed = self._reached() + 1
-        self._log(f"change log: passed over up to {self._passed}")
-
-    def apply_event(self, event: Any, of_start: bool = False) -> bool:
-        """Take an event in; False where it is none, or not the next. Those of the start may leave gaps, and
-        a complete list stands for all that came before it."""
-        seq = _number_of(event)
-        if seq is None:
+    def apply_event(self, decoded: object, *, is_initial: bool = False) -> bool:
+        """Apply an event, as decoded from JSON; False where it is invalid, or not the next one.
+
+        An event that was applied before changes nothing. A complete snapshot may come ahead of a gap.
+
+        Args:
+            decoded: The content of a line.
+            is_initial: Whether it is one of the start, between which events may be missing.
+        """
+        event = EndpointEvent.from_json(decoded)
+        if event is None:
             return False
-        if seq <= self.last_sequence:  # told before
+        if self._tracker.is_applied(event.sequence):
             return True
-        gap = seq > self._reached() + 1 and not of_start
-        if (gap and not _is_complete(event)) or not self._tell(event):
+        is_ahead_of_gap = not is_initial and self._tracker.has_gap_before(event.sequence)
+        if is_ahead_of_gap and not event.is_snapshot:
             return False
-        self._leapt_from = self.last_sequence if gap else self._leapt_from
-        self.last_sequence, self._stumbled_at, self._pause_ms = seq, None, PAUSE_MS
+        if not self._deliver(event):
+            return False
+        self._tracker.record_applied(event.sequence, is_ahead_of_gap=is_ahead_of_gap)
+        self._reconnect_delay_ms = RECONNECT_DELAY_MS
         return True
 
-    def _tell(self, event: dict[str, Any]) -> bool:
+    def advance_to(self, sequence: int) -> None:
+        """Count all events up to this sequence number as applied."""
+        self._tracker.advance_to(sequence)
+
+    def _take_line(self, line: bytes) -> None:
+        try:
+            decoded: object = msgspec.json.decode(line)
+        except (msgspec.DecodeError, RecursionError):
+            decoded = None
+        announced = _sequence_number(decoded)
+        if announced is not None:
+            self._on_announcement(announced)
+        elif not self.apply_event(decoded):
+            self._on_invalid_line(decoded, line)
+
+    def _on_announcement(self, sequence: int) -> None:
+        self._reconnect_delay_ms = RECONNECT_DELAY_MS
+        may_repeat_request = monotonic_ms() - self._last_connect_ms > SILENCE_TIMEOUT_MS
+        announcement = self._tracker.record_announcement(sequence, may_repeat_request=may_repeat_request)
+        if announcement is Announcement.SNAPSHOT_REVOKED:
+            self._request_again(f"its last event is {sequence}, before the snapshot that it sent")
+        elif announcement is Announcement.EVENTS_MISSING:
+            self._request_again(f"events up to {sequence} are missing")
+
+    def _on_invalid_line(self, decoded: object, line: bytes) -> None:
+        """Request a line again that is not the next event; skip the event where that was in vain.
+
+        An event ahead of a gap is applied then, but those before it still are if they come.
+        """
+        if self._tracker.record_invalid_line():
+            self._request_again(f"not the next event: {line[:MAX_LOGGED_LINE_BYTES]!r}")
+            return
+        skipped_through = self._tracker.position + 1
+        event = EndpointEvent.from_json(decoded)
+        if event is not None and event.sequence >= skipped_through and self._deliver(event):
+            skipped_through = event.sequence
+        self._tracker.skip_through(skipped_through)
+        self._log(f"endpoint log: skipped events up to {skipped_through}")
+
+    def _deliver(self, event: EndpointEvent) -> bool:
+        """Hand the event's endpoints on; False where they are invalid."""
         try:
-            if "fleet" in event:
-                self._told(parse_endpoint_list(event["fleet"]))
+            if event.has_endpoints:
+                self._on_endpoints(parse_endpoint_list(event.endpoints))
         except ConfigurationError:
             return False
         return True
--- a/function_router/net/router_process.py
+++ b/function_router/net/router_process.py
@@ -1,20 +1,12 @@
-"""The front end as an object that others can embed: the parts, wired round one Router."""
+"""One router process: the parts, wired around one decision module, and their start, reload and drain."""
 
 import signal
 from collections.abc import Callable
 from typing import Any
 
-from msgspec.structs import replace
-
-from function_router.config import (
-    Address,
-    ConfigurationError,
-    EndpointList,
-    EndpointRecord,
-    RouterConfig,
-    parse_address,
-)
+from function_router.config import Address, ConfigurationError, RouterConfig
 from function_router.decisions.actions import (
+    Action,
     CancelAttempt,
     EnsureInstances,
     FailRequest,
@@ -23,46 +15,73 @@
     SendRequest,
     SetTimer,
 )
-from function_router.decisions.events import Endpoint, EndpointsChanged, Event, TimerFired
+from function_router.decisions.events import Event, TimerFired
 from function_router.decisions.router import Router
-from function_router.decisions.types import WorkerState
 from function_router.net.client_listener import ClientListener
 from function_router.net.clock import monotonic_ms
-from function_router.net.endpoint_registry import worker_id_of
+from function_router.net.endpoint_registry import EndpointRegistry
 from function_router.net.endpoint_watch import EndpointWatch
 from function_router.net.event_loop import EventLoop
 from function_router.net.log import RateLimitedLog
 from function_router.net.request_table import RequestTable
 from function_router.net.worker_pool import WorkerPool
 
-TALLY_MS = 5_000.0  # pace of the line that counts what was sent
-TIDY_MS = 250.0  # pace of the look after idle and silent connections
-LATE_ARRIVALS_MS = 800.0  # after SIGTERM, connections and requests keep coming for 0.6 s
-LINGER_MS = 20_000.0  # and never longer than this, whatever is still open
-LEAVE_LOOK_MS = 20.0
-# SIGKILL may follow once the longest deadline, counted as 3 s where it is longer, and 0.7 s have passed.
-KILL_WAIT_MS, KILL_AFTER_MS, KILL_MARGIN_MS = 3_000.0, 700.0, 200.0
-CLIENT_SHARE = 0.4  # of the descriptors; clients hold a third at most
-SCORER_SHARE = 0.4
-AT_START = (
-    "name",
-    "listen",
-    "memory_mb",
-    "max_sockets",
-    "settings",
-    "wire",
-)  # keys that a reload leaves alone
-AFTER_FAULT_MS = 40.0  # the module's sweep, set again where a fault may have lost it
-
-STATES = {
-    "in_service": WorkerState.READY,
-    "terminating": WorkerState.DRAINING,
-    "terminated": WorkerState.REMOVED,
-}
+DEFAULT_LOG_NAME = "function_router"
+
+# Between the lines that log the counters.
+COUNTERS_INTERVAL_MS = 5_000.0
+# Between the checks for idle and silent connections.
+TIMEOUT_CHECK_INTERVAL_MS = 250.0
+TIDY_MS = TIMEOUT_CHECK_INTERVAL_MS  # the earlier name, which tests of other modules still use
+
+# After SIGTERM, new connections and requests keep coming for 0.6 s.
+LATE_ARRIVALS_MS = 800.0
+# The drain ends after this time, whatever is still pending.
+MAX_DRAIN_MS = 20_000.0
+# Between the checks whether the drain is complete.
+DRAIN_CHECK_INTERVAL_MS = 20.0
+# SIGKILL may follow SIGTERM after the longest timeout of a class, counted as 3 s where it is longer ...
+MAX_KILL_TIMEOUT_MS = 3_000.0
+# ... and this time on top.
+KILL_GRACE_MS = 700.0
+# The last answers are to be sent this long before that.
+KILL_MARGIN_MS = 200.0
+
+# Share of the file descriptors for connections of clients, which hold a third of them at most.
+CLIENT_SHARE = 0.4
+# Share of the file descriptors for connections to workers.
+WORKER_SHARE = 0.4
+SCORER_SHARE = WORKER_SHARE  # the earlier name, which tests of other modules still use
+# Connections of either kind, however few descriptors there are.
+MIN_CONNECTIONS = 4
+
+# The decision module's own timer may be lost in an exception; this one then takes its place.
+RECOVERY_TIMER_MS = 40.0
+RECOVERY_TIMER_TOKEN = 0
+
+# Keys of the configuration that a reload leaves as they are.
+RESTART_ONLY_KEYS = ("name", "listen", "memory_mb", "max_sockets", "settings", "wire")
+
+# Of an invalid event, in the text of an error.
+MAX_EVENT_TEXT = 80
+
+
+def _max_connections(max_sockets: int, share: float) -> int:
+    return max(MIN_CONNECTIONS, int(max_sockets * share))
 
 
 class RouterProcess:
-    """One front end: owns the loop and the parts, and carries the module's actions out."""
+    """One router, also for embedding: owns the event loop and the parts, and carries out the actions.
+
+    Args:
+        config: The whole configuration.
+        log: Where lines go; standard error without it.
+        reread: Reads the configuration again at each SIGHUP; without it, SIGHUP changes nothing.
+
+    Raises:
+        ConfigurationError: A known event of the configuration is invalid.
+        OSError: The address for clients can't be bound.
+    """
 
     def __init__(
         self,
@@ -70,50 +89,68 @@
         log: RateLimitedLog | None = None,
         reread: Callable[[], RouterConfig] | None = None,
     ) -> None:
-        """`reread` gives the configuration anew at each SIGHUP; without it, SIGHUP changes nothing."""
-        self.config, self._reread = config, reread
-        self.log = log or RateLimitedLog(config.name or "function_router")
-        settings, wire, sockets = config.settings, config.wire, config.max_sockets
-        self._entries: dict[int, Endpoint] = {}  # as told last of those that are not gone
+        wire = config.wire
+        classes = config.settings.classes
+        self.config = config
+        self.log = log or RateLimitedLog(config.name or DEFAULT_LOG_NAME)
         self.loop = EventLoop(self._decide, self.log)
-        self.router = Router(settings, config.seed)
-        max_connections = max(4, int(sockets * SCORER_SHARE))
-        self.pool = WorkerPool(self.loop, wire, max_connections, config.seed, self.log)
+        self.router = Router(config.settings, config.seed)
+        max_workers = _max_connections(config.max_sockets, WORKER_SHARE)
+        self.pool = WorkerPool(self.loop, wire, max_workers, config.seed, self.log)
         self.table = RequestTable(
-            self.loop, self.pool, wire, settings.classes, self.router.recount_start_order, self.log
+            self.loop, self.pool, wire, classes, self.router.recount_start_order, self.log
         )
-        self.endpoint_watch = EndpointWatch(self.loop, config.endpoint_log, 0, self._on_fleet, self.log)
-        self._known()
-        max_clients = max(4, int(sockets * CLIENT_SHARE))
+        self._registry = EndpointRegistry(self.pool, self.loop.submit)
+        self.endpoint_watch = EndpointWatch(self.loop, config.endpoint_log, 0, self._registry.apply, self.log)
+        self._apply_known_events()
+        max_clients = _max_connections(config.max_sockets, CLIENT_SHARE)
         self.listener = ClientListener(
-            self.loop, config.listen, self.table, settings.classes, wire.tenants, max_clients, self.log
+            self.loop, config.listen, self.table, classes, wire.tenants, max_clients, self.log
         )
-        self._carriers = {
+        self._action_handlers = self._make_action_handlers()
+        self._reread = reread
+        self._drain_started_ms: float | None = None
+
+    def _make_action_handlers(self) -> dict[type[Action], Callable[[Any], None]]:
+        return {
             SendRequest: self.table.send,
             CancelAttempt: self.table.cancel_attempt,
             RejectRequest: self.table.reject,
             FailRequest: self.table.fail,
             EnsureInstances: self.table.ensure_instances,
             SetTimer: self._set_timer,
-            LogMessage: lambda action: self.log(action.text),
+            LogMessage: self._log_message,
         }
-        self._drain_started_ms: float | None = None
+
+    def _apply_known_events(self) -> None:
+        """Apply the events that the configuration brings, so that workers are known from the start."""
+        for event in self.config.known_events:
+            if not self.endpoint_watch.apply_event(event, is_initial=True):
+                message = f"known.results: not an event: {str(event)[:MAX_EVENT_TEXT]}"
+                raise ConfigurationError(message)
+        self.endpoint_watch.advance_to(self.config.known_seq)
 
     @property
     def address(self) -> Address:
+        """The address for clients, with the port that the system chose where 0 was configured."""
         return self.listener.address
 
-    # --- life -----------------------------------------------------------------------------------
+    # --- start and end --------------------------------------------------------------------------
 
     def start(self) -> None:
+        """Connect to the endpoint log and report readiness; the caller runs the loop."""
         self.endpoint_watch.connect()
-        self.loop.timers.call_later(TIDY_MS, self._check_timeouts)
-        self.loop.timers.call_later(TALLY_MS, self._log_counters)
+        self.loop.timers.call_later(TIMEOUT_CHECK_INTERVAL_MS, self._check_timeouts)
+        self.loop.timers.call_later(COUNTERS_INTERVAL_MS, self._log_counters)
         self.listener.is_ready = True
 
     def serve(self) -> None:
-        """Serve until SIGTERM or SIGINT, then until all that was taken has its answer."""
-        handlers = {signal.SIGTERM: self.drain, signal.SIGINT: self.drain, signal.SIGHUP: self.reload}
+        """Serve until SIGTERM or SIGINT, then until all admitted requests are answered."""
+        handlers: dict[int, Callable[[], None]] = {
+            signal.SIGTERM: self.drain,
+            signal.SIGINT: self.drain,
+            signal.SIGHUP: self.reload,
+        }
         self.loop.handle_signals(handlers)
         self.start()
         self.log(f"serving on {self.address[0]}:{self.address[1]}")
@@ -122,127 +159,93 @@
         finally:
             self.close()
 
+    def close(self) -> None:
+        """Close all sockets at once, answered or not."""
+        self.listener.close()
+        self.endpoint_watch.close()
+        self.pool.close()
+        self.loop.close()
+
     def reload(self) -> None:
-        """Read the configuration again. The change log moves; requests and links stay as they are."""
+        """Read the configuration again and move to its endpoint log; requests and connections stay."""
         if self._reread is None:
             return
         try:
-            read = self._reread()
+            config = self._reread()
         except ConfigurationError as error:
             self.log(f"configuration not taken over: {error}")
             return
-        at_start = [key for key in AT_START if getattr(read, key) != getattr(self.config, key)]
-        rest = f"; changed, but read at a start only: {', '.join(at_start)}" if at_start else ""
-        self.log(
-            f"configuration read again: change log at {read.endpoint_log[0]}:{read.endpoint_log[1]}{rest}"
-        )
-        self.endpoint_watch.move_to(read.endpoint_log)
+        host, port = config.endpoint_log
+        changed = [key for key in RESTART_ONLY_KEYS if getattr(config, key) != getattr(self.config, key)]
+        ignored = f"; changed, but read only at the start: {', '.join(changed)}" if changed else ""
+        self.log(f"configuration read again: endpoint log at {host}:{port}{ignored}")
+        self.endpoint_watch.move_to(config.endpoint_log)
+
+    # --- drain ----------------------------------------------------------------------------------
 
     def drain(self) -> None:
-        """Begin to end: keep accepting and serving until late arrivals are in and all is answered."""
-        if self._drain_started_ms is None:
-            self.log("leaving")
-            self._drain_started_ms = monotonic_ms()
-            self.listener.is_ready = False
-            classes = self.config.settings.classes.values()
-            longest = max((spec.timeout_ms for spec in classes), default=0.0)
-            self.table.drain(min(longest, KILL_WAIT_MS) + KILL_AFTER_MS - KILL_MARGIN_MS)
-            self._stop_when_drained()
+        """Report unready, serve on until late arrivals are in and all is answered, then stop the loop."""
+        if self._drain_started_ms is not None:
+            return
+        self.log("draining before leaving")
+        self._drain_started_ms = monotonic_ms()
+        self.listener.is_ready = False
+        timeouts_ms = [spec.timeout_ms for spec in self.config.settings.classes.values()]
+        killed_after_ms = min(max(timeouts_ms, default=0.0), MAX_KILL_TIMEOUT_MS) + KILL_GRACE_MS
+        self.table.drain(killed_after_ms - KILL_MARGIN_MS)
+        self._stop_when_drained()
 
     def _stop_when_drained(self) -> None:
-        since = monotonic_ms() - self._drain_started_ms
-        if since > LINGER_MS or (since > LATE_ARRIVALS_MS and not self._busy()):
+        if self._drain_started_ms is None:
+            return
+        drained_for_ms = monotonic_ms() - self._drain_started_ms
+        is_late = drained_for_ms > MAX_DRAIN_MS
+        if is_late or (drained_for_ms > LATE_ARRIVALS_MS and not self._has_pending_work()):
             self.loop.running = False
         else:
-            self.loop.timers.call_later(LEAVE_LOOK_MS, self._stop_when_drained)
+            self.loop.timers.call_later(DRAIN_CHECK_INTERVAL_MS, self._stop_when_drained)
 
-    def _busy(self) -> bool:
-        """Whether a request is open, unanswered on the wire, or has come and was not taken yet: to a client
-        all of these were taken once its connection was."""
+    def _has_pending_work(self) -> bool:
+        """Whether a request is pending, its answer unwritten, or its bytes have come but are unread.
+
+        A client counts a request as accepted once its connection was, even before it is read here.
+        """
         return bool(self.table.pending) or self.listener.has_unwritten() or self.listener.has_arriving()
 
-    def close(self) -> None:
-        self.listener.close()
-        self.endpoint_watch.close()
-        self.pool.close()
-        self.loop.close()
+    # --- periodic -------------------------------------------------------------------------------
 
     def _check_timeouts(self) -> None:
         self.endpoint_watch.check_timeouts()
         self.pool.check_timeouts()
         self.listener.check_timeouts()
-        self.loop.timers.call_later(TIDY_MS, self._check_timeouts)
+        self.loop.timers.call_later(TIMEOUT_CHECK_INTERVAL_MS, self._check_timeouts)
 
     def _log_counters(self) -> None:
-        if counts := self.pool.counters:
-            self.log("sent: " + ", ".join(f"{name} {count}" for name, count in sorted(counts.items())))
-            counts.clear()
-        self.loop.timers.call_later(TALLY_MS, self._log_counters)
-
-    # --- the roster -----------------------------------------------------------------------------
-
-    def _known(self) -> None:
-        for event in self.config.known_events:
-            if not self.endpoint_watch.apply_event(event, of_start=True):
-                raise ConfigurationError(f"known.results: not an event: {str(event)[:80]}")
-        self.endpoint_watch.last_sequence = max(self.endpoint_watch.last_sequence, self.config.known_seq)
-
-    def _on_fleet(self, fleet: EndpointList) -> None:
-        entries, told = [self._entry(member) for member in fleet.members], []
-        if fleet.complete:
-            named = {entry.worker_id for entry, _ in entries}
-            self.pool.remove_all_except(named)
-            self._entries = {id: entry for id, entry in self._entries.items() if id in named}
-        for entry, address in entries:
-            told += [*self._displaced(entry, address), entry]
-            self.pool.update_endpoint(entry.worker_id, address, entry.state, entry.started_at_ms or 0.0)
-            self._entries[entry.worker_id] = entry
-        self._entries = {
-            id: entry for id, entry in self._entries.items() if entry.state is not WorkerState.REMOVED
-        }
-        self.loop.submit(EndpointsChanged(told, fleet.complete))
-
-    def _displaced(self, entry: Endpoint, address: Address | None) -> list[Endpoint]:
-        """Of scorers at one address the one started last stands there; the others are gone, though the list
-        may tell so later. Guards a new process, cold as it is, against what is meant for the one before."""
-        if entry.state is not WorkerState.READY or address is None:
-            return []
-        rivals = [id for id in self.pool.workers_at(address) if id != entry.worker_id and id in self._entries]
-        started_ms = entry.started_at_ms or 0.0
-        if any((self._entries[id].started_at_ms or 0.0) > started_ms for id in rivals):
-            entry.state = WorkerState.REMOVED
-            return []
-        gone = [replace(self._entries[id], state=WorkerState.REMOVED) for id in rivals]
-        for rival in gone:
-            self.pool.update_endpoint(rival.worker_id, None, rival.state, 0.0)
-            self._entries[rival.worker_id] = rival
-        return gone
-
-    def _entry(self, member: EndpointRecord) -> tuple[Endpoint, Address | None]:
-        address = parse_address(member.host_port, "host_port") if member.host_port else None
-        return Endpoint(
-            worker_id=worker_id_of(member.id),
-            state=STATES[member.phase],
-            machine_kind=member.flavor,
-            zone=member.locality,
-            cell=member.cell,
-            size=member.size,
-            started_at_ms=member.up_since_ms or None,
-        ), address
+        counters = self.pool.counters
+        if counters:
+            self.log("sent: " + ", ".join(f"{name} {count}" for name, count in sorted(counters.items())))
+            counters.clear()
+        self.loop.timers.call_later(COUNTERS_INTERVAL_MS, self._log_counters)
 
     # --- decisions ------------------------------------------------------------------------------
 
     def _decide(self, now_ms: float, events: list[Event]) -> None:
+        """Hand a batch of events to the decision module and carry out its actions in their order."""
         self.table.begin_batch(now_ms)
         try:
-            actions: list[Any] = self.router.handle(now_ms, events)
-        except Exception:
-            # A fault in the decisions must not take down what is open: each request has its backstop.
+            actions = self.router.handle(now_ms, events)
+        except Exception:  # noqa: BLE001 - it is reported; each pending request has a deadline timer
             self.loop.report_exception("the decisions")
-            self.loop.timers.call_later(AFTER_FAULT_MS, lambda: self.loop.submit(TimerFired(0)))
+            self.loop.timers.call_later(RECOVERY_TIMER_MS, self._fire_recovery_timer)
             return
         for action in actions:
-            self._carriers[type(action)](action)
+            self._action_handlers[type(action)](action)
+
+    def _fire_recovery_timer(self) -> None:
+        self.loop.submit(TimerFired(RECOVERY_TIMER_TOKEN))
 
     def _set_timer(self, action: SetTimer) -> None:
         self.loop.timers.call_later(action.delay_ms, lambda: self.loop.submit(TimerFired(action.token)))
+
+    def _log_message(self, action: LogMessage) -> None:
+        self.log(action.text)
