--- a/function_router/net/event_loop.py
+++ b/function_router/net/event_loop.py
@@ -1,4 +1,4 @@
-"""The one loop: gather all that is ready, hand it to the module in one go, carry out, flush."""
+"""The event loop: a turn takes all sockets that are ready, then timers, one batch of events, then writes."""
 
 import selectors
 import signal
@@ -11,117 +11,151 @@
 from function_router.net.clock import Clock, monotonic_ms, unix_ms
 from function_router.net.timer_wheel import TimerWheel
 
-SLOW_TURN_MS = 80.0  # a process that was held up for longer endangers answers that are due
+SLOW_TURN_MS = 80.0  # a turn that takes longer is logged: it puts replies that are due at risk
+MAX_SIGNALS_PER_READ = 64  # bytes of the wakeup socket, one a signal
+TRACEBACK_FRAMES = 3  # innermost frames of an unhandled exception that are logged
 
-READ, WRITE = selectors.EVENT_READ, selectors.EVENT_WRITE
+READ = selectors.EVENT_READ
+WRITE = selectors.EVENT_WRITE
 
 
 class Flushable(Protocol):
-    def flush(self) -> None: ...
+    """Something that gathers writes during a turn and writes them out at its end."""
+
+    def flush(self) -> None:
+        """Write out what was gathered."""
 
 
 class EventLoop:
-    """Owns the selector, the wheel and the events gathered for the next batch."""
+    """Owns the selector, the timers and the events gathered for the next batch.
+
+    `turn_started_ms` (monotonic) and `turn_started_unix_ms` are the moment at which the current turn began;
+    all that happens in a turn counts as of that moment, however long the process is held up in it.
+    `run` goes on while `running`.
+    """
 
     def __init__(self, decide: Callable[[float, list[Event]], None], log: Callable[[str], None]) -> None:
-        self.timers, self.clock = TimerWheel(), Clock()
+        """Hand the events of a turn, with the time as of `clock`, to `decide` in one batch."""
+        self.timers = TimerWheel()
+        self.clock = Clock()
         self.running = True
-        self.turn_started_ms, self.turn_started_unix_ms = (
-            monotonic_ms(),
-            unix_ms(),
-        )  # when the turn began, on both clocks
-        self._decide, self._log = decide, log
+        self.turn_started_ms = monotonic_ms()
+        self.turn_started_unix_ms = unix_ms()
+        self._decide = decide
+        self._log = log
         self._selector = selectors.DefaultSelector()
         self.timers.on_exception = self.report_exception
-        self._inbox: list[Event] = []
-        self._dirty: dict[Flushable, None] = {}
-        self._wake: tuple[socket.socket, socket.socket] | None = None
+        self._pending_events: list[Event] = []
+        self._to_flush: dict[Flushable, None] = {}  # an ordered set
+        self._wakeup_sockets: tuple[socket.socket, socket.socket] | None = None
 
-    # --- what the parts use -----------------------------------------------------------------
+    # --- sockets and events -------------------------------------------------------------------
 
     def register(self, sock: socket.socket, mask: int, ready: Callable[[int], None]) -> None:
+        """Call `ready` with the mask of what a socket is ready for: READ, WRITE or both."""
         self._selector.register(sock, mask, ready)
 
     def modify(self, sock: socket.socket, mask: int, ready: Callable[[int], None]) -> None:
+        """Change the mask or the callback of a registered socket."""
         self._selector.modify(sock, mask, ready)
 
     def unregister(self, sock: socket.socket) -> None:
+        """Stop watching a socket; call it before the socket is closed."""
         self._selector.unregister(sock)
 
     def submit(self, event: Event) -> None:
-        """An event for the next batch. One that carrying out a batch brings waits for the one after."""
-        self._inbox.append(event)
+        """Add an event to the next batch; one submitted while a batch is handled waits for the one after."""
+        self._pending_events.append(event)
 
     def flush_later(self, part: Flushable) -> None:
-        self._dirty[part] = None
+        """Flush a part at the end of the turn, once however often it is asked for."""
+        self._to_flush[part] = None
 
-    # --- the turns --------------------------------------------------------------------------
+    # --- turns --------------------------------------------------------------------------------
+
+    def run(self) -> None:
+        """Run turns until `running` is False."""
+        while self.running:
+            self.run_once()
 
-    def run_once(self, most_s: float | None = None) -> None:
-        ready = self._selector.select(self._sleep_s(most_s))
-        self.turn_started_ms, self.turn_started_unix_ms = monotonic_ms(), unix_ms()
+    def run_once(self, max_wait_s: float | None = None) -> None:
+        """Run one turn, after a wait for the first socket or timer; `max_wait_s` bounds the wait."""
+        ready = self._selector.select(self._wait_s(max_wait_s))
+        self.turn_started_ms = monotonic_ms()
+        self.turn_started_unix_ms = unix_ms()
         self._run_turn(ready, self.clock.now_ms())
-        if (took := monotonic_ms() - self.turn_started_ms) > SLOW_TURN_MS:
-            self._log(f"a slow turn: {took:.0f} ms for {len(ready)} sockets")
+        took_ms = monotonic_ms() - self.turn_started_ms
+        if took_ms > SLOW_TURN_MS:
+            self._log(f"slow turn: {took_ms:.0f} ms for {len(ready)} sockets")
+
+    def _wait_s(self, max_wait_s: float | None) -> float | None:
+        if self._pending_events or self._to_flush:
+            return 0.0
+        until_timer_s = self.timers.seconds_until_next()
+        if until_timer_s is None:
+            return max_wait_s
+        if max_wait_s is None:
+            return until_timer_s
+        return min(until_timer_s, max_wait_s)
 
     def _run_turn(self, ready: list[tuple[selectors.SelectorKey, int]], now_ms: float) -> None:
-        # All of a turn happens at the moment at which it began, however long the process is held up in it.
         for key, mask in ready:
-            # One that an earlier part of this turn closed is no longer registered under its key.
+            # A socket that an earlier callback of this turn closed is no longer registered under its key;
+            # one that it modified is reported again in the next turn.
             if self._selector.get_map().get(key.fd) is key:
-                self._guarded(key.data, mask)
+                self._call(key.data, mask)
         self.timers.advance(self.turn_started_ms)
-        if self._inbox:
-            events, self._inbox = self._inbox, []
+        if self._pending_events:
+            events = self._pending_events
+            self._pending_events = []
             self._decide(now_ms, events)
-        dirty, self._dirty = self._dirty, {}
-        for part in dirty:
-            self._guarded(part.flush)
+        to_flush = self._to_flush
+        self._to_flush = {}
+        for part in to_flush:
+            self._call(part.flush)
 
-    def _guarded(self, call: Callable[..., None], *arguments: object) -> None:
-        """Guards the loop: a fault in one part must not take down what is open in all the others."""
+    # --- exceptions ---------------------------------------------------------------------------
+
+    def _call(self, callback: Callable[..., None], *arguments: object) -> None:
         try:
-            call(*arguments)
-        except Exception:
-            self.report_exception(getattr(call, "__qualname__", "a part"))
+            callback(*arguments)
+        except Exception:  # noqa: BLE001 - an error in one callback must not end all other connections
+            self.report_exception(getattr(callback, "__qualname__", "a callback"))
 
     def report_exception(self, where: str) -> None:
-        """Report the exception that is being handled."""
-        self._log(f"fault in {where}: " + traceback.format_exc(limit=-3).replace("\n", " | "))
+        """Log the exception that is being handled, as one line."""
+        lines = traceback.format_exc(limit=-TRACEBACK_FRAMES)
+        self._log(f"unhandled exception in {where}: " + lines.replace("\n", " | "))
 
-    def _sleep_s(self, most_s: float | None) -> float | None:
-        if self._inbox or self._dirty:
-            return 0.0
-        idle = self.timers.seconds_until_next()
-        if idle is None or most_s is None:
-            return most_s if idle is None else idle
-        return min(idle, most_s)
-
-    def run(self) -> None:
-        while self.running:
-            self.run_once()
+    # --- signals and the end ------------------------------------------------------------------
 
     def handle_signals(self, handlers: dict[int, Callable[[], None]]) -> None:
-        """Signals wake the selector by a socket pair and are then handled in the loop like all else."""
+        """Call a handler for each signal, by its number, in a turn of the loop like any other callback.
+
+        The signals write their numbers to a socket pair, which wakes the selector. A signal that was
+        blocked and came during start-up is handled in the first turn.
+        """
         near, far = socket.socketpair()
         near.setblocking(False)
         far.setblocking(False)
-        self._wake = near, far
+        self._wakeup_sockets = (near, far)
         signal.set_wakeup_fd(far.fileno(), warn_on_full_buffer=False)
         for number in handlers:
             signal.signal(number, lambda *_: None)
-        signal.pthread_sigmask(signal.SIG_UNBLOCK, handlers)  # one that came during the start is taken now
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, handlers)
 
-        def ready(_mask: int) -> None:
-            for number in near.recv(64):
-                if handler := handlers.get(number):
+        def on_signals(_mask: int) -> None:
+            for number in near.recv(MAX_SIGNALS_PER_READ):
+                handler = handlers.get(number)
+                if handler:
                     handler()
 
-        self.register(near, READ, ready)
+        self.register(near, READ, on_signals)
 
     def close(self) -> None:
-        if self._wake:
+        """Release the selector and the signals' sockets. The owner of a registered socket closes it."""
+        if self._wakeup_sockets:
             signal.set_wakeup_fd(-1)
-            for end in self._wake:
-                end.close()
+            for sock in self._wakeup_sockets:
+                sock.close()
         self._selector.close()
--- a/function_router/net/timer_wheel.py
+++ b/function_router/net/timer_wheel.py
@@ -1,66 +1,83 @@
-"""Timers as coarse ticks on a wheel."""
+"""A hashed timer wheel: timers of the event loop, as coarse ticks (Varghese, Lauck 1987)."""
 
 import math
 from collections.abc import Callable
+from dataclasses import dataclass
 
 from function_router.net.clock import monotonic_ms
 
-TICK_MS = 4.0
-SLOTS = 512  # a turn of the wheel takes two seconds; longer timers stay on it for some turns
+TICK_MS = 4.0  # the resolution: a timer fires late by a tick at most
+SLOTS = 512  # the wheel goes round in two seconds; longer timers stay on it for several rounds
 
 
+@dataclass(slots=True, eq=False)
 class Timer:
-    __slots__ = ("due_tick", "callback")
+    """A callback that is due at a tick; None once it has fired or was cancelled."""
 
-    def __init__(self, due_tick: int, callback: Callable[[], None] | None) -> None:
-        self.due_tick, self.callback = due_tick, callback
+    due_tick: int
+    callback: Callable[[], None] | None
 
-    def cancel(self) -> None:  # it stays in its slot, with nothing to call
+    def cancel(self) -> None:
+        """Never call the callback. The timer stays in its slot until the wheel comes by."""
         self.callback = None
 
 
+def _ignore_exception(_where: str) -> None:
+    """Stands in until the owner of a wheel sets its `on_exception`."""
+
+
 class TimerWheel:
-    """Never early, and late by a tick at the most."""
+    """Timers that fire never early, and late by a tick at most.
 
-    def __init__(self, steady: Callable[[], float] = monotonic_ms) -> None:
-        self._steady = steady
+    `on_exception` is called with a description of the place while an exception of a callback is being
+    handled.
+    """
+
+    def __init__(self, read_monotonic_ms: Callable[[], float] = monotonic_ms) -> None:
+        """An empty wheel that starts now."""
+        self._read_monotonic_ms = read_monotonic_ms
         self._slots: list[list[Timer]] = [[] for _ in range(SLOTS)]
-        self._tick = math.floor(steady() / TICK_MS)
-        self.on_exception: Callable[[str], None] = lambda where: None
+        self._tick = math.floor(read_monotonic_ms() / TICK_MS)  # the last one that has been seen to
+        self.on_exception: Callable[[str], None] = _ignore_exception
 
     def call_later(self, delay_ms: float, callback: Callable[[], None]) -> Timer:
-        due = math.floor((self._steady() + max(0.0, delay_ms)) / TICK_MS) + 1
-        timer = Timer(max(due, self._tick + 1), callback)
+        """Call a callback once, after a delay; a negative delay counts as none."""
+        due_tick = math.floor((self._read_monotonic_ms() + max(0.0, delay_ms)) / TICK_MS) + 1
+        timer = Timer(max(due_tick, self._tick + 1), callback)
         self._slots[timer.due_tick % SLOTS].append(timer)
         return timer
 
     def advance(self, at_ms: float | None = None) -> None:
-        """Call what has come due by now, or by a moment just past."""
-        now = math.floor((self._steady() if at_ms is None else at_ms) / TICK_MS)
-        first = max(self._tick + 1, now - SLOTS + 1)  # after a long halt, one turn of the wheel sees all
-        self._tick = max(self._tick, now)
+        """Call what is due, in the order of the ticks: as of now, or of a moment of the monotonic clock."""
+        moment_ms = self._read_monotonic_ms() if at_ms is None else at_ms
+        for timer in self._take_due(math.floor(moment_ms / TICK_MS)):
+            callback = timer.callback
+            if callback is not None:
+                timer.callback = None
+                self._call(callback)
+
+    def _take_due(self, now_tick: int) -> list[Timer]:
+        """Take the timers that are due off the wheel, in the order of their ticks."""
+        first_tick = max(self._tick + 1, now_tick - SLOTS + 1)  # after a long pause, one round sees all
+        self._tick = max(self._tick, now_tick)
         due: list[Timer] = []
-        for tick in range(first, now + 1):
+        for tick in range(first_tick, now_tick + 1):
             slot = self._slots[tick % SLOTS]
             if slot:
-                due += [timer for timer in slot if timer.due_tick <= now]
-                slot[:] = [timer for timer in slot if timer.due_tick > now and timer.callback]
-        for timer in sorted(due, key=lambda timer: timer.due_tick):
-            if (callback := timer.callback) is not None:
-                timer.callback = None
-                self._call(callback)
+                due += [timer for timer in slot if timer.due_tick <= now_tick]
+                slot[:] = [timer for timer in slot if timer.due_tick > now_tick and timer.callback]
+        return sorted(due, key=lambda timer: timer.due_tick)
 
     def _call(self, callback: Callable[[], None]) -> None:
-        """Guards the other timers against a fault in one."""
         try:
             callback()
-        except Exception:
+        except Exception:  # noqa: BLE001 - the other timers fire all the same
             self.on_exception("a timer")
 
     def seconds_until_next(self) -> float | None:
-        """How long the loop may sleep; None where no timer is set."""
+        """How long the event loop may sleep, in seconds; None where no timer is set."""
         for tick in range(self._tick + 1, self._tick + 1 + SLOTS):
             slot = self._slots[tick % SLOTS]
             if any(timer.callback for timer in slot):
-                return max(0.0, tick * TICK_MS - self._steady()) / 1000.0
+                return max(0.0, tick * TICK_MS - self._read_monotonic_ms()) / 1000.0
         return None
--- /dev/null
+++ b/tests/test_clock.py
@@ -0,0 +1,48 @@
+"""Tests of `clock`."""
+
+import pytest
+
+from function_router.net.clock import Clock
+
+
+class FakeSystemClocks:
+    """Both clocks of the system, which the test advances or sets."""
+
+    def __init__(self):
+        self.monotonic_ms = 1000.0
+        self.unix_ms = 1_700_000_000_000.0
+
+    def advance(self, elapsed_ms):
+        """Let time pass."""
+        self.monotonic_ms += elapsed_ms
+        self.unix_ms += elapsed_ms
+
+
+@pytest.fixture
+def system():
+    return FakeSystemClocks()
+
+
+@pytest.fixture
+def clock(system):
+    return Clock(lambda: system.monotonic_ms, lambda: system.unix_ms)
+
+
+@pytest.mark.parametrize("step_ms", [3_600_000.0, -3_600_000.0])
+def test_clock_does_not_step_with_the_system_clock(system, clock, step_ms):
+    before_ms = clock.now_ms()
+
+    system.unix_ms += step_ms
+    system.advance(100.0)
+
+    assert clock.now_ms() - before_ms == pytest.approx(100.0, abs=1.0)
+
+
+def test_clock_converges_to_the_system_clock(system, clock):
+    system.unix_ms += 20.0
+
+    for _ in range(100):
+        system.advance(100.0)
+        clock.now_ms()
+
+    assert clock.now_ms() == pytest.approx(system.unix_ms, abs=0.01)
--- a/tests/test_close_reason.py
+++ b/tests/test_close_reason.py
@@ -1,57 +1,49 @@
 """Tests of `close_reason`."""
 
-import io as text
+import errno
 
-from fakes import SETTINGS
+import pytest
 
 from function_router.decisions.types import Outcome
-from function_router.net.close_reason import CloseReason, outcome_of
+from function_router.net.close_reason import CloseReason, outcome_of, reason_of_os_error
 from function_router.net.endpoint_registry import worker_id_of
-from function_router.net.log import LINES_A_SECOND, RateLimitedLog
 
+PROOF_OF_NOT_RUN = {Outcome.NOT_SENT, Outcome.CONNECT_FAILED}
 
-class Hands:
-    def __init__(self):
-        self.steady, self.wall = 1000.0, 1_700_000_000_000.0
 
-    def step(self, ms):
-        self.steady += ms
-        self.wall += ms
+@pytest.mark.parametrize("reason", CloseReason)
+def test_exchange_that_was_begun_is_never_reported_as_not_run(reason):
+    assert outcome_of(reason, begun=True) not in PROOF_OF_NOT_RUN
 
 
-PROOFS = {Outcome.NOT_SENT, Outcome.CONNECT_FAILED}
+@pytest.mark.parametrize("reason", [reason for reason in CloseReason if reason is not CloseReason.CANCELLED])
+def test_exchange_without_a_byte_written_is_reported_as_not_run(reason):
+    assert outcome_of(reason, begun=False) in PROOF_OF_NOT_RUN
 
 
-GOOD = {"listen": "127.0.0.1:0", "changelog": "127.0.0.1:9", "seed": "8c1f", "settings": SETTINGS}
+@pytest.mark.parametrize("begun", [False, True])
+def test_cancelled_exchange_is_reported_as_cancelled(begun):
+    assert outcome_of(CloseReason.CANCELLED, begun=begun) is Outcome.CANCELLED
 
 
-def test_every_end_is_told_and_only_the_unsent_are_proofs():
-    for end in CloseReason:
-        assert outcome_of(end, begun=True) not in PROOFS
-        if end is not CloseReason.CANCELLED:
-            assert outcome_of(end, begun=False) in PROOFS
+@pytest.mark.parametrize(
+    ("error_number", "reason"),
+    [
+        (errno.ECONNREFUSED, CloseReason.CONNECTION_REFUSED),
+        (errno.EMFILE, CloseReason.NO_FILE_DESCRIPTOR),
+        (errno.ENFILE, CloseReason.NO_FILE_DESCRIPTOR),
+        (errno.ENOBUFS, CloseReason.NO_FILE_DESCRIPTOR),
+        (errno.ENOMEM, CloseReason.NO_FILE_DESCRIPTOR),
+        (errno.ECONNRESET, CloseReason.RESET_BY_PEER),
+        (errno.EPIPE, CloseReason.RESET_BY_PEER),
+        (errno.ECONNABORTED, CloseReason.RESET_BY_PEER),
+        (errno.EHOSTUNREACH, CloseReason.UNREACHABLE),
+        (errno.ENETUNREACH, CloseReason.UNREACHABLE),
+    ],
+)
+def test_socket_error_has_a_close_reason(error_number, reason):
+    assert reason_of_os_error(OSError(error_number, "connect")) is reason
 
 
-def test_scorers_have_the_same_numbers_everywhere():
+def test_worker_id_is_the_same_in_every_router():
     assert worker_id_of("s-00c41f7a") == 3020732781
-
-
-def test_the_log_leaves_floods_out_and_counts_them():
-    out, at = text.StringIO(), [0.0]
-    log = RateLimitedLog("n1", out, lambda: at[0])
-    for _ in range(1000):
-        log("x\ny" * 1000)
-    at[0] = 1000.0
-    log("after")
-    lines = out.getvalue().splitlines()
-    assert len(lines) == LINES_A_SECOND + 2
-    assert lines[-2:] == ["n1: 980 lines left out", "n1: after"]
-
-
-def test_a_flood_from_one_source_hides_no_other():
-    out = text.StringIO()
-    log = RateLimitedLog("n1", out, lambda: 0.0)
-    for _ in range(1000):
-        log("noise", "clients")
-    log("news")
-    assert "n1: news" in out.getvalue()
--- /dev/null
+++ b/tests/test_event_loop.py
@@ -0,0 +1,207 @@
+"""Tests of `event_loop`."""
+
+import os
+import signal
+import socket
+from unittest import mock
+
+import pytest
+
+from function_router.decisions.events import TimerFired
+from function_router.net import event_loop
+from function_router.net.event_loop import READ, EventLoop
+
+
+class BoomError(Exception):
+    """What a failing callback raises."""
+
+
+class Recorder:
+    """What a loop handed over and logged."""
+
+    def __init__(self):
+        self.batches = []
+        self.log_lines = []
+
+    def decide(self, _now_ms, events):
+        """Take a batch, as the decision module does."""
+        self.batches.append(events)
+
+
+class FakePart:
+    """Counts how often it is flushed."""
+
+    def __init__(self):
+        self.flushes = 0
+
+    def flush(self):
+        """Count a flush."""
+        self.flushes += 1
+
+
+class FailingPart(FakePart):
+    """Raises an exception at each flush."""
+
+    def flush(self):
+        """Count a flush and fail."""
+        super().flush()
+        raise BoomError
+
+
+@pytest.fixture
+def recorder():
+    return Recorder()
+
+
+@pytest.fixture
+def loop(recorder, cleanups):
+    loop = EventLoop(recorder.decide, recorder.log_lines.append)
+    cleanups.callback(loop.close)
+    return loop
+
+
+@pytest.fixture
+def readable_socket(cleanups):
+    """Make sockets with a byte to read."""
+
+    def make():
+        near, far = socket.socketpair()
+        cleanups.callback(near.close)
+        cleanups.callback(far.close)
+        far.send(b"x")
+        return near
+
+    return make
+
+
+def test_events_of_a_turn_are_handed_over_in_one_batch(loop, recorder):
+    loop.submit(TimerFired(1))
+    loop.submit(TimerFired(2))
+
+    loop.run_once(0)
+
+    assert recorder.batches == [[TimerFired(1), TimerFired(2)]]
+
+
+def test_event_submitted_by_a_batch_is_in_the_next_one(recorder, cleanups):
+    def decide(now_ms, events):
+        recorder.decide(now_ms, events)
+        if events == [TimerFired(1)]:
+            loop.submit(TimerFired(2))
+
+    loop = EventLoop(decide, recorder.log_lines.append)
+    cleanups.callback(loop.close)
+    loop.submit(TimerFired(1))
+
+    loop.run_once(0)
+    batches_after_first_turn = list(recorder.batches)
+    loop.run_once()
+
+    assert batches_after_first_turn == [[TimerFired(1)]]
+    assert recorder.batches == [[TimerFired(1)], [TimerFired(2)]]
+
+
+def test_part_is_flushed_once_a_turn(loop):
+    part = FakePart()
+    loop.flush_later(part)
+    loop.flush_later(part)
+
+    loop.run_once(0)
+    loop.run_once(0)
+
+    assert part.flushes == 1
+
+
+def test_exception_in_a_socket_callback_costs_only_that_callback(loop, recorder, readable_socket):
+    called = []
+
+    def fail(_mask):
+        called.append("fail")
+        raise BoomError
+
+    loop.register(readable_socket(), READ, fail)
+    loop.register(readable_socket(), READ, lambda _mask: called.append("other"))
+
+    loop.run_once(0)
+
+    assert sorted(called) == ["fail", "other"]
+    [line] = recorder.log_lines
+    assert "BoomError" in line
+    assert "\n" not in line
+
+
+def test_exception_in_a_flush_costs_only_that_flush(loop, recorder):
+    parts = [FailingPart(), FakePart()]
+    for part in parts:
+        loop.flush_later(part)
+
+    loop.run_once(0)
+
+    assert [part.flushes for part in parts] == [1, 1]
+    assert ["BoomError" in line for line in recorder.log_lines] == [True]
+
+
+def test_exception_in_a_timer_is_logged(loop, recorder):
+    loop.timers.call_later(0.0, lambda: 1 / 0)
+
+    while not recorder.log_lines:
+        loop.run_once()
+
+    assert "ZeroDivisionError" in recorder.log_lines[0]
+
+
+def test_socket_that_an_earlier_callback_unregistered_is_not_called(loop, readable_socket):
+    called = []
+    socks = [readable_socket(), readable_socket()]
+
+    def unregister_the_other(sock):
+        called.append(sock)
+        loop.unregister(socks[1 - socks.index(sock)])
+
+    for sock in socks:
+        loop.register(sock, READ, lambda _mask, sock=sock: unregister_the_other(sock))
+
+    loop.run_once(0)
+
+    assert len(called) == 1
+
+
+def test_run_goes_on_until_running_is_false(loop):
+    turns = []
+
+    def stop():
+        turns.append(loop.turn_started_ms)
+        loop.running = False
+
+    loop.timers.call_later(1.0, stop)
+
+    loop.run()
+
+    assert len(turns) == 1
+
+
+def test_slow_turn_is_logged(loop, recorder):
+    with mock.patch.object(event_loop, "SLOW_TURN_MS", -1.0):
+        loop.run_once(0)
+
+    [line] = recorder.log_lines
+    assert line.startswith("slow turn: ")
+
+
+@pytest.mark.parametrize("is_pending", [False, True], ids=["while_serving", "while_starting"])
+def test_signal_is_handled_in_a_turn(loop, cleanups, is_pending):
+    handled = []
+    cleanups.callback(signal.signal, signal.SIGUSR1, signal.getsignal(signal.SIGUSR1))
+    if is_pending:
+        cleanups.callback(signal.pthread_sigmask, signal.SIG_SETMASK, signal.pthread_sigmask(0, []))
+        signal.pthread_sigmask(signal.SIG_BLOCK, [signal.SIGUSR1])
+        os.kill(os.getpid(), signal.SIGUSR1)
+    loop.handle_signals({signal.SIGUSR1: lambda: handled.append(signal.SIGUSR1)})
+    if not is_pending:
+        os.kill(os.getpid(), signal.SIGUSR1)
+    handled_before_turn = list(handled)
+
+    loop.run_once()
+
+    assert handled_before_turn == []
+    assert handled == [signal.SIGUSR1]
--- /dev/null
+++ b/tests/test_log.py
@@ -0,0 +1,70 @@
+"""Tests of `log`."""
+
+import io
+
+import pytest
+
+from function_router.net.log import MAX_LINE_LENGTH, MAX_LINES_PER_SECOND, RateLimitedLog
+
+
+class FakeMonotonicClock:
+    """A clock that the test sets."""
+
+    def __init__(self):
+        self.now_ms = 0.0
+
+    def read_ms(self):
+        """The time now."""
+        return self.now_ms
+
+
+@pytest.fixture
+def clock():
+    return FakeMonotonicClock()
+
+
+@pytest.fixture
+def out():
+    return io.StringIO()
+
+
+@pytest.fixture
+def log(clock, out):
+    return RateLimitedLog("n1", out, clock.read_ms)
+
+
+def test_lines_beyond_the_rate_are_left_out_and_counted(clock, out, log):
+    for _ in range(1000):
+        log("x\ny" * 1000)
+    clock.now_ms = 1000.0
+    log("after")
+
+    lines = out.getvalue().splitlines()
+    assert len(lines) == MAX_LINES_PER_SECOND + 2
+    assert lines[-2:] == ["n1: 980 lines left out", "n1: after"]
+
+
+def test_flood_from_one_source_does_not_hide_another_source(out, log):
+    for _ in range(1000):
+        log("noise", "clients")
+    log("news")
+
+    assert "n1: news" in out.getvalue()
+
+
+def test_line_is_cut_and_cannot_forge_another_line(out, log):
+    log("x\nn1: forged\x1b[0m" + "y" * MAX_LINE_LENGTH)
+
+    [line] = out.getvalue().splitlines()
+    assert line.startswith("n1: x?n1: forged?[0myy")
+    assert len(line) == len("n1: ") + MAX_LINE_LENGTH
+
+
+def test_log_that_cannot_be_written_raises_nothing(clock):
+    class BrokenPipe(io.StringIO):
+        def write(self, _text):
+            raise BrokenPipeError
+
+    log = RateLimitedLog("n1", BrokenPipe(), clock.read_ms)
+
+    log("a line")
