--- a/function_router/net/connection.py
+++ b/function_router/net/connection.py
@@ -1,64 +1,56 @@
-"""One TCP connection: dialling, bounded reads, partial writes, and its single end."""
+"""One TCP connection of the event loop: connecting, bounded reads, partial writes and a single close."""
 
 import contextlib
 import errno
 import select
 import socket
-import struct
-from collections import deque
-from itertools import islice
 from typing import Protocol
 
 from function_router.config import Address
 from function_router.net.clock import monotonic_ms
 from function_router.net.close_reason import CloseReason, reason_of_os_error
 from function_router.net.event_loop import READ, WRITE, EventLoop
-from function_router.net.timer_wheel import Timer
-
-MAX_READ_BYTES = 64 * 1024  # bytes taken at once
-MAX_READS_PER_TURN = (
-    4  # in a turn, so that none starves the others; what a peer takes back lies behind what it asks
+from function_router.net.receive_timestamps import (
+    ANCILLARY_BYTES,
+    AncillaryData,
+    enable_receive_timestamps,
+    receive_delay_ms,
 )
-SO_TIMESTAMPNS = 35  # Linux: each read tells when its bytes came in
-STAMP = struct.Struct("@qq")
-ANCILLARY_BYTES = socket.CMSG_SPACE(STAMP.size)
-MAX_RECEIVE_DELAY_MS = 60_000.0
-MAX_WRITES_PER_FLUSH = 64  # in one write
-LINGER_MS = 1_000.0  # for a peer that is being finished with: it may still read, and end by itself
-
-
-def enable_receive_timestamps(listener: socket.socket) -> None:
-    """Have the system stamp what comes in; set before listening, as connections inherit it from the start."""
-    with contextlib.suppress(OSError):
-        listener.setsockopt(socket.SOL_SOCKET, SO_TIMESTAMPNS, 1)
-
-
-class PendingWrite:
-    """Bytes to be written, and how many have been."""
+from function_router.net.timer_wheel import Timer
+from function_router.net.write_queue import PendingWrite, WriteQueue
 
-    __slots__ = ("data", "written")
+__all__ = ["Connection", "ConnectionHandler", "PendingWrite", "enable_receive_timestamps"]
 
-    def __init__(self, data: bytes) -> None:
-        self.data, self.written = data, 0
+MAX_READ_BYTES = 64 * 1024  # of one read
+MAX_READS_PER_TURN = 4  # so that no peer starves the others; a cancellation lies behind the request it is for
+LINGER_MS = 1_000.0  # how long a peer may go on reading, and close by itself, after `close_after_flush`
 
 
 class ConnectionHandler(Protocol):
-    """Whoever is told what happens on a connection."""
+    """The owner of a connection, which is notified of what happens on it."""
 
-    def on_connected(self) -> None: ...
+    def on_connected(self) -> None:
+        """The connection is established; not called for an accepted one."""
 
-    def on_data(self, data: bytes) -> None: ...
+    def on_data(self, data: bytes, /) -> None:
+        """Bytes were received. An exception closes the connection with PROTOCOL_ERROR."""
 
-    def on_flushed(self) -> None: ...
+    def on_flushed(self) -> None:
+        """The turn's write is done; `pending_bytes` may be left."""
 
-    def on_writable(self) -> None: ...
+    def on_writable(self) -> None:
+        """The peer takes bytes again, after a write that was partial."""
+
+    def on_closed(self, reason: CloseReason, /) -> None:
+        """The connection is closed. Called once, and last."""
 
-    def on_closed(self, end: CloseReason) -> None: ...
 
+class _ClosedConnectionHandler:
+    """Takes the place of the handler once a connection is closed.
 
-class _Nobody:
-    """Owns connections that have ended. Guards the memory: handler and connection would hold each other until
-    a full collection, which comes ever more seldom."""
+    A handler and its connection refer to each other: without this, both stay in memory until a full
+    garbage collection, and those become ever rarer.
+    """
 
     def on_connected(self) -> None: ...
 
@@ -68,120 +60,151 @@
 
     def on_writable(self) -> None: ...
 
-    def on_closed(self, end: CloseReason) -> None: ...
+    def on_closed(self, reason: CloseReason) -> None: ...
 
 
-NOBODY = _Nobody()
+_CLOSED_CONNECTION_HANDLER = _ClosedConnectionHandler()
 
 
 class Connection:
+    """A non-blocking TCP connection, which owns its socket and has one handler.
+
+    Writes are gathered during a turn of the event loop and go out in one system call at its end.
+
+    Attributes:
+        handler: The owner, which is notified.
+        is_connected: Whether the connection was established; stays True once it is closed.
+        is_closed: Whether the connection was closed, or could not be established.
+        last_received_ms: When bytes were last received, on the monotonic clock.
+        last_used_ms: When bytes were last received or written, on the monotonic clock.
+        receive_delay_ms: How long the bytes read last had waited when the turn began.
+    """
+
+    __slots__ = (
+        "__weakref__",
+        "_blocked",
+        "_close_reason_after_flush",
+        "_connect_timer",
+        "_mask",
+        "_reading",
+        "_sock",
+        "_write_queue",
+        "handler",
+        "is_closed",
+        "is_connected",
+        "last_received_ms",
+        "last_used_ms",
+        "loop",
+        "receive_delay_ms",
+    )
+
     def __init__(
         self, loop: EventLoop, sock: socket.socket, handler: ConnectionHandler, is_connected: bool = True
     ) -> None:
-        self.loop, self.handler, self.is_connected, self.is_closed = loop, handler, is_connected, False
-        self.last_received_ms = self.last_used_ms = monotonic_ms()
-        self.pending_bytes = 0
-        self.receive_delay_ms = 0.0  # of the bytes read last
-        self._sock, self._reading, self._blocked = sock, True, False
-        self._outbox: deque[PendingWrite] = deque()
+        """Take over a non-blocking socket; `accepted` and `connect` make one."""
+        self.loop = loop
+        self.handler = handler
+        self.is_connected = is_connected
+        self.is_closed = False
+        self.last_received_ms = monotonic_ms()
+        self.last_used_ms = self.last_received_ms
+        self.receive_delay_ms = 0.0
+        self._sock = sock
+        self._reading = True  # whether the handler wants to read
+        self._blocked = False  # whether the last write was partial: the socket's buffer is full
+        self._write_queue = WriteQueue()
         self._connect_timer: Timer | None = None
-        self._finishing: CloseReason | None = None
+        self._close_reason_after_flush: CloseReason | None = None
         self._mask = READ if is_connected else WRITE
         loop.register(sock, self._mask, self._ready)
 
     @classmethod
     def accepted(cls, loop: EventLoop, sock: socket.socket, handler: ConnectionHandler) -> "Connection":
-        sock.setblocking(False)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        """Take over a socket that a listener accepted."""
+        _configure(sock)
         return cls(loop, sock, handler)
 
     @classmethod
     def connect(
         cls, loop: EventLoop, address: Address, handler: ConnectionHandler, within_ms: float
     ) -> "Connection | CloseReason":
-        """A connection that comes up or ends later; or why it can't even be tried."""
-        sock = None
+        """Begin to connect; the handler is notified once that succeeds, fails or takes too long.
+
+        Returns the reason in place of a connection where connecting fails at once; the handler is not
+        notified then.
+        """
         try:
-            family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
-            sock = socket.socket(family, socket.SOCK_STREAM)
-            sock.setblocking(False)
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            code = sock.connect_ex(address)
-            if code not in (0, errno.EINPROGRESS):
-                raise OSError(code, "connect")
+            sock = _begin_connect(address)
         except OSError as error:
-            if sock is not None:
-                sock.close()
             return reason_of_os_error(error)
-        made = cls(loop, sock, handler, is_connected=False)
-        made._connect_timer = loop.timers.call_later(
-            within_ms, lambda: made.close(CloseReason.CONNECT_TIMEOUT)
+        connection = cls(loop, sock, handler, is_connected=False)
+        connection._connect_timer = loop.timers.call_later(
+            within_ms, lambda: connection.close(CloseReason.CONNECT_TIMEOUT)
         )
-        return made
+        return connection
 
     # --- writing ------------------------------------------------------------------------------
 
     def write(self, data: bytes) -> PendingWrite:
-        """Queue bytes for this turn's one write."""
-        piece = PendingWrite(data)
+        """Queue bytes for the write at the end of this turn; on a closed connection they are dropped."""
+        pending_write = PendingWrite(data)
         if not self.is_closed:
-            self._outbox.append(piece)
-            self.pending_bytes += len(data)
+            self._write_queue.append(pending_write)
             self.loop.flush_later(self)
-        return piece
+        return pending_write
 
-    def cancel_write(self, piece: PendingWrite) -> bool:
-        """Unqueue a piece of which nothing has been written; False where it is too late."""
-        if piece.written or piece not in self._outbox:
-            return False
-        self._outbox.remove(piece)
-        self.pending_bytes -= len(piece.data)
-        return True
+    def cancel_write(self, pending_write: PendingWrite) -> bool:
+        """Take a write off the queue; False where a part of it has been written already."""
+        return self._write_queue.cancel(pending_write)
+
+    @property
+    def pending_bytes(self) -> int:
+        """Bytes that are queued and not written yet."""
+        return self._write_queue.pending_bytes
 
     def flush(self) -> None:
-        if self.is_connected and not self.is_closed and not self._blocked and self._outbox:
-            self._write_out()
-        if self._finishing and not self.is_closed and not self._outbox:
+        """Write what is queued, as far as the socket takes it; the event loop calls this."""
+        if self.is_connected and not self.is_closed and not self._blocked and self._write_queue:
+            self._write_queued()
+        if self._close_reason_after_flush and not self.is_closed and not self._write_queue:
             with contextlib.suppress(OSError):
                 self._sock.shutdown(socket.SHUT_WR)
         if not self.is_closed:
             self.handler.on_flushed()
 
-    def _write_out(self) -> None:
-        pieces = list(islice(self._outbox, MAX_WRITES_PER_FLUSH))
-        views = [memoryview(piece.data)[piece.written :] for piece in pieces]
+    def _write_queued(self) -> None:
         try:
-            count = self._sock.sendmsg(views)
+            count = self._sock.sendmsg(self._write_queue.next_buffers())
         except BlockingIOError:
             count = 0
         except OSError as error:
             self.close(reason_of_os_error(error))
             return
-        self.pending_bytes -= count
         self.last_used_ms = monotonic_ms()
-        for piece in pieces:
-            step = min(count, len(piece.data) - piece.written)
-            piece.written, count = piece.written + step, count - step
-            if piece.written < len(piece.data):
-                break
-            self._outbox.popleft()
-        self._blocked = bool(self._outbox)
-        self._set_mask()
-
-    def close_after_flush(self, end: CloseReason) -> None:
-        """End it after what is queued: written first, then ended on this side, and read on without keeping.
-        Guards the last answers, which a close with bytes unread would reset. Harm: it lives on a while."""
-        if not self.is_closed and not self._finishing:
-            self._finishing = end
-            self.loop.timers.call_later(LINGER_MS, lambda: self.close(end))
+        self._write_queue.advance(count)
+        self._blocked = bool(self._write_queue)
+        self._update_mask()
+
+    def close_after_flush(self, reason: CloseReason) -> None:
+        """Write what is queued and shut the sending side down; close when the peer does, or after LINGER_MS.
+
+        What is received in the meantime is discarded: a close with bytes unread would make the kernel reset
+        the connection, and the peer could lose the last replies.
+        """
+        if not self.is_closed and not self._close_reason_after_flush:
+            self._close_reason_after_flush = reason
+            self.loop.timers.call_later(LINGER_MS, lambda: self.close(reason))
             self.loop.flush_later(self)
 
     @property
     def is_finishing(self) -> bool:
-        return self._finishing is not None
+        """Whether `close_after_flush` was called."""
+        return self._close_reason_after_flush is not None
+
+    # --- reading ------------------------------------------------------------------------------
 
     def peek(self) -> bytes | None:
-        """A look at what lies unread: None where nothing does, empty where the peer has ended it."""
+        """The first unread byte, left unread: None where there is none, empty where the peer has closed."""
         try:
             return self._sock.recv(1, socket.MSG_PEEK)
         except BlockingIOError:
@@ -190,7 +213,7 @@
             return b""
 
     def has_peer_closed(self) -> bool:
-        """Whether the peer's end has come, also where it lies behind bytes that are unread."""
+        """Whether the peer has closed, also where bytes that it sent before are still unread."""
         unread = b"" if self.is_closed else self.peek()
         if not unread:
             return unread is not None
@@ -198,24 +221,23 @@
         poll.register(self._sock, select.POLLRDHUP)
         return any(mask & select.POLLRDHUP for _, mask in poll.poll(0))
 
-    # --- reading ------------------------------------------------------------------------------
-
     def set_reading(self, on: bool) -> None:
-        """Stop or go on reading: a peer that does not read its answers is not read either."""
+        """Stop or resume reading: backpressure on a peer that does not read its replies."""
         if self._reading != on and not self.is_closed:
             self._reading = on
-            self._set_mask()
+            self._update_mask()
 
-    def _set_mask(self) -> None:
+    def _update_mask(self) -> None:
         mask = (READ * self._reading) | (WRITE * self._blocked)
-        # A selector takes no empty mask; a blocked writer always has one, and only such stop reading.
+        # A selector takes no empty mask. A connection that stopped reading without being blocked keeps its
+        # mask; that is rare, as only a peer that does not read its replies is not read.
         if mask and mask != self._mask and not self.is_closed:
             self._mask = mask
             self.loop.modify(self._sock, mask, self._ready)
 
     def _ready(self, mask: int) -> None:
         if not self.is_connected:
-            self._on_connect_result()
+            self._finish_connect()
             return
         if mask & WRITE:
             self._blocked = False
@@ -224,15 +246,17 @@
         if mask & READ:
             self._read()
 
-    def _on_connect_result(self) -> None:
-        code = self._sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
-        if code:
-            self.close(reason_of_os_error(OSError(code, "connect")))
+    def _finish_connect(self) -> None:
+        error_number = self._sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        if error_number:
+            self.close(reason_of_os_error(OSError(error_number, "connect")))
             return
-        self.is_connected, self._mask = True, READ
+        self.is_connected = True
+        self._mask = READ
         if self._connect_timer:
             self._connect_timer.cancel()
-        self.last_received_ms = self.last_used_ms = monotonic_ms()
+        self.last_received_ms = monotonic_ms()
+        self.last_used_ms = self.last_received_ms
         self.loop.modify(self._sock, READ, self._ready)
         self.handler.on_connected()
 
@@ -242,9 +266,9 @@
                 return
 
     def _read_once(self) -> int:
-        """Take in what has come, READ_MOST bytes at the most; how many there were."""
+        """Receive up to MAX_READ_BYTES; how many there were."""
         try:
-            data, notes, _, _ = self._sock.recvmsg(MAX_READ_BYTES, ANCILLARY_BYTES)
+            data, ancillary, _, _ = self._sock.recvmsg(MAX_READ_BYTES, ANCILLARY_BYTES)
         except BlockingIOError:
             return 0
         except OSError as error:
@@ -252,47 +276,61 @@
             return 0
         if not data:
             self.close(CloseReason.CLOSED_BY_PEER)
-        elif not self._finishing:
-            self._hand_over(data, notes)
+        elif not self._close_reason_after_flush:
+            self._deliver(data, ancillary)
         return len(data)
 
-    def _hand_over(self, data: bytes, notes: list[tuple[int, int, bytes]]) -> None:
-        self.last_received_ms = self.last_used_ms = monotonic_ms()
-        self.receive_delay_ms = self._age(notes)
+    def _deliver(self, data: bytes, ancillary: AncillaryData) -> None:
+        self.last_received_ms = monotonic_ms()
+        self.last_used_ms = self.last_received_ms
+        self.receive_delay_ms = receive_delay_ms(ancillary, self.loop.turn_started_unix_ms)
         try:
             self.handler.on_data(data)
-        except Exception:  # whatever a peer managed to send, it costs no more than its own connection
+        except Exception:  # noqa: BLE001 - whatever a peer sends, it costs no more than its own connection
             self.loop.report_exception("reading")
             self.close(CloseReason.PROTOCOL_ERROR)
 
-    def _age(self, notes: list[tuple[int, int, bytes]]) -> float:
-        """How long the last of the bytes just read had waited when the turn began, by the system's stamp.
-        Guards deadlines: a process that was held up reads late, but the client's time has run on."""
-        for level, kind, note in notes:
-            if (level, kind, len(note)) == (socket.SOL_SOCKET, SO_TIMESTAMPNS, STAMP.size):
-                seconds, nanoseconds = STAMP.unpack(note)
-                age = self.loop.turn_started_unix_ms - seconds * 1e3 - nanoseconds / 1e6
-                return age if 0 < age < MAX_RECEIVE_DELAY_MS else 0.0  # else the clock was set in between
-        return 0.0
-
-    def _part(self) -> None:
-        """Guards answers that are still on their way: closing with unread bytes would reset them."""
-        with contextlib.suppress(OSError):
-            self._sock.shutdown(socket.SHUT_WR)
-            self._sock.recv(MAX_READ_BYTES)
+    # --- closing ------------------------------------------------------------------------------
 
-    def close(self, end: CloseReason) -> None:
-        """The one way out; the handler hears of it once."""
+    def close(self, reason: CloseReason) -> None:
+        """Close at once, drop what is queued and notify the handler; further calls do nothing."""
         if self.is_closed:
             return
         self.is_closed = True
         if self._connect_timer:
             self._connect_timer.cancel()
         self.loop.unregister(self._sock)
-        if self.is_connected and end in (CloseReason.IDLE, CloseReason.SHUTDOWN):
-            self._part()
+        if self.is_connected and reason in (CloseReason.IDLE, CloseReason.SHUTDOWN):
+            self._shut_down()
         self._sock.close()
-        self._outbox.clear()
-        self.pending_bytes = 0
-        handler, self.handler = self.handler, NOBODY
-        handler.on_closed(end)
+        self._write_queue.clear()
+        handler = self.handler
+        self.handler = _CLOSED_CONNECTION_HANDLER
+        handler.on_closed(reason)
+
+    def _shut_down(self) -> None:
+        """End the sending side and discard what came: closing with bytes unread would reset the peer."""
+        with contextlib.suppress(OSError):
+            self._sock.shutdown(socket.SHUT_WR)
+            self._sock.recv(MAX_READ_BYTES)
+
+
+def _configure(sock: socket.socket) -> None:
+    sock.setblocking(False)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)  # small messages must not wait for an ACK
+
+
+def _begin_connect(address: Address) -> socket.socket:
+    """Make a socket that is connecting, or is connected already; raises OSError."""
+    family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
+    sock = socket.socket(family, socket.SOCK_STREAM)
+    try:
+        _configure(sock)
+        error_number = sock.connect_ex(address)
+    except OSError:
+        sock.close()
+        raise
+    if error_number not in (0, errno.EINPROGRESS):
+        sock.close()
+        raise OSError(error_number, "connect")
+    return sock
--- /dev/null
+++ b/function_router/net/write_queue.py
@@ -0,0 +1,67 @@
+"""The bytes that a connection still has to write, in order."""
+
+from collections import deque
+from dataclasses import dataclass
+from itertools import islice
+
+MAX_WRITES_PER_FLUSH = 64  # in one system call; well below the kernel's IOV_MAX of 1024
+
+
+@dataclass(slots=True, eq=False)
+class PendingWrite:
+    """Bytes to be written, and how many of them have been."""
+
+    data: bytes
+    written: int = 0
+
+
+class WriteQueue:
+    """Writes in the order in which they were queued, of which the first may be partial.
+
+    `pending_bytes` is how many bytes are queued and not written yet.
+    """
+
+    __slots__ = ("_writes", "pending_bytes")
+
+    def __init__(self) -> None:
+        """An empty queue."""
+        self._writes: deque[PendingWrite] = deque()
+        self.pending_bytes = 0
+
+    def __bool__(self) -> bool:
+        return bool(self._writes)
+
+    def append(self, write: PendingWrite) -> None:
+        """Queue a write of which nothing has been written."""
+        self._writes.append(write)
+        self.pending_bytes += len(write.data)
+
+    def cancel(self, write: PendingWrite) -> bool:
+        """Take a write off the queue; False where a part of it has been written already."""
+        if write.written or write not in self._writes:
+            return False
+        self._writes.remove(write)
+        self.pending_bytes -= len(write.data)
+        return True
+
+    def next_buffers(self) -> list[memoryview]:
+        """What is to be written next, without copying it."""
+        first = islice(self._writes, MAX_WRITES_PER_FLUSH)
+        return [memoryview(write.data)[write.written :] for write in first]
+
+    def advance(self, count: int) -> None:
+        """Count bytes of the next buffers as written, and take the writes that are complete off the queue."""
+        self.pending_bytes -= count
+        for _ in range(min(len(self._writes), MAX_WRITES_PER_FLUSH)):
+            write = self._writes[0]
+            step = min(count, len(write.data) - write.written)
+            write.written += step
+            count -= step
+            if write.written < len(write.data):
+                return
+            self._writes.popleft()
+
+    def clear(self) -> None:
+        """Drop all writes."""
+        self._writes.clear()
+        self.pending_bytes = 0
--- /dev/null
+++ b/tests/test_receive_timestamps.py
@@ -0,0 +1,30 @@
+"""Tests of `receive_timestamps`."""
+
+import socket
+import struct
+
+import pytest
+
+from function_router.net.receive_timestamps import SO_TIMESTAMPNS, receive_delay_ms
+
+READ_AT_UNIX_MS = 1_700_000_002_500.0
+
+
+def timestamp(seconds, nanoseconds):
+    return (socket.SOL_SOCKET, SO_TIMESTAMPNS, struct.pack("@qq", seconds, nanoseconds))
+
+
+@pytest.mark.parametrize(
+    ("ancillary", "delay_ms"),
+    [
+        ([timestamp(1_700_000_002, 250_000_000)], 250.0),
+        ([(socket.SOL_SOCKET, socket.SCM_RIGHTS, b"1234"), timestamp(1_700_000_001, 0)], 1500.0),
+        ([], 0.0),
+        ([(socket.SOL_SOCKET, SO_TIMESTAMPNS, b"short")], 0.0),
+        ([timestamp(1_700_000_003, 0)], 0.0),
+        ([timestamp(1_600_000_000, 0)], 0.0),
+    ],
+    ids=["unread", "after_another_message", "no_timestamp", "cut_off", "in_the_future", "clock_was_set"],
+)
+def test_receive_delay(ancillary, delay_ms):
+    assert receive_delay_ms(ancillary, READ_AT_UNIX_MS) == delay_ms
