--- a/function_router/net/client_connection.py
+++ b/function_router/net/client_connection.py
@@ -4,7 +4,7 @@
 import socket
 from typing import TYPE_CHECKING
 
-from function_router.net.client_request import call_from
+from function_router.net.client_request import parse_client_request
 from function_router.net.clock import monotonic_ms
 from function_router.net.close_reason import CloseReason
 from function_router.net.codecs import thrift
@@ -49,7 +49,7 @@
         pass
 
     def on_data(self, data: bytes) -> None:
-        before = self._reader.waits
+        before = self._reader.has_partial_frame
         items = self._reader.feed(data)
         if items or not before:
             self._since_ms = monotonic_ms() if items or self.spoke else self._since_ms
@@ -66,7 +66,9 @@
                 if (key := self.pending.pop(item.seqid, None)) is not None:
                     self.listener.table.cancel_request(key)
             else:
-                self._write(thrift.answer("status", item.seqid, b"", {}, self.listener.is_ready))
+                self._write(
+                    thrift.encode_reply(thrift.METHOD_STATUS, item.seqid, b"", is_ok=self.listener.is_ready)
+                )
 
     def _malformed(self, error: thrift.MalformedMessageError) -> None:
         self.listener.log(f"client: {error}", "clients")
@@ -74,7 +76,7 @@
         if error.seqid is None or error.seqid in self.pending:
             self._finish(CloseReason.PROTOCOL_ERROR)
         else:
-            self._write(thrift.application_exception(error.seqid, str(error), error.kind))
+            self._write(thrift.encode_application_exception(error.seqid, str(error), error.kind))
 
     def _finish(self, end: CloseReason) -> None:
         """End the connection; what is open on it is failed, so that each request has its answer."""
@@ -84,10 +86,10 @@
         self.connection.close_after_flush(end)
 
     def silent_since(self, at_ms: float) -> bool:
-        return not self.spoke and not self._reader.waits and self.connection.last_used_ms < at_ms
+        return not self.spoke and not self._reader.has_partial_frame and self.connection.last_used_ms < at_ms
 
     def end_overdue(self) -> None:
-        if self.spoke or self._reader.waits:
+        if self.spoke or self._reader.has_partial_frame:
             self._finish(CloseReason.READ_TIMEOUT)
         else:
             self.close_unheard()
@@ -101,22 +103,24 @@
 
     def has_arriving(self) -> bool:
         """Whether something it sent is unread or half read."""
-        return not self.connection.is_finishing and (self._reader.waits or bool(self.connection.peek()))
+        return not self.connection.is_finishing and (
+            self._reader.has_partial_frame or bool(self.connection.peek())
+        )
 
     def overdue(self, now_ms: float) -> bool:
         """Guards descriptors against peers that say nothing, or half a message."""
-        if self.pending or (self.spoke and not self._reader.waits):
+        if self.pending or (self.spoke and not self._reader.has_partial_frame):
             return False
-        if self._reader.skips:
+        if self._reader.is_skipping:
             return now_ms - self._since_ms > SKIP_MS
         pause_ms = PIECE_MS if self._pieces < PIECES_SURE else MESSAGE_TIMEOUT_MS
-        comes = self._reader.waits and now_ms - self.connection.last_received_ms <= pause_ms
+        comes = self._reader.has_partial_frame and now_ms - self.connection.last_received_ms <= pause_ms
         return now_ms - self._since_ms > (MAX_PIECES_MS if comes else MESSAGE_TIMEOUT_MS)
 
     def giving_way(self) -> tuple[bool, bool, float]:
         """The least of all clients with nothing open gives way first: finished with, then nothing half read,
         then idle for longest."""
-        return not self.connection.is_finishing, self._reader.waits, self.connection.last_used_ms
+        return not self.connection.is_finishing, self._reader.has_partial_frame, self.connection.last_used_ms
 
     def _handle(self, message: thrift.Handle) -> None:
         seqid = message.seqid
@@ -125,8 +129,10 @@
                 raise thrift.MalformedMessageError("a second request under an open number")
             if len(self.pending) >= MAX_PENDING_REQUESTS:
                 raise thrift.MalformedMessageError("too many open requests")
-            fields = call_from(message, self.listener.classes, self.listener.tenants)
-            if self.listener.table.is_pending(fields["id"]):  # each request brings a new one, a retry too
+            parsed = parse_client_request(message, self.listener.classes, self.listener.tenants)
+            if self.listener.table.is_pending(
+                parsed.request_id
+            ):  # each request brings a new one, a retry too
                 raise thrift.MalformedMessageError("call: the id of an open request")
         except thrift.MalformedMessageError as error:
             error.seqid = seqid
@@ -134,9 +140,22 @@
             return
         if self.connection.is_closed:  # the look at who has that id found the end of this very client
             return
-        fields["timeout_ms"] = max(0.0, fields["timeout_ms"] - self.connection.receive_delay_ms)
-        reply, age_ms = (lambda outcome: self._reply(seqid, outcome)), self.connection.receive_delay_ms
-        call = ClientRequest(reply=reply, age_ms=age_ms, is_client_connected=self._waits, **fields)
+        receive_delay_ms = self.connection.receive_delay_ms
+        call = ClientRequest(
+            id=parsed.request_id,
+            class_name=parsed.class_name,
+            tenant=parsed.tenant,
+            function=parsed.function,
+            timeout_ms=max(0.0, parsed.timeout_ms - receive_delay_ms),
+            body=parsed.body,
+            idempotency_key=parsed.idempotency_key,
+            concurrency=parsed.concurrency,
+            memory_mb=parsed.memory_mb,
+            start_ms=parsed.start_ms,
+            reply=lambda outcome: self._reply(seqid, outcome),
+            age_ms=receive_delay_ms,
+            is_client_connected=self._waits,
+        )
         if (key := self.listener.table.admit(call)) is not None:
             self.pending[seqid] = key
 
@@ -149,12 +168,12 @@
     def _reply(self, seqid: int, outcome: FinalAnswer) -> None:
         self.pending.pop(seqid, None)
         if isinstance(outcome, Served):
-            self._write(thrift.answer("handle", seqid, outcome.body, {}, True))
+            self._write(thrift.encode_reply(thrift.METHOD_HANDLE, seqid, outcome.body, is_ok=True))
         elif isinstance(outcome, Rejected):
             wait = math.ceil(max(0.0, outcome.retry_after_ms))
-            self._write(thrift.throttled(seqid, {"pushback": str(wait)}))
+            self._write(thrift.encode_throttled(seqid, wait))
         elif isinstance(outcome, Failed):
-            self._write(thrift.broken(seqid, {}))
+            self._write(thrift.encode_broken(seqid))
 
     def _write(self, data: bytes) -> None:
         self.connection.write(data)
--- /dev/null
+++ b/function_router/net/codecs/thrift_protocol.py
@@ -0,0 +1,102 @@
+"""Constants, messages and errors of the one Thrift service that clients call.
+
+The wire format is Thrift's framed transport with the strict binary protocol, as described in
+https://github.com/apache/thrift/blob/master/doc/specs/thrift-binary-protocol.md.
+"""
+
+import msgspec
+
+from function_router.errors import FunctionRouterError
+
+# The first word of a message holds the version and, in its lowest byte, the type of the message.
+VERSION = 0x80010000
+VERSION_MASK = 0xFFFF0000
+MESSAGE_TYPE_MASK = 0xFF
+
+# Types of messages.
+CALL = 1
+REPLY = 2
+EXCEPTION = 3
+ONEWAY = 4
+
+# Types of fields.
+STOP = 0  # ends a struct
+BOOL = 2
+BYTE = 3
+DOUBLE = 4
+I16 = 6
+I32 = 8
+I64 = 10
+STRING = 11
+STRUCT = 12
+MAP = 13
+SET = 14
+LIST = 15
+
+# Kinds of application exceptions, which Thrift itself defines.
+UNKNOWN_METHOD = 1
+INVALID_MESSAGE_TYPE = 2
+PROTOCOL_ERROR = 7
+
+# The service: its methods and the field ids of their arguments and results.
+METHOD_HANDLE = "handle"
+METHOD_WITHDRAW = "withdraw"
+METHOD_STATUS = "status"
+HANDLE_FIELDS_ID = 1
+HANDLE_BODY_ID = 2
+WITHDRAW_SEQID_ID = 1
+RESULT_SUCCESS_ID = 0
+RESULT_THROTTLED_ID = 1
+RESULT_BROKEN_ID = 2
+REPLY_BODY_ID = 1
+REPLY_FIELDS_ID = 2
+REPLY_OK_ID = 3
+ERROR_FIELDS_ID = 1  # of the exceptions that the service declares
+APPLICATION_EXCEPTION_TEXT_ID = 1
+APPLICATION_EXCEPTION_KIND_ID = 2
+FIELD_RETRY_AFTER_MS = "pushback"  # of a throttled request: milliseconds, as text
+
+
+class MalformedMessageError(FunctionRouterError, ValueError):
+    """A frame that is no valid message, or a message that asks for what the service does not offer.
+
+    Attributes:
+        seqid: sequence number of the message; None where it can't be read.
+        kind: the kind of application exception that answers it.
+    """
+
+    def __init__(self, text: str, seqid: int | None = None, kind: int = PROTOCOL_ERROR) -> None:
+        super().__init__(text)
+        self.seqid = seqid
+        self.kind = kind
+
+
+class TruncatedMessageError(MalformedMessageError):
+    """A message that ends within its head."""
+
+
+class Handle(msgspec.Struct, frozen=True):
+    """A request to run a function, with its fields still unchecked."""
+
+    seqid: int
+    fields: dict[str, str]
+    body: bytes
+
+
+class Withdraw(msgspec.Struct, frozen=True):
+    """The client no longer wants the answer to a request.
+
+    Attributes:
+        seqid: sequence number of the request that is withdrawn.
+    """
+
+    seqid: int
+
+
+class Status(msgspec.Struct, frozen=True):
+    """Asks whether the router is ready."""
+
+    seqid: int
+
+
+Message = Handle | Withdraw | Status
--- /dev/null
+++ b/function_router/net/codecs/thrift_reader.py
@@ -0,0 +1,206 @@
+"""Reads messages of clients: splits the byte stream into frames and parses each frame."""
+
+import struct
+from collections.abc import Callable
+from typing import NamedTuple
+
+from function_router.net.codecs.thrift_arguments import ArgumentReader, Arguments
+from function_router.net.codecs.thrift_protocol import (
+    CALL,
+    HANDLE_BODY_ID,
+    HANDLE_FIELDS_ID,
+    INVALID_MESSAGE_TYPE,
+    MESSAGE_TYPE_MASK,
+    METHOD_HANDLE,
+    METHOD_STATUS,
+    METHOD_WITHDRAW,
+    ONEWAY,
+    UNKNOWN_METHOD,
+    VERSION,
+    VERSION_MASK,
+    WITHDRAW_SEQID_ID,
+    Handle,
+    MalformedMessageError,
+    Message,
+    Status,
+    TruncatedMessageError,
+    Withdraw,
+)
+
+MAX_FRAME_BYTES = 48 * 1024  # a body of 16 KiB and its fields take far less
+MAX_HEAD_BYTES = 256  # bytes of an oversized frame among which its sequence number is looked for
+MAX_BODY_BYTES = 16 * 1024
+MAX_METHOD_BYTES = 64  # the service's own names have 8 at most
+FRAME_SIZE_LIMIT = 2**31  # frame sizes are signed: one that is larger is no Thrift
+
+_U32 = struct.Struct(">I")
+_I32 = struct.Struct(">i")
+_METHOD_START = _U32.size + _I32.size  # the method's name follows the version and its own length
+
+
+class FrameReader:
+    """Splits a byte stream into frames; keeps at most one frame that is not complete yet."""
+
+    __slots__ = ("_buffer", "_bytes_to_skip")
+
+    def __init__(self) -> None:
+        self._buffer = bytearray()
+        self._bytes_to_skip = 0  # of an oversized frame
+
+    @property
+    def has_partial_frame(self) -> bool:
+        """Whether a frame has begun and is not complete yet."""
+        return bool(self._buffer or self._bytes_to_skip)
+
+    @property
+    def is_skipping(self) -> bool:
+        """Whether the rest of an oversized frame, which is thrown away, has still to come."""
+        return self._bytes_to_skip > 0
+
+    def feed(self, data: bytes) -> list[Message | MalformedMessageError]:
+        """Add bytes; return the messages that are complete now, in order.
+
+        A frame that is no valid message gives an error in its place. After an error without a sequence
+        number nothing that follows can be read: the connection is to be closed.
+        """
+        self._buffer += data
+        found: list[Message | MalformedMessageError] = []
+        start = 0
+        while True:
+            start += self._skip_oversized_frame(start)
+            payload_start = start + _U32.size
+            if payload_start > len(self._buffer):
+                break
+            (size,) = _U32.unpack_from(self._buffer, start)
+            if size > MAX_FRAME_BYTES:
+                error = self._oversized_frame_error(payload_start, size)
+                if error is None:
+                    break
+                found.append(error)
+                if error.seqid is None:
+                    break
+                self._bytes_to_skip = size
+                start = payload_start
+                continue
+            payload_end = payload_start + size
+            if payload_end > len(self._buffer):
+                break
+            found.append(parse_message(bytes(self._buffer[payload_start:payload_end])))
+            start = payload_end
+        del self._buffer[:start]
+        return found
+
+    def _skip_oversized_frame(self, start: int) -> int:
+        """The number of bytes from here on that belong to an oversized frame."""
+        skipped = min(self._bytes_to_skip, len(self._buffer) - start)
+        self._bytes_to_skip -= skipped
+        return skipped
+
+    def _oversized_frame_error(self, start: int, size: int) -> MalformedMessageError | None:
+        """The error of a frame that is too large; None until enough of its head has come."""
+        error = MalformedMessageError(f"a frame of {size} bytes")
+        if size >= FRAME_SIZE_LIMIT:
+            return error
+        try:
+            error.seqid = parse_head(bytes(self._buffer[start : start + MAX_HEAD_BYTES])).seqid
+        except TruncatedMessageError:
+            return None
+        except MalformedMessageError:
+            return error
+        return error
+
+
+class MessageHead(NamedTuple):
+    """What comes before the arguments of a message, and where they start."""
+
+    message_type: int
+    method: str
+    seqid: int
+    arguments_start: int
+
+
+def parse_head(data: bytes) -> MessageHead:
+    """Parse the head of a message.
+
+    Raises:
+        TruncatedMessageError: where the data ends before the head does.
+        MalformedMessageError: where it is no head of the strict binary protocol.
+    """
+    try:
+        return _parse_head(data)
+    except struct.error:
+        reason = "the message is cut short"
+        raise TruncatedMessageError(reason) from None
+
+
+def _parse_head(data: bytes) -> MessageHead:
+    (version,) = _U32.unpack_from(data, 0)
+    if version & VERSION_MASK != VERSION:
+        reason = "not the strict binary protocol"
+        raise MalformedMessageError(reason)
+    (method_length,) = _I32.unpack_from(data, _U32.size)
+    if not 0 <= method_length <= MAX_METHOD_BYTES:
+        reason = "the name has no sensible length"
+        raise MalformedMessageError(reason)
+    method_end = _METHOD_START + method_length
+    method = data[_METHOD_START:method_end].decode("ascii", "replace")
+    (seqid,) = _I32.unpack_from(data, method_end)
+    return MessageHead(version & MESSAGE_TYPE_MASK, method, seqid, method_end + _I32.size)
+
+
+def parse_message(data: bytes) -> Message | MalformedMessageError:
+    """Parse the payload of one frame; one that is no valid message gives the error."""
+    try:
+        head = parse_head(data)
+    except MalformedMessageError as error:
+        return error
+    try:
+        return _parse_call(head, data)
+    except MalformedMessageError as error:
+        error.seqid = head.seqid
+        return error
+    except (struct.error, UnicodeDecodeError, IndexError):
+        return MalformedMessageError("the arguments can't be read", head.seqid)
+
+
+def _parse_call(head: MessageHead, data: bytes) -> Message:
+    parse_arguments = _METHODS.get(head.method)
+    if parse_arguments is None:
+        reason = "no such method"
+        raise MalformedMessageError(reason, kind=UNKNOWN_METHOD)
+    if head.message_type not in (CALL, ONEWAY):
+        reason = "not a call"
+        raise MalformedMessageError(reason, kind=INVALID_MESSAGE_TYPE)
+    return parse_arguments(head.seqid, ArgumentReader(data, head.arguments_start).read())
+
+
+def _parse_handle(seqid: int, arguments: Arguments) -> Handle:
+    entries = arguments.map(HANDLE_FIELDS_ID)
+    if entries is None:
+        reason = "no fields"
+        raise MalformedMessageError(reason)
+    body = arguments.string(HANDLE_BODY_ID) or b""
+    if len(body) > MAX_BODY_BYTES:
+        reason = "the body is too large"
+        raise MalformedMessageError(reason)
+    fields = {key.decode(): value.decode() for key, value in entries.items() if isinstance(value, bytes)}
+    return Handle(seqid, fields, body)
+
+
+def _parse_withdraw(_seqid: int, arguments: Arguments) -> Withdraw:
+    target_seqid = arguments.i32(WITHDRAW_SEQID_ID)
+    if target_seqid is None:
+        reason = "no sequence number to withdraw"
+        raise MalformedMessageError(reason)
+    return Withdraw(target_seqid)
+
+
+def _parse_status(seqid: int, _arguments: Arguments) -> Status:
+    return Status(seqid)
+
+
+_METHODS: dict[str, Callable[[int, Arguments], Message]] = {
+    METHOD_HANDLE: _parse_handle,
+    METHOD_WITHDRAW: _parse_withdraw,
+    METHOD_STATUS: _parse_status,
+}
--- /dev/null
+++ b/function_router/net/codecs/thrift_writer.py
@@ -0,0 +1,87 @@
+"""Encodes the answers to clients as framed Thrift messages."""
+
+import struct
+
+from function_router.net.codecs.thrift_protocol import (
+    APPLICATION_EXCEPTION_KIND_ID,
+    APPLICATION_EXCEPTION_TEXT_ID,
+    BOOL,
+    ERROR_FIELDS_ID,
+    EXCEPTION,
+    FIELD_RETRY_AFTER_MS,
+    I32,
+    MAP,
+    METHOD_HANDLE,
+    REPLY,
+    REPLY_BODY_ID,
+    REPLY_FIELDS_ID,
+    REPLY_OK_ID,
+    RESULT_BROKEN_ID,
+    RESULT_SUCCESS_ID,
+    RESULT_THROTTLED_ID,
+    STOP,
+    STRING,
+    STRUCT,
+    VERSION,
+)
+
+_U32 = struct.Struct(">I")
+_I32 = struct.Struct(">i")
+_FIELD_HEADER = struct.Struct(">bh")  # type, field id
+_MAP_HEADER = struct.Struct(">bbi")  # type of the keys, type of the values, number of entries
+_STOP_BYTE = bytes((STOP,))
+
+
+def encode_string(data: bytes) -> bytes:
+    """A string value: its length and its bytes."""
+    return _U32.pack(len(data)) + data
+
+
+def encode_string_map(entries: dict[str, str]) -> bytes:
+    """A map value of strings to strings."""
+    pairs = b"".join(
+        encode_string(key.encode()) + encode_string(value.encode()) for key, value in entries.items()
+    )
+    return _MAP_HEADER.pack(STRING, STRING, len(entries)) + pairs
+
+
+def encode_frame(message_type: int, method: bytes, seqid: int, payload: bytes) -> bytes:
+    """A whole message in its frame; the payload is a struct with its stop byte."""
+    message = _U32.pack(VERSION | message_type) + encode_string(method) + _I32.pack(seqid) + payload
+    return _U32.pack(len(message)) + message
+
+
+def _encode_result(method: bytes, seqid: int, field_id: int, content: bytes) -> bytes:
+    """A reply whose result struct has one field, a struct of this content."""
+    payload = _FIELD_HEADER.pack(STRUCT, field_id) + content + _STOP_BYTE + _STOP_BYTE
+    return encode_frame(REPLY, method, seqid, payload)
+
+
+def encode_reply(method: str, seqid: int, body: bytes, *, is_ok: bool) -> bytes:
+    """The answer to a request that was served, or to a status request; its map of fields is empty."""
+    content = _FIELD_HEADER.pack(STRING, REPLY_BODY_ID) + encode_string(body)
+    content += _FIELD_HEADER.pack(MAP, REPLY_FIELDS_ID) + encode_string_map({})
+    content += _FIELD_HEADER.pack(BOOL, REPLY_OK_ID) + bytes((is_ok,))
+    return _encode_result(method.encode(), seqid, RESULT_SUCCESS_ID, content)
+
+
+def _encode_declared_exception(field_id: int, seqid: int, fields: dict[str, str]) -> bytes:
+    content = _FIELD_HEADER.pack(MAP, ERROR_FIELDS_ID) + encode_string_map(fields)
+    return _encode_result(METHOD_HANDLE.encode(), seqid, field_id, content)
+
+
+def encode_throttled(seqid: int, retry_after_ms: int) -> bytes:
+    """The answer to a request that was rejected and may be sent again after this time."""
+    return _encode_declared_exception(RESULT_THROTTLED_ID, seqid, {FIELD_RETRY_AFTER_MS: str(retry_after_ms)})
+
+
+def encode_broken(seqid: int) -> bytes:
+    """The answer to a request that failed."""
+    return _encode_declared_exception(RESULT_BROKEN_ID, seqid, {})
+
+
+def encode_application_exception(seqid: int, text: str, kind: int) -> bytes:
+    """The answer to a message that is malformed; it names the method `handle`, whatever was called."""
+    content = _FIELD_HEADER.pack(STRING, APPLICATION_EXCEPTION_TEXT_ID) + encode_string(text.encode())
+    content += _FIELD_HEADER.pack(I32, APPLICATION_EXCEPTION_KIND_ID) + _I32.pack(kind)
+    return encode_frame(EXCEPTION, METHOD_HANDLE.encode(), seqid, content + _STOP_BYTE)
--- a/tests/test_client_connection.py
+++ b/tests/test_client_connection.py
@@ -313,7 +313,7 @@
     harness.run_until(lambda: harness.process.listener.connections, "it is accepted")
     [served] = harness.process.listener.connections
     client.call(withhold=50)
-    harness.run_until(lambda: served._reader.waits, "half of it is read")
+    harness.run_until(lambda: served._reader.has_partial_frame, "half of it is read")
     now = clock.monotonic_ms()
     assert not served.overdue(now)
     assert served.overdue(served._since_ms + 3000.0 - router_process.TIDY_MS)
@@ -325,7 +325,7 @@
     client.call(withhold=9)
     harness.run_until(lambda: harness.process.listener.connections, "it is accepted")
     [served] = harness.process.listener.connections
-    harness.run_until(lambda: served._reader.waits, "half of it is read")
+    harness.run_until(lambda: served._reader.has_partial_frame, "half of it is read")
     served.connection.last_used_ms -= 10 * client_listener.YOUNG_MS
     for _ in range(30):
         other = harness.connect_client()
--- a/tests/test_thrift.py
+++ b/tests/test_thrift.py
@@ -1,16 +1,16 @@
-"""Tests of `thrift`."""
+"""Tests of the Thrift codec: reading messages of clients and writing the answers."""
 
 import struct
 
+import pytest
 from fakes import ROW, handle_frame, reply_from
 
-from function_router.config import parse_settings
 from function_router.net.codecs import thrift
 
 FIELDS = {"op": "view", "call": "9b1f03aa5c7e2d41", "ttl": "1500", "org": "acme", "row": ROW}
 
 
-def framed(message):
+def frame(message):
     return struct.pack(">I", len(message)) + message
 
 
@@ -18,76 +18,99 @@
     return struct.pack(">Ii", version | kind, len(name)) + name + struct.pack(">i", seqid)
 
 
-def pieces(reader, data, size):
-    found = []
+def feed_in_chunks(reader, data, size):
+    messages = []
     for start in range(0, len(data), size):
-        found += reader.feed(data[start : start + size])
-    return found
-
-
-CLASSES = parse_settings({"classes": [{"name": "view", "effect": "idempotent"},
-                                     {"name": "save", "effect": "deduplicated"}]}).classes  # fmt: skip
-
-
-def test_messages_whole_and_in_pieces():
-    extra = struct.pack(">bhbi", thrift.LIST, 9, thrift.I32, 2) + b"\0" * 8
-    plain = handle_frame(1, FIELDS, b"\0\xff" * 10)
-    with_extra = framed(plain[4:-1] + extra + b"\0")
-    withdraw = framed(head(b"withdraw", 3, thrift.ONEWAY) + struct.pack(">bhib", thrift.I32, 1, 1, 0))
-    status = framed(head(b"status", 4) + struct.pack(">bhbb", thrift.BOOL, 1, 1, 0))
-    expected = [thrift.Handle(1, FIELDS, b"\0\xff" * 10)] * 2 + [thrift.Withdraw(1), thrift.Status(4)]
-    for size in (1, 3, 7, 64, 10_000):
-        reader = thrift.FrameReader()
-        assert pieces(reader, plain + with_extra + withdraw + status, size) == expected
-
-
-def test_bad_frames_tell_their_number_where_it_can_be_read():
-    negative = struct.pack(">bhi", thrift.STRING, 2, -5)
-    endless = struct.pack(">bhbbi", thrift.MAP, 1, 11, 11, 2**31 - 1)
-    nested = struct.pack(">bh", thrift.STRUCT, 5) * 100
-    cases = {
-        "no thrift at all": (b"GET / HTTP/1.1\r\n\r\n", None),
-        "a negative length": (b"\xff\xff\xff\xff" + b"x" * 300, None),
-        "another version": (framed(head(version=0x80020000)), None),
-        "cut in the head": (framed(head()[:10]), None),
-        "an empty frame": (framed(b""), None),
-        "an endless name": (framed(struct.pack(">Ii", thrift.VERSION | 1, 2**30) + b"x" * 20), None),
-        "no such method": (framed(head(b"explode") + b"\0"), 7),
-        "a reply": (framed(head(kind=thrift.REPLY) + b"\0"), 7),
-        "no arguments": (framed(head()), 7),
-        "no fields": (framed(head() + b"\0"), 7),
-        "a negative string": (framed(head() + negative), 7),
-        "an endless map": (framed(head() + endless), 7),
-        "nested too deep": (framed(head() + nested), 7),
-        "an unknown type": (framed(head() + b"\x63\0\1\0"), 7),
-        "bytes that follow": (framed(handle_frame(7, FIELDS)[4:] + b"x"), 7),
-        "what is no text": (framed(handle_frame(7, FIELDS)[4:].replace(b"view", b"\xff\xfe\xfd\xfc")), 7),
-        "a body too large": (handle_frame(7, FIELDS, b"x" * (16 * 1024 + 1)), 7),
-        "a frame too large": (handle_frame(7, FIELDS, b"x" * 200_000), 7),
-    }  # fmt: skip
-    for name, (data, seqid) in cases.items():
-        for size in (1, len(data)):
-            found = pieces(thrift.FrameReader(), data, size)
-            assert isinstance(found[0], thrift.MalformedMessageError), name
-            assert found[0].seqid == seqid, name
-
-
-def test_an_oversized_frame_is_passed_over_without_being_kept():
-    reader, large = thrift.FrameReader(), handle_frame(7, FIELDS, b"x" * 3_000_000)
-    found = []
-    for start in range(0, len(large), 65536):
-        found += reader.feed(large[start : start + 65536])
+        messages += reader.feed(data[start : start + size])
+    return messages
+
+
+@pytest.mark.parametrize("chunk_size", [1, 3, 7, 64, 10_000])
+def test_messages_are_read_whatever_chunks_they_come_in(chunk_size):
+    body = b"\0\xff" * 10
+    unknown_list = struct.pack(">bhbi", thrift.LIST, 9, thrift.I32, 2) + b"\0" * 8
+    plain = handle_frame(1, FIELDS, body)
+    with_unknown_list = frame(plain[4:-1] + unknown_list + b"\0")
+    withdraw = frame(head(b"withdraw", 3, thrift.ONEWAY) + struct.pack(">bhib", thrift.I32, 1, 1, 0))
+    status = frame(head(b"status", 4) + struct.pack(">bhbb", thrift.BOOL, 1, 1, 0))
+
+    messages = feed_in_chunks(thrift.FrameReader(), plain + with_unknown_list + withdraw + status, chunk_size)
+
+    handle = thrift.Handle(1, FIELDS, body)
+    assert messages == [handle, handle, thrift.Withdraw(1), thrift.Status(4)]
+
+
+NEGATIVE_STRING = struct.pack(">bhi", thrift.STRING, 2, -5)
+ENDLESS_MAP = struct.pack(">bhbbi", thrift.MAP, 1, thrift.STRING, thrift.STRING, 2**31 - 1)
+NESTED_STRUCTS = struct.pack(">bh", thrift.STRUCT, 5) * 100
+ENDLESS_NAME = struct.pack(">Ii", thrift.VERSION | thrift.CALL, 2**30) + b"x" * 20
+NOT_UTF_8 = handle_frame(7, FIELDS)[4:].replace(b"view", b"\xff\xfe\xfd\xfc")
+
+
+@pytest.mark.parametrize("in_single_bytes", [True, False], ids=["single bytes", "at once"])
+@pytest.mark.parametrize(
+    ("data", "seqid"),
+    [
+        pytest.param(b"GET / HTTP/1.1\r\n\r\n", None, id="no thrift at all"),
+        pytest.param(b"\xff\xff\xff\xff" + b"x" * 300, None, id="negative frame length"),
+        pytest.param(frame(head(version=0x80020000)), None, id="another version"),
+        pytest.param(frame(head()[:10]), None, id="truncated head"),
+        pytest.param(frame(b""), None, id="empty frame"),
+        pytest.param(frame(ENDLESS_NAME), None, id="endless method name"),
+        pytest.param(frame(head(b"explode") + b"\0"), 7, id="unknown method"),
+        pytest.param(frame(head(kind=thrift.REPLY) + b"\0"), 7, id="reply"),
+        pytest.param(frame(head()), 7, id="no arguments"),
+        pytest.param(frame(head() + b"\0"), 7, id="no fields"),
+        pytest.param(frame(head() + NEGATIVE_STRING), 7, id="negative string length"),
+        pytest.param(frame(head() + ENDLESS_MAP), 7, id="endless map"),
+        pytest.param(frame(head() + NESTED_STRUCTS), 7, id="nested too deep"),
+        pytest.param(frame(head() + b"\x63\0\1\0"), 7, id="unknown field type"),
+        pytest.param(frame(handle_frame(7, FIELDS)[4:] + b"x"), 7, id="trailing bytes"),
+        pytest.param(frame(NOT_UTF_8), 7, id="not UTF-8"),
+        pytest.param(handle_frame(7, FIELDS, b"x" * (16 * 1024 + 1)), 7, id="body too large"),
+        pytest.param(handle_frame(7, FIELDS, b"x" * 200_000), 7, id="frame too large"),
+    ],
+)
+def test_malformed_frame_has_its_sequence_number_where_it_can_be_read(data, seqid, in_single_bytes):
+    chunk_size = 1 if in_single_bytes else len(data)
+
+    messages = feed_in_chunks(thrift.FrameReader(), data, chunk_size)
+
+    assert isinstance(messages[0], thrift.MalformedMessageError)
+    assert messages[0].seqid == seqid
+
+
+def test_oversized_frame_is_skipped_without_being_buffered():
+    reader = thrift.FrameReader()
+    oversized = handle_frame(7, FIELDS, b"x" * 3_000_000)
+
+    messages = []
+    for start in range(0, len(oversized), 65536):
+        messages += reader.feed(oversized[start : start + 65536])
         assert len(reader._buffer) < thrift.MAX_FRAME_BYTES
-    found += reader.feed(handle_frame(8, FIELDS))
-    assert [item.seqid for item in found] == [7, 8]
-    assert isinstance(found[1], thrift.Handle)
-
-
-def test_answers_read_back():
-    cases = [
-        (thrift.answer("handle", 5, b"\0b", {}, True), (5, "answer", {1: b"\0b", 2: {}, 3: True})),
-        (thrift.throttled(-1, {"pushback": "9"}), (-1, "throttled", {1: {"pushback": b"9"}})),
-        (thrift.broken(6, {}), (6, "broken", {1: {}})),
-    ]
-    for data, expected in cases:
-        assert reply_from(data[4:]) == expected
+    messages += reader.feed(handle_frame(8, FIELDS))
+
+    assert [message.seqid for message in messages] == [7, 8]
+    assert isinstance(messages[1], thrift.Handle)
+
+
+@pytest.mark.parametrize(
+    ("data", "expected"),
+    [
+        pytest.param(
+            thrift.encode_reply(thrift.METHOD_HANDLE, 5, b"\0b", is_ok=True),
+            (5, "answer", {1: b"\0b", 2: {}, 3: True}),
+            id="reply",
+        ),
+        pytest.param(
+            thrift.encode_throttled(-1, retry_after_ms=9),
+            (-1, "throttled", {1: {"pushback": b"9"}}),
+            id="throttled",
+        ),
+        pytest.param(thrift.encode_broken(6), (6, "broken", {1: {}}), id="broken"),
+    ],
+)
+def test_encoded_answer_reads_back(data, expected):
+    answer = reply_from(data[4:])
+
+    assert answer == expected
