--- a/function_router/net/client_connection.py
+++ b/function_router/net/client_connection.py
@@ -1,10 +1,10 @@
-"""Clients: the listener, their connections, and the translation between Thrift and calls."""
+"""One client connection: reads the client's messages and writes its answers."""
 
 import math
 import socket
 from typing import TYPE_CHECKING
 
-from function_router.net.client_request import parse_client_request
+from function_router.net.client_request import FIELD_REQUEST_ID, ParsedRequest, parse_client_request
 from function_router.net.clock import monotonic_ms
 from function_router.net.close_reason import CloseReason
 from function_router.net.codecs import thrift
@@ -17,131 +17,228 @@
     Served,
 )
 
-MAX_PENDING_REQUESTS = 32  # requests open on one connection
-# A peer is owed an answer or a close within 3 s of connecting; what a client sends comes within a round trip.
-MESSAGE_TIMEOUT_MS = 2_300.0  # for a first message, and for the rest of one that has begun
-PIECE_MS = 700.0  # and as long as it keeps coming: so long after its last piece, with SPEAK_MS 3 s
-PIECES_SURE = 3  # of so many, the next may take SPEAK_MS: one that stops short sends less
-MAX_PIECES_MS = 30_000.0  # but no longer than this in all
-SKIP_MS = 6_000.0  # for the rest of an oversized one, which was refused when its head came
-STOP_READING_BYTES = 64 * 1024  # bytes that wait for a client which does not read: it is not read either
-MAX_UNREAD_BYTES = 1024 * 1024  # and with these it is dropped
-MAX_TOTAL_UNREAD_BYTES = 32 * 1024 * 1024  # of all clients together: part of the memory limit
-
-
 if TYPE_CHECKING:
     from function_router.net.client_listener import ClientListener
 
+LOG_SOURCE = "clients"  # all clients share one allowance of log lines
+
+MAX_PENDING_REQUESTS = 32  # on one connection
+
+# A client is owed an answer or a close within 3 s of connecting; what it sends comes within a round trip.
+
+# For the first message, and for the rest of one that has begun.
+MESSAGE_TIMEOUT_MS = 2_300.0
+# From one chunk of a message to the next; with the message timeout it makes up the 3 s.
+CHUNK_TIMEOUT_MS = 700.0
+# A message that has come in so many chunks may take the message timeout until the next one: clients that
+# stop halfway send fewer.
+MIN_STEADY_CHUNKS = 3
+# For a whole message, however steadily its chunks come.
+MAX_MESSAGE_MS = 30_000.0
+# For the rest of an oversized message, which was answered with an exception when its head came.
+SKIP_TIMEOUT_MS = 6_000.0
+
+# A client with more bytes of unread answers is not read from.
+STOP_READING_BYTES = 64 * 1024
+# A client with more bytes of unread answers is disconnected.
+MAX_UNREAD_BYTES = 1024 * 1024
+# Where all clients together have more, those that are not read from are disconnected: memory is limited.
+MAX_TOTAL_UNREAD_BYTES = 32 * 1024 * 1024
+
 
 class ClientConnection:
-    """One client connection and the requests open on it, by sequence number."""
+    """One client connection and its pending requests.
+
+    Attributes:
+        listener: the owner, which is notified when the connection closes.
+        pending: keys in the request table, by sequence number.
+        connection: the TCP connection.
+        has_received_message: whether a complete message, valid or not, has come.
+    """
+
+    __slots__ = (
+        "__weakref__",
+        "_chunk_count",
+        "_reader",
+        "_waiting_since_ms",
+        "connection",
+        "has_received_message",
+        "listener",
+        "pending",
+    )
 
     def __init__(self, listener: "ClientListener", sock: socket.socket) -> None:
         self.listener = listener
         self.pending: dict[int, str] = {}
         self.connection = Connection.accepted(listener.loop, sock, self)
         self._reader = thrift.FrameReader()
-        self.spoke = False  # a whole message has come
-        self._pieces = 0  # that have come of the one that is not whole yet
-        self._since_ms = monotonic_ms()  # it connected, or the message that is not whole yet began
+        self.has_received_message = False
+        self._chunk_count = 0  # reads since the last one that completed a message
+        self._waiting_since_ms = monotonic_ms()  # it connected, or the incomplete message began
+
+    # --- from the connection ------------------------------------------------------------------
 
     def on_connected(self) -> None:
-        pass
+        """Do nothing: an accepted connection is connected from the start."""
 
     def on_data(self, data: bytes) -> None:
-        before = self._reader.has_partial_frame
-        items = self._reader.feed(data)
-        if items or not before:
-            self._since_ms = monotonic_ms() if items or self.spoke else self._since_ms
-        self.spoke = self.spoke or bool(items)
-        self._pieces = 1 if items else self._pieces + 1
-        for item in items:
+        """Handle the messages that these bytes complete."""
+        had_partial_frame = self._reader.has_partial_frame
+        messages = self._reader.feed(data)
+        if messages or (self.has_received_message and not had_partial_frame):
+            self._waiting_since_ms = monotonic_ms()
+        if messages:
+            self.has_received_message = True
+            self._chunk_count = 1
+        else:
+            self._chunk_count += 1
+        for message in messages:
             if self.connection.is_closed or self.connection.is_finishing:
                 return
-            if isinstance(item, thrift.MalformedMessageError):
-                self._malformed(item)
-            elif isinstance(item, thrift.Handle):
-                self._handle(item)
-            elif isinstance(item, thrift.Withdraw):
-                if (key := self.pending.pop(item.seqid, None)) is not None:
-                    self.listener.table.cancel_request(key)
-            else:
-                self._write(
-                    thrift.encode_reply(thrift.METHOD_STATUS, item.seqid, b"", is_ok=self.listener.is_ready)
-                )
-
-    def _malformed(self, error: thrift.MalformedMessageError) -> None:
-        self.listener.log(f"client: {error}", "clients")
-        # An exception under an open request's number would be that request's answer.
-        if error.seqid is None or error.seqid in self.pending:
-            self._finish(CloseReason.PROTOCOL_ERROR)
-        else:
-            self._write(thrift.encode_application_exception(error.seqid, str(error), error.kind))
+            self._on_message(message)
 
-    def _finish(self, end: CloseReason) -> None:
-        """End the connection; what is open on it is failed, so that each request has its answer."""
-        for seqid, key in list(self.pending.items()):
+    def on_flushed(self) -> None:
+        """Stop reading from a client that does not read, and disconnect it once too much is unread.
+
+        While it has pending requests it is read from all the same, as it may withdraw them or disconnect.
+        """
+        unread_bytes = self.connection.pending_bytes
+        self.connection.set_reading(unread_bytes < STOP_READING_BYTES or bool(self.pending))
+        if unread_bytes > MAX_UNREAD_BYTES or (
+            unread_bytes > STOP_READING_BYTES and self.listener.unread_bytes() > MAX_TOTAL_UNREAD_BYTES
+        ):
+            self.connection.close(CloseReason.WRITE_BUFFER_FULL)
+
+    def on_writable(self) -> None:
+        """Do nothing: the connection itself goes on writing."""
+
+    def on_closed(self, _reason: CloseReason) -> None:
+        """Cancel the pending requests; nobody waits for their answers."""
+        keys = list(self.pending.values())
+        self.pending = {}
+        for key in keys:
             self.listener.table.cancel_request(key)
-            self._reply(seqid, Failed())
-        self.connection.close_after_flush(end)
+        self.listener.on_client_closed(self)
 
-    def silent_since(self, at_ms: float) -> bool:
-        return not self.spoke and not self._reader.has_partial_frame and self.connection.last_used_ms < at_ms
+    # --- timeouts and limits, as the listener checks them ---------------------------------------
+
+    def is_silent_since(self, time_ms: float) -> bool:
+        """Whether it has sent no byte yet and connected before this time."""
+        return (
+            not self.has_received_message
+            and not self._reader.has_partial_frame
+            and self.connection.last_used_ms < time_ms
+        )
 
-    def end_overdue(self) -> None:
-        if self.spoke or self._reader.has_partial_frame:
+    def is_overdue(self, now_ms: float) -> bool:
+        """Whether its first message, or the rest of one that has begun, has taken too long.
+
+        Without this limit, clients that send nothing or half a message would use up the file descriptors.
+        """
+        has_partial_frame = self._reader.has_partial_frame
+        if self.pending or (self.has_received_message and not has_partial_frame):
+            return False
+        waited_ms = now_ms - self._waiting_since_ms
+        if self._reader.is_skipping:
+            return waited_ms > SKIP_TIMEOUT_MS
+        chunk_timeout_ms = CHUNK_TIMEOUT_MS if self._chunk_count < MIN_STEADY_CHUNKS else MESSAGE_TIMEOUT_MS
+        keeps_sending = has_partial_frame and now_ms - self.connection.last_received_ms <= chunk_timeout_ms
+        return waited_ms > (MAX_MESSAGE_MS if keeps_sending else MESSAGE_TIMEOUT_MS)
+
+    def close_overdue(self) -> None:
+        """Close a connection whose message has taken too long."""
+        if self.has_received_message or self._reader.has_partial_frame:
             self._finish(CloseReason.READ_TIMEOUT)
         else:
-            self.close_unheard()
+            self.close_unless_data_arrived()
 
-    def close_unheard(self) -> bool:
-        """Close it, but for one whose request is just arriving."""
+    def close_unless_data_arrived(self) -> bool:
+        """Close it, unless something of it has arrived and is yet to be read; whether it was closed."""
         if self.connection.peek() and not self.connection.is_finishing:
             return False
-        self.connection.close(CloseReason.IDLE if self.spoke else CloseReason.READ_TIMEOUT)
+        self.connection.close(CloseReason.IDLE if self.has_received_message else CloseReason.READ_TIMEOUT)
         return True
 
     def has_arriving(self) -> bool:
-        """Whether something it sent is unread or half read."""
+        """Whether something that it sent is unread, or is a part of an incomplete message."""
         return not self.connection.is_finishing and (
             self._reader.has_partial_frame or bool(self.connection.peek())
         )
 
-    def overdue(self, now_ms: float) -> bool:
-        """Guards descriptors against peers that say nothing, or half a message."""
-        if self.pending or (self.spoke and not self._reader.has_partial_frame):
-            return False
-        if self._reader.is_skipping:
-            return now_ms - self._since_ms > SKIP_MS
-        pause_ms = PIECE_MS if self._pieces < PIECES_SURE else MESSAGE_TIMEOUT_MS
-        comes = self._reader.has_partial_frame and now_ms - self.connection.last_received_ms <= pause_ms
-        return now_ms - self._since_ms > (MAX_PIECES_MS if comes else MESSAGE_TIMEOUT_MS)
-
-    def giving_way(self) -> tuple[bool, bool, float]:
-        """The least of all clients with nothing open gives way first: finished with, then nothing half read,
-        then idle for longest."""
-        return not self.connection.is_finishing, self._reader.has_partial_frame, self.connection.last_used_ms
-
-    def _handle(self, message: thrift.Handle) -> None:
-        seqid = message.seqid
+    def eviction_order(self) -> tuple[bool, bool, float]:
+        """Sort key of connections without pending requests: the first one is closed first to make room.
+
+        First come those that are being closed already, then those without an incomplete message, then those
+        that have been idle for longest.
+        """
+        return (
+            not self.connection.is_finishing,
+            self._reader.has_partial_frame,
+            self.connection.last_used_ms,
+        )
+
+    # --- messages -------------------------------------------------------------------------------
+
+    def _on_message(self, message: thrift.Message | thrift.MalformedMessageError) -> None:
+        if isinstance(message, thrift.MalformedMessageError):
+            self._on_malformed_message(message)
+        elif isinstance(message, thrift.Handle):
+            self._on_handle(message)
+        elif isinstance(message, thrift.Withdraw):
+            self._on_withdraw(message)
+        else:
+            is_ready = self.listener.is_ready
+            self._write(thrift.encode_reply(thrift.METHOD_STATUS, message.seqid, b"", is_ok=is_ready))
+
+    def _on_malformed_message(self, error: thrift.MalformedMessageError) -> None:
+        self.listener.log(f"client: {error}", LOG_SOURCE)
+        # Under the sequence number of a pending request the exception would pass for that request's answer.
+        if error.seqid is None or error.seqid in self.pending:
+            self._finish(CloseReason.PROTOCOL_ERROR)
+        else:
+            self._write(thrift.encode_application_exception(error.seqid, str(error), error.kind))
+
+    def _on_withdraw(self, message: thrift.Withdraw) -> None:
+        key = self.pending.pop(message.seqid, None)
+        if key is not None:
+            self.listener.table.cancel_request(key)
+
+    def _on_handle(self, message: thrift.Handle) -> None:
         try:
-            if seqid in self.pending:
-                raise thrift.MalformedMessageError("a second request under an open number")
-            if len(self.pending) >= MAX_PENDING_REQUESTS:
-                raise thrift.MalformedMessageError("too many open requests")
-            parsed = parse_client_request(message, self.listener.classes, self.listener.tenants)
-            if self.listener.table.is_pending(
-                parsed.request_id
-            ):  # each request brings a new one, a retry too
-                raise thrift.MalformedMessageError("call: the id of an open request")
+            parsed = self._parse_request(message)
         except thrift.MalformedMessageError as error:
-            error.seqid = seqid
-            self._malformed(error)
+            error.seqid = message.seqid
+            self._on_malformed_message(error)
             return
-        if self.connection.is_closed:  # the look at who has that id found the end of this very client
+        # The check for another request of the same id may have found that this very client is gone.
+        if self.connection.is_closed:
             return
+        key = self.listener.table.admit(self._client_request(message.seqid, parsed))
+        if key is not None:
+            self.pending[message.seqid] = key
+
+    def _parse_request(self, message: thrift.Handle) -> ParsedRequest:
+        """Parse a request and check it against the pending ones.
+
+        Raises:
+            MalformedMessageError: where the request can't be admitted as it stands.
+        """
+        if message.seqid in self.pending:
+            reason = "a second request under an open number"
+            raise thrift.MalformedMessageError(reason)
+        if len(self.pending) >= MAX_PENDING_REQUESTS:
+            reason = "too many open requests"
+            raise thrift.MalformedMessageError(reason)
+        parsed = parse_client_request(message, self.listener.classes, self.listener.tenants)
+        # Clients take a new id for each request, also for one that they send again.
+        if self.listener.table.is_pending(parsed.request_id):
+            reason = f"{FIELD_REQUEST_ID}: the id of an open request"
+            raise thrift.MalformedMessageError(reason)
+        return parsed
+
+    def _client_request(self, seqid: int, parsed: ParsedRequest) -> ClientRequest:
         receive_delay_ms = self.connection.receive_delay_ms
-        call = ClientRequest(
+        return ClientRequest(
             id=parsed.request_id,
             class_name=parsed.class_name,
             tenant=parsed.tenant,
@@ -152,47 +249,35 @@
             concurrency=parsed.concurrency,
             memory_mb=parsed.memory_mb,
             start_ms=parsed.start_ms,
-            reply=lambda outcome: self._reply(seqid, outcome),
+            reply=lambda answer: self._reply(seqid, answer),
             age_ms=receive_delay_ms,
-            is_client_connected=self._waits,
+            is_client_connected=self._is_client_connected,
         )
-        if (key := self.listener.table.admit(call)) is not None:
-            self.pending[seqid] = key
 
-    def _waits(self) -> bool:
-        """Whether the client is still there. Guards what nobody waits for: its end may be unread yet."""
+    # --- answers --------------------------------------------------------------------------------
+
+    def _is_client_connected(self) -> bool:
+        """Whether the client still waits; its disconnect may have arrived and not have been read yet."""
         if self.connection.has_peer_closed():
             self.connection.close(CloseReason.CLOSED_BY_PEER)
         return not self.connection.is_closed
 
-    def _reply(self, seqid: int, outcome: FinalAnswer) -> None:
+    def _reply(self, seqid: int, answer: FinalAnswer) -> None:
         self.pending.pop(seqid, None)
-        if isinstance(outcome, Served):
-            self._write(thrift.encode_reply(thrift.METHOD_HANDLE, seqid, outcome.body, is_ok=True))
-        elif isinstance(outcome, Rejected):
-            wait = math.ceil(max(0.0, outcome.retry_after_ms))
-            self._write(thrift.encode_throttled(seqid, wait))
-        elif isinstance(outcome, Failed):
+        if isinstance(answer, Served):
+            self._write(thrift.encode_reply(thrift.METHOD_HANDLE, seqid, answer.body, is_ok=True))
+        elif isinstance(answer, Rejected):
+            retry_after_ms = math.ceil(max(0.0, answer.retry_after_ms))
+            self._write(thrift.encode_throttled(seqid, retry_after_ms))
+        elif isinstance(answer, Failed):
             self._write(thrift.encode_broken(seqid))
 
     def _write(self, data: bytes) -> None:
         self.connection.write(data)
 
-    def on_flushed(self) -> None:
-        """After the connection's own write of this turn: what is left is what the client does not read.
-        While something of it is open it is read all the same, as it may withdraw that or end."""
-        left = self.connection.pending_bytes
-        self.connection.set_reading(left < STOP_READING_BYTES or bool(self.pending))
-        if left > MAX_UNREAD_BYTES or (
-            left > STOP_READING_BYTES and self.listener.unread_bytes() > MAX_TOTAL_UNREAD_BYTES
-        ):
-            self.connection.close(CloseReason.WRITE_BUFFER_FULL)
-
-    def on_writable(self) -> None:
-        pass
-
-    def on_closed(self, end: CloseReason) -> None:
-        keys, self.pending = list(self.pending.values()), {}
-        for key in keys:
+    def _finish(self, reason: CloseReason) -> None:
+        """Fail the pending requests, so that each has its answer, and close once all is written."""
+        for seqid, key in list(self.pending.items()):
             self.listener.table.cancel_request(key)
-        self.listener.ended(self)
+            self._reply(seqid, Failed())
+        self.connection.close_after_flush(reason)
--- a/function_router/net/client_listener.py
+++ b/function_router/net/client_listener.py
@@ -1,4 +1,4 @@
-"""The listener for clients, and the connections that it accepted."""
+"""The listening socket for clients, and the connections that it accepted."""
 
 import errno
 import socket
@@ -11,20 +11,37 @@
 from function_router.net.connection import enable_receive_timestamps
 from function_router.net.event_loop import READ, EventLoop
 from function_router.net.log import RateLimitedLog
-from function_router.net.request_table import (
-    RequestTable,
-)
+from function_router.net.request_table import RequestTable
 
-BACKLOG = 1024
-MAX_ACCEPTS_PER_TURN = 64  # in a turn, and never more than half of all, so that a first request can be read
-ACCEPT_PAUSE_MS = 50.0  # where the system has no descriptor left
-IDLE_MS = 30_000.0  # clients close after 4 s; one that asked and is still here holds its connection for good
-# A peer is owed an answer or a close within 3 s of connecting; what a client sends comes within a round trip.
-YOUNG_MS = 250.0  # a connection that said nothing yet may be about to: others give way first
+BACKLOG = 1024  # connections that the system keeps until they are accepted
+
+# In one turn of the loop. It is also limited to half of all connections, so that the first request of those
+# just accepted can be read before others need their room.
+MAX_ACCEPTS_PER_TURN = 64
+
+# Until the next try, where no file descriptor was left.
+ACCEPT_PAUSE_MS = 50.0
+
+# Clients close after 4 s without a request; one that is still connected after this would stay for good.
+IDLE_TIMEOUT_MS = 30_000.0
+
+# Younger connections that have sent nothing yet may be about to: older ones are closed first to make room.
+FIRST_MESSAGE_GRACE_MS = 250.0
 
 
 class ClientListener:
-    """Owns the listener and the client connections, within a share of the descriptors."""
+    """Owns the listening socket and the client connections, within a share of the file descriptors.
+
+    Attributes:
+        loop: the event loop that all connections share.
+        table: the request table, which admits the clients' requests.
+        log: the log.
+        classes: the request classes by name.
+        tenants: names of the tenants that may send requests; empty where any may.
+        is_ready: the answer to status requests.
+        connections: the open client connections, oldest first; the values mean nothing.
+        address: host and port on which it listens.
+    """
 
     def __init__(
         self,
@@ -36,101 +53,144 @@
         most: int,
         log: RateLimitedLog,
     ) -> None:
-        self.loop, self.table, self.log = loop, table, log
-        self.classes, self.tenants = classes, tenants
+        """Start to listen.
+
+        Args:
+            loop: the event loop.
+            address: host and port to listen on; port 0 has the system choose one.
+            table: the request table.
+            classes: the request classes by name.
+            tenants: names of the tenants that may send requests; empty where any may.
+            most: limit on the client connections that are open at once.
+            log: the log.
+
+        Raises:
+            OSError: where it can't listen on this address.
+        """
+        self.loop = loop
+        self.table = table
+        self.log = log
+        self.classes = classes
+        self.tenants = tenants
         self.is_ready = False
         self.connections: dict[ClientConnection, None] = {}
-        self._most = most
-        family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
-        self._listener: socket.socket | None = socket.socket(family, socket.SOCK_STREAM)
-        self._listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        enable_receive_timestamps(self._listener)
-        self._listener.bind(address)
-        self._listener.listen(BACKLOG)
-        self._listener.setblocking(False)
+        self._max_connections = most
+        self._listener: socket.socket | None = _listen(address)
         self.address: Address = self._listener.getsockname()[:2]
-        self._paused = False
+        self._is_paused = False
         loop.register(self._listener, READ, self._accept)
 
+    # --- accepting ------------------------------------------------------------------------------
+
     def _accept(self, _mask: int) -> None:
-        for _ in range(min(MAX_ACCEPTS_PER_TURN, max(1, self._most // 2))):
-            if self._listener is None or (len(self.connections) >= self._most and not self._make_room()):
+        for _ in range(min(MAX_ACCEPTS_PER_TURN, max(1, self._max_connections // 2))):
+            if self._listener is None:
+                return
+            if len(self.connections) >= self._max_connections and not self._make_room():
                 self._pause()
                 return
-            try:
-                sock, _ = self._listener.accept()
-            except BlockingIOError:
+            if not self._accept_one(self._listener):
                 return
-            except OSError as error:
-                if reason_of_os_error(error) is CloseReason.NO_FILE_DESCRIPTOR:
-                    self._pause()
-                    return
-                if error.errno in (errno.ECONNABORTED, errno.EINTR):
-                    continue
+
+    def _accept_one(self, listener: socket.socket) -> bool:
+        """Accept a connection; False where no other one can be accepted in this turn."""
+        try:
+            sock, _ = listener.accept()
+        except BlockingIOError:
+            return False
+        except OSError as error:
+            if error.errno in (errno.ECONNABORTED, errno.EINTR):
+                return True
+            if reason_of_os_error(error) is not CloseReason.NO_FILE_DESCRIPTOR:
                 self.log(f"accept: {error}")
-                self._pause()
-                return
-            client = ClientConnection(self, sock)
-            self.connections[client] = None
+            self._pause()
+            return False
+        self.connections[ClientConnection(self, sock)] = None
+        return True
 
     def _make_room(self) -> bool:
-        """Close what has nothing open: all that should have spoken by now, else one that is finished with,
-        else the one that has been idle for longest. What has something unread is about to ask."""
+        """Close connections without pending requests; whether any was closed.
+
+        All that have had time enough for a first message and sent nothing are closed; where there is none,
+        the first one in the order of eviction. Those with something unread are about to send a request: they
+        stay.
+        """
         idle = [
             client
             for client in self.connections
             if not client.pending and not client.connection.pending_bytes
         ]
-        since = monotonic_ms() - YOUNG_MS
-        silent = [client for client in idle if client.silent_since(since)]
-        closed = [client for client in silent if client.close_unheard()]
-        while idle and not closed:
-            last = min(idle, key=ClientConnection.giving_way)
-            idle.remove(last)
-            closed = [last] if last.close_unheard() else []
-        return bool(closed)
+        grace_start_ms = monotonic_ms() - FIRST_MESSAGE_GRACE_MS
+        silent = [client for client in idle if client.is_silent_since(grace_start_ms)]
+        closed = [client for client in silent if client.close_unless_data_arrived()]
+        if closed:
+            return True
+        while idle:
+            candidate = min(idle, key=ClientConnection.eviction_order)
+            idle.remove(candidate)
+            if candidate.close_unless_data_arrived():
+                return True
+        return False
 
     def _pause(self) -> None:
-        """Leave new connections to the system's queue for a moment, rather than spin on them."""
-        if self._listener is not None and not self._paused:
-            self._paused = True
+        """Leave new connections to the system's queue for a moment, rather than try again at once."""
+        if self._listener is not None and not self._is_paused:
+            self._is_paused = True
             self.loop.unregister(self._listener)
             self.loop.timers.call_later(ACCEPT_PAUSE_MS, self._resume)
 
     def _resume(self) -> None:
-        self._paused = False
+        self._is_paused = False
         if self._listener is not None:
             self.loop.register(self._listener, READ, self._accept)
 
+    # --- the connections ------------------------------------------------------------------------
+
     def unread_bytes(self) -> int:
+        """Bytes of answers that wait to be written, of all clients."""
         return sum(client.connection.pending_bytes for client in self.connections)
 
     def has_unwritten(self) -> bool:
+        """Whether an answer to any client waits to be written."""
         return any(client.connection.pending_bytes for client in self.connections)
 
     def has_arriving(self) -> bool:
-        """Whether anything of a client lies unread, also on connections that were yet to be accepted."""
-        if not self._paused:
+        """Whether anything of a client lies unread, also on connections that are yet to be accepted."""
+        if not self._is_paused:
             self._accept(READ)
-        return self._paused or any(client.has_arriving() for client in self.connections)
+        return self._is_paused or any(client.has_arriving() for client in self.connections)
 
-    def ended(self, client: ClientConnection) -> None:
+    def on_client_closed(self, client: ClientConnection) -> None:
+        """Forget a connection that has closed."""
         self.connections.pop(client, None)
 
     def check_timeouts(self) -> None:
-        now = monotonic_ms()
+        """Close connections that are idle, or whose message takes too long."""
+        now_ms = monotonic_ms()
         for client in list(self.connections):
-            idle = not client.pending and now - client.connection.last_used_ms > IDLE_MS
-            if idle:
-                client.close_unheard()  # but not on a request that has come and is yet to be read
-            elif client.overdue(now):
-                client.end_overdue()
+            is_idle = not client.pending and now_ms - client.connection.last_used_ms > IDLE_TIMEOUT_MS
+            if is_idle:
+                client.close_unless_data_arrived()
+            elif client.is_overdue(now_ms):
+                client.close_overdue()
 
     def close(self) -> None:
+        """Stop listening and close all connections."""
         if self._listener is not None:
-            if not self._paused:
+            if not self._is_paused:
                 self.loop.unregister(self._listener)
             self._listener.close()
             self._listener = None
         for client in list(self.connections):
             client.connection.close(CloseReason.SHUTDOWN)
+
+
+def _listen(address: Address) -> socket.socket:
+    family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
+    listener = socket.socket(family, socket.SOCK_STREAM)
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    enable_receive_timestamps(listener)
+    listener.bind(address)
+    listener.listen(BACKLOG)
+    listener.setblocking(False)
+    return listener
--- /dev/null
+++ b/tests/test_client_listener.py
@@ -0,0 +1,82 @@
+"""Tests of accepting clients, of the limit on their connections and of their idle timeout."""
+
+from unittest import mock
+
+from fakes import FakeWorker, ready
+
+from function_router.net import client_listener, router_process
+
+MAX_SOCKETS = 32
+FEW_SOCKETS = {"sockets": MAX_SOCKETS}
+
+
+def only_connection(harness):
+    """The one client connection that the router has accepted."""
+    harness.run_until(lambda: harness.process.listener.connections, "the connection is accepted")
+    [served] = harness.process.listener.connections
+    return served
+
+
+def connect_and_request_status(harness, what):
+    client = harness.connect_client()
+    client.status()
+    harness.run_until(lambda: client.answers, what)
+    return client
+
+
+def test_first_request_that_has_arrived_is_read_however_many_clients_connect_after_it(start_router):
+    worker = FakeWorker()
+    harness = start_router(worker, limits=FEW_SOCKETS)
+    first = harness.connect_client()
+    first.call()
+    silent_clients = [harness.connect_client() for _ in range(40)]
+
+    harness.run_until(lambda: worker.requests, "the first request is sent to the worker")
+    worker.answer(worker.requests[0])
+    harness.run_until(lambda: first.answers, "the first request is answered")
+    connect_and_request_status(harness, "a late client is served in place of silent ones")
+
+    assert sum(client.ended for client in silent_clients) > 20
+
+
+def test_connections_stay_within_the_clients_share_of_file_descriptors(start_router):
+    harness = start_router(FakeWorker(instances=None), limits=FEW_SOCKETS)
+    first = harness.connect_client()
+    first.call()
+    harness.run_until(lambda: harness.process.table.pending, "the first request is pending")
+
+    for _ in range(30):
+        connect_and_request_status(harness, "each client is answered")
+        assert len(harness.process.listener.connections) <= MAX_SOCKETS * router_process.CLIENT_SHARE
+
+    assert not first.ended
+
+
+def test_connection_with_a_partial_message_is_evicted_after_silent_ones(start_router):
+    harness = start_router(FakeWorker(instances=None), limits=FEW_SOCKETS)
+    client = harness.connect_client()
+    client.call(withhold=9)
+    served = only_connection(harness)
+    harness.run_until(lambda: served._reader.has_partial_frame, "the first part is read")
+    served.connection.last_used_ms -= 10 * client_listener.FIRST_MESSAGE_GRACE_MS
+
+    for _ in range(30):
+        connect_and_request_status(harness, "each client is answered")
+    client.send_rest()
+
+    harness.run_until(lambda: harness.process.table.pending, "the request is admitted")
+
+
+def test_request_that_arrives_as_its_idle_connection_times_out_is_admitted(start_router):
+    harness = start_router(FakeWorker(instances=None))
+    client = harness.connect_client()
+    harness.round_trip(client)
+    served = only_connection(harness)
+    client.call()
+    assert ready(served.connection._sock)
+
+    with mock.patch.object(client_listener, "IDLE_TIMEOUT_MS", -1.0):
+        harness.process.listener.check_timeouts()  # before the request is read
+        harness.run_until(lambda: harness.process.table.pending, "the request is admitted")
+
+    assert not served.connection.is_closed
