--- /dev/null
+++ b/function_router/config/schema.py
@@ -0,0 +1,151 @@
+"""The JSON of the configuration, the settings and the endpoint list, named as the operator's pages name it.
+
+Each attribute is a key of the JSON. Keys that the router does not use are left out; msgspec ignores them.
+Times are milliseconds.
+"""
+
+from typing import Annotated, Any, Literal
+
+import msgspec
+from msgspec import Meta, Struct
+
+from function_router.decisions.types import DeduplicationScope, RetrySafety
+
+NonNegativeInt = Annotated[int, Meta(ge=0)]
+PositiveInt = Annotated[int, Meta(ge=1)]
+NonNegativeFloat = Annotated[float, Meta(ge=0)]
+Milliseconds = NonNegativeFloat
+
+# Fewer sockets leave no useful share for the connections to workers and those of clients.
+MIN_SOCKETS = 32
+
+# Values of `weight_source` with which the size of an endpoint is that of its machine, and stays.
+FIXED_WEIGHT_SOURCES = ("nominal", "rough")
+
+# The value of `not_loaded` with which a request that finds no instance starts one.
+START_ON_REQUEST = "load"
+
+
+class ClassSection(Struct):
+    """A class of requests: an element of `settings.classes`."""
+
+    name: str
+    promise: Milliseconds = 1000.0
+    give_up: Milliseconds = 2500.0
+    effect: RetrySafety = RetrySafety.AT_MOST_ONCE
+    group: DeduplicationScope = DeduplicationScope.ALL
+    dedup_window: Milliseconds = 0.0
+    worth: float = 1.0
+    late_share: float = 0.0
+
+
+class TenantSection(Struct):
+    """A tenant: an element of `settings.tenants`."""
+
+    name: str
+    quota_rps: NonNegativeFloat | None = None  # of all routers together; None: no quota
+
+
+class BoundsSection(Struct):
+    """What a router may do: `settings.bounds`."""
+
+    cancel: bool = True
+    second_copies: bool = True
+    max_attempts: PositiveInt = 1
+    retry_after: bool = False
+    max_retry_after: Milliseconds = 0.0
+    dial_timeout: Milliseconds = 250.0
+    keepalive: Milliseconds = 15_000.0
+    streams_per_conn: PositiveInt = 32
+    max_open: PositiveInt = 20_000
+
+
+class FamilySection(Struct):
+    """How functions start on the workers: `settings.family_info`."""
+
+    may_order: bool = True
+    idle_life: Milliseconds = 10_000.0
+    load_window: Milliseconds = 0.0
+    free_loads: NonNegativeFloat = 0.0
+    load_part: NonNegativeFloat = 0.0
+    load_wait: Milliseconds = 10_000.0
+    not_loaded: str = "miss"
+    notes_peers_in_hand: bool = False
+
+
+class InvariantsSection(Struct):
+    """The rules on workers in slow start: `settings.invariants`."""
+
+    cold: Milliseconds = 10_000.0
+    cold_share: NonNegativeFloat = 0.2
+    fall: Milliseconds = 1_000.0
+    fall_multiple: NonNegativeFloat = 2.0
+
+
+class CostsSection(Struct):
+    """What the score takes off for: `settings.costs`."""
+
+    handshake: NonNegativeFloat = 0.0
+
+
+class SettingsSection(Struct):
+    """The settings of an instance: `settings`, and `config` on the simulator's wire."""
+
+    classes: list[ClassSection] = []
+    tenants: list[TenantSection] = []
+    bounds: BoundsSection = msgspec.field(default_factory=BoundsSection)
+    family_info: FamilySection = msgspec.field(default_factory=FamilySection)
+    invariants: InvariantsSection = msgspec.field(default_factory=InvariantsSection)
+    costs: CostsSection = msgspec.field(default_factory=CostsSection)
+    fleet_size: PositiveInt = 1
+    locality: str = ""
+    tick: Milliseconds = 1.0
+    weight_source: str = "none"
+
+
+class LimitsSection(Struct):
+    """What the machine gives the process: `limits`."""
+
+    cores: NonNegativeFloat = 1.0
+    memory_mb: PositiveInt = 192
+    sockets: Annotated[int, Meta(ge=MIN_SOCKETS)] = 1024
+
+
+class KnownSection(Struct):
+    """The events of the endpoint log that the process starts from: `known`."""
+
+    seq: NonNegativeInt = 0
+    results: list[dict[str, Any]] = []
+
+
+class ConfigurationFile(Struct):
+    """The whole configuration file."""
+
+    settings: SettingsSection
+    changelog: str
+    name: str = ""
+    listen: str = ""
+    seed: str | int = 0
+    limits: LimitsSection = msgspec.field(default_factory=LimitsSection)
+    known: KnownSection = msgspec.field(default_factory=KnownSection)
+
+
+class EndpointRecord(Struct, frozen=True):
+    """A worker as an event of the endpoint log gives it: an element of `fleet.members`."""
+
+    id: str
+    phase: Literal["in_service", "terminating", "terminated"]
+    host_port: str = ""
+    locality: str = ""
+    flavor: str = ""
+    cell: int = 0
+    size: float = 1.0
+    up_since_ms: float = 0.0  # Unix time of a late start; 0: long past
+
+
+class EndpointList(Struct, frozen=True):
+    """The list in an event of the endpoint log: `fleet`."""
+
+    members: list[EndpointRecord]
+    complete: bool = False  # False: changed members only
+    revision: int = 0
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -1,61 +1,116 @@
-"""Tests of `config`."""
+"""Tests of `function_router.config`."""
 
 import pytest
 from fakes import SETTINGS
 
-from function_router.config import ConfigurationError, load, parse_config, parse_endpoint_list
-from function_router.decisions.types import Outcome
+from function_router.config import (
+    ConfigurationError,
+    load,
+    parse_address,
+    parse_config,
+    parse_endpoint_list,
+    parse_settings,
+)
+from function_router.errors import FunctionRouterError
 
+VALID = {"listen": "127.0.0.1:0", "changelog": "127.0.0.1:9", "seed": "8c1f", "settings": SETTINGS}
 
-class Hands:
-    def __init__(self):
-        self.steady, self.wall = 1000.0, 1_700_000_000_000.0
 
-    def step(self, ms):
-        self.steady += ms
-        self.wall += ms
+def with_settings(**change):
+    return {"settings": SETTINGS | change}
 
 
-PROOFS = {Outcome.NOT_SENT, Outcome.CONNECT_FAILED}
+def test_absent_and_null_keys_have_their_defaults():
+    config = parse_config(VALID | {"name": None}, {})
 
+    assert (config.listen, config.name, config.seed) == (("127.0.0.1", 0), "", 0x8C1F)
+    assert (config.memory_mb, config.max_sockets, config.known_seq) == (192, 1024, 0)
+    assert config.wire.keepalive_ms == 15_000.0
 
-GOOD = {"listen": "127.0.0.1:0", "changelog": "127.0.0.1:9", "seed": "8c1f", "settings": SETTINGS}
 
-
-def test_defaults_and_the_environment():
+def test_environment_takes_precedence_over_listen_and_name():
     environment = {"ROUTER_LISTEN": "127.0.0.9:41", "ROUTER_NAME": "n3"}
-    read = parse_config(GOOD | {"name": None}, environment)
-    assert (read.listen, read.name, read.seed) == (("127.0.0.9", 41), "n3", 0x8C1F)
-    assert (read.memory_mb, read.max_sockets, read.known_seq) == (192, 1024, 0)
-    assert read.wire.keepalive_ms == 15_000.0
 
+    config = parse_config(VALID | {"name": None}, environment)
+
+    assert (config.listen, config.name, config.seed) == (("127.0.0.9", 41), "n3", 0x8C1F)
 
-def test_faults_name_their_key():
-    def settings(**change):
-        return {"settings": SETTINGS | change}
 
-    cases = [
-        ("listen", {"listen": "nowhere"}), ("listen", {"listen": "127.0.0.1:99999"}),
+@pytest.mark.parametrize(
+    ("key", "change"),
+    [
+        ("listen", {"listen": "nowhere"}),
+        ("listen", {"listen": "127.0.0.1:99999"}),
         ("listen", {"listen": "example.org:80"}),
-        ("changelog", {"changelog": 5}), ("changelog", {"changelog": ""}),
-        ("seed", {"seed": "xyz"}), ("limits.sockets", {"limits": {"sockets": 2}}),
-        ("limits.memory_mb", {"limits": {"memory_mb": "much"}}), ("settings", {"settings": []}),
-        ("settings.classes[0].effect", settings(classes=[{"name": "x", "effect": "sometimes"}])),
-        ("settings.classes[0]", settings(classes=[{"promise": 3}])),
-        ("settings.bounds.keepalive", settings(bounds={"keepalive": -1})),
-        ("settings.family_info.load_wait", settings(family_info={"load_wait": "long"})),
-        ("known.seq", {"known": {"seq": -1}}), ("settings.fleet_size", settings(fleet_size=0)),
-    ]  # fmt: skip
-    for key, change in cases:
-        with pytest.raises(ConfigurationError) as caught:
-            parse_config(GOOD | change, {})
-        assert str(caught.value).startswith(key + ":"), str(caught.value)
-
-
-def test_faulty_files_and_lists():
-    for environment in ({}, {"ROUTER_CONFIG": "/nonexistent/config.json"}, {"ROUTER_CONFIG": __file__}):
-        with pytest.raises(ConfigurationError, match="ROUTER_CONFIG"):
-            load(None, environment)
-    for event in (None, [], {"members": [{"id": "s"}]}, {"members": [{"id": "s", "phase": "asleep"}]}):
-        with pytest.raises(ConfigurationError, match="^fleet"):
-            parse_endpoint_list(event)
+        ("changelog", {"changelog": 5}),
+        ("changelog", {"changelog": ""}),
+        ("seed", {"seed": "xyz"}),
+        ("limits.sockets", {"limits": {"sockets": 2}}),
+        ("limits.memory_mb", {"limits": {"memory_mb": "much"}}),
+        ("settings", {"settings": []}),
+        ("settings.classes[0].effect", with_settings(classes=[{"name": "x", "effect": "sometimes"}])),
+        ("settings.classes[0]", with_settings(classes=[{"promise": 3}])),
+        ("settings.bounds.keepalive", with_settings(bounds={"keepalive": -1})),
+        ("settings.family_info.load_wait", with_settings(family_info={"load_wait": "long"})),
+        ("known.seq", {"known": {"seq": -1}}),
+        ("settings.fleet_size", with_settings(fleet_size=0)),
+    ],
+)
+def test_invalid_value_is_reported_with_its_key(key, change):
+    with pytest.raises(ConfigurationError) as caught:
+        parse_config(VALID | change, {})
+
+    assert str(caught.value).startswith(key + ":"), str(caught.value)
+
+
+@pytest.mark.parametrize(
+    "environment",
+    [{}, {"ROUTER_CONFIG": "/nonexistent/config.json"}, {"ROUTER_CONFIG": __file__}],
+    ids=["not set", "no such file", "not JSON"],
+)
+def test_unreadable_file_is_reported_with_its_variable(environment):
+    with pytest.raises(ConfigurationError, match="ROUTER_CONFIG"):
+        load(None, environment)
+
+
+@pytest.mark.parametrize(
+    "event",
+    [None, [], {"members": [{"id": "s"}]}, {"members": [{"id": "s", "phase": "asleep"}]}],
+)
+def test_invalid_endpoint_list_is_reported_as_fleet(event):
+    with pytest.raises(ConfigurationError, match=r"^fleet"):
+        parse_endpoint_list(event)
+
+
+@pytest.mark.parametrize(
+    ("text", "address"),
+    [
+        ("127.0.0.1:0", ("127.0.0.1", 0)),
+        ("127.0.0.1:65535", ("127.0.0.1", 65535)),
+        ("[::1]:41", ("::1", 41)),
+    ],
+)
+def test_numeric_address_and_port_are_read(text, address):
+    assert parse_address(text, "listen") == address
+
+
+def test_settings_are_translated_from_the_names_of_the_pages():
+    settings = parse_settings(
+        {
+            "bounds": {"retry_after": False, "max_retry_after": 500.0, "unknown": 1},
+            "family_info": {"not_loaded": "load", "idle_life": 9000.0},
+            "tenants": [{"name": "acme", "quota_rps": 5.0}, {"name": "other", "quota_rps": None}],
+            "weight_source": "rough",
+        }
+    )
+
+    assert settings.max_retry_after_ms == 0.0
+    assert settings.starts_on_request
+    assert settings.keep_alive_ms == 9000.0
+    assert settings.tenant_quotas_rps == {"acme": 5.0}
+    assert settings.worker_sizes_known
+
+
+def test_configuration_error_is_one_of_the_package():
+    assert issubclass(ConfigurationError, FunctionRouterError)
+    assert issubclass(ConfigurationError, ValueError)
