--- a/function_router/__init__.py
+++ b/function_router/__init__.py
@@ -1,4 +1,4 @@
-"""function_router: the decisions of a router for functions that are loaded on demand."""
+"""function_router: routes requests to workers that start instances of functions on demand."""
 
 from function_router.decisions.router import Router
 
--- a/function_router/cli.py
+++ b/function_router/cli.py
@@ -1,4 +1,4 @@
-"""The command line."""
+"""The command line: ``function-router``."""
 
 from typing import Annotated
 
@@ -7,26 +7,30 @@
 from function_router import __version__, config, server
 
 app = typer.Typer(add_completion=False, no_args_is_help=True, pretty_exceptions_enable=False)
-File = Annotated[str | None, typer.Option("--config", help="The JSON file, in place of ROUTER_CONFIG's.")]
+ConfigPath = Annotated[
+    str | None,
+    typer.Option("--config", help="The JSON file, in place of ROUTER_CONFIG's."),
+]
 
 
 @app.command()
-def serve(path: File = None) -> None:
-    """Serve until SIGTERM, then finish what was taken."""
+def serve(path: ConfigPath = None) -> None:
+    """Serve until SIGTERM, then finish the requests that were admitted."""
     raise typer.Exit(server.serve(path))
 
 
 @app.command("check-config")
-def check_config(path: File = None) -> None:
+def check_config(path: ConfigPath = None) -> None:
     """Read and check the configuration, and say what was understood."""
     try:
-        found = config.load(path)
+        router_config = config.load(path)
     except config.ConfigurationError as error:
         typer.echo(f"function_router: {error}", err=True)
-        raise typer.Exit(2) from None
-    host, port = found.listen
-    names = ", ".join(found.settings.classes) or "none"
-    typer.echo(f"function_router: good: {found.name or 'no name'} on {host}:{port}, classes: {names}")
+        raise typer.Exit(server.EXIT_INVALID_CONFIGURATION) from None
+    name = router_config.name or "no name"
+    host, port = router_config.listen
+    class_names = ", ".join(router_config.settings.classes) or "none"
+    typer.echo(f"function_router: good: {name} on {host}:{port}, classes: {class_names}")
 
 
 @app.command()
--- a/function_router/server.py
+++ b/function_router/server.py
@@ -1,28 +1,45 @@
-"""Serving from a configuration file to an exit status, for the command line and the fast way in."""
+"""Serves from a configuration file to an exit status, for the command line and the direct entry point."""
 
 import gc
 import signal
 import sys
 
 from function_router import config as configuration
+from function_router.config.loader import LISTEN_KEY
 from function_router.net.router_process import RouterProcess
 
+EXIT_OK = 0
+EXIT_INVALID_CONFIGURATION = 2
+
 
 def serve(path: str | None = None) -> int:
-    """Serve until SIGTERM; 0 when all that was admitted is answered, 2 with the key's name on a bad start."""
-    signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})  # until the loop has its handlers
+    """Serve until SIGTERM, from the file at `path` or where ROUTER_CONFIG says.
+
+    Returns:
+        The exit status: 0 when all that was admitted is answered, 2 when the configuration is invalid, in
+        which case its key is named on standard error.
+    """
+    # SIGHUP stays blocked until the event loop has its handlers.
+    signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
     try:
-        router = _bound(configuration.load(path), path)
+        router = _create_router(path)
     except configuration.ConfigurationError as error:
         print(f"function-router: {error}", file=sys.stderr)
-        return 2
+        return EXIT_INVALID_CONFIGURATION
     gc.freeze()  # what the start has made stays: no collection needs to walk it
     router.serve()
-    return 0
+    return EXIT_OK
+
 
+def _create_router(path: str | None) -> RouterProcess:
+    """The router process, which reads the configuration again on SIGHUP.
 
-def _bound(config: configuration.RouterConfig, path: str | None) -> RouterProcess:
+    Raises:
+        ConfigurationError: The configuration is invalid, or its listen address can't be bound.
+    """
+    config = configuration.load(path)
     try:
         return RouterProcess(config, reread=lambda: configuration.load(path))
     except OSError as error:
-        raise configuration.ConfigurationError(f"listen: {error.strerror}: {config.listen}") from None
+        problem = f"{error.strerror}: {config.listen}"
+        raise configuration.ConfigurationError.at(LISTEN_KEY, problem) from None
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -1,170 +1,219 @@
-"""Tests of `program`."""
+"""Tests of the program as a process of its own: signals, commands and exit statuses."""
 
 import os
 import resource
 import signal
 import socket
-import tempfile
+import subprocess
+import sys
 import time
 from pathlib import Path
 
 import msgspec
-from fakes import (
-    SETTINGS,
-    FakeClient,
-    FakeEndpointLog,
-    FakeWorker,
-)
+import pytest
+from fakes import FakeClient, FakeEndpointLog, FakeWorker
 
 ROOT = Path(__file__).parent.parent
+EXIT_TIMEOUT_S = 20
 
 
-NO_CANCEL = {"bounds": {**SETTINGS["bounds"], "cancel": False}}
+@pytest.fixture
+def worker(cleanups):
+    """A worker that answers start orders by itself and leaves requests to the test."""
+    fake_worker = FakeWorker()
+    cleanups.callback(fake_worker.close)
+    return fake_worker
 
 
-LONG_WINDOW = {"name": "save", "effect": "deduplicated", "give_up": 9000.0, "dedup_window": 60_000.0}
+@pytest.fixture
+def connect(cleanups):
+    """Connect clients to an address; closed at the end."""
 
+    def connect_client(address):
+        client = FakeClient(address)
+        cleanups.callback(client.sock.close)
+        return client
 
-PLACE = 9  # a scorer that the decisions don't know, so that the test alone sends there
+    return connect_client
 
 
-def address_of(peer):
-    return "127.0.0.1", int(peer.host_port.split(":")[1])
+def served_address(program):
+    """The address in the line that the program logs when it is ready."""
+    host, port = program.stderr.readline().rsplit(" ", 1)[1].strip().split(":")
+    return host, int(port)
 
 
-RATION = {"family_info": {**SETTINGS["family_info"], "load_window": 5000.0, "free_loads": 2.0}}
+def write_to_pipe(path, content):
+    """Write the content into the pipe as soon as the program opens it to read its configuration."""
+    for _ in range(2000):
+        try:
+            pipe = os.open(path, os.O_WRONLY | os.O_NONBLOCK)
+            break
+        except OSError:  # nobody reads it yet
+            time.sleep(0.01)
+    os.write(pipe, content)
+    os.close(pipe)
 
 
-def test_sigterm_lets_late_arrivals_in_answers_all_and_exits_0(cleanups, programs):
-    worker = FakeWorker()
-    cleanups.callback(worker.close)
+def test_sigterm_admits_late_arrivals_answers_all_and_exits_0(worker, connect, programs):
     program = programs.launch(programs.config(worker.record()))
-    line = program.stderr.readline()
-    host, port = line.rsplit(" ", 1)[1].strip().split(":")
-    client = FakeClient((host, int(port)))
+    address = served_address(program)
+    client = connect(address)
     client.status()
     programs.pump(client, lambda: client.answers, worker)
     assert client.answers[0][1:] == ("answer", {1: b"", 2: {}, 3: True})
     client.call()
     programs.pump(client, lambda: worker.requests, worker)
+
     program.send_signal(signal.SIGTERM)
-    assert "leaving" in program.stderr.readline()
-    late = FakeClient((host, int(port)))
-    late.call(call="ff" * 8)
+    drain_line = program.stderr.readline()
+    late_client = connect(address)
+    late_client.call(call="ff" * 8)
     worker.answer(worker.requests[0], body=b"one")
-    programs.pump(late, lambda: len(worker.requests) == 2, worker)
+    programs.pump(late_client, lambda: len(worker.requests) == 2, worker)
     worker.answer(worker.requests[1], body=b"two")
-    programs.pump(late, lambda: late.answers, worker)
+    programs.pump(late_client, lambda: late_client.answers, worker)
     programs.pump(client, lambda: 1 in client.answer_kinds(), worker)
-    assert (client.answer_kinds()[1], late.answer_kinds()) == ("answer", {1: "answer"})
-    assert program.wait(20) == 0
-    for peer in (client, late):
-        peer.sock.close()
 
+    assert "leaving" in drain_line
+    assert (client.answer_kinds()[1], late_client.answer_kinds()) == ("answer", {1: "answer"})
+    assert program.wait(EXIT_TIMEOUT_S) == 0
 
-def feed(path, config):
-    """Write the configuration into the pipe that the program opens whenever it reads it."""
-    for _ in range(2000):
-        try:
-            pipe = os.open(path, os.O_WRONLY | os.O_NONBLOCK)
-            break
-        except OSError:  # nobody reads it yet
-            time.sleep(0.01)
-    os.write(pipe, config if isinstance(config, bytes) else msgspec.json.encode(config))
+
+def test_sighup_before_the_program_is_ready_is_a_reload_that_moves_the_endpoint_log(programs, tmp_path):
+    path = tmp_path / "pipe"
+    os.mkfifo(path)
+    first = programs.config()
+    second = programs.config()
+    program = programs.launch(first, "serve", "--config", str(path))
+
+    pipe = os.open(path, os.O_WRONLY)  # returns once the program reads its configuration
+    program.send_signal(signal.SIGHUP)
+    os.write(pipe, msgspec.json.encode(first))
     os.close(pipe)
+    assert "serving" in program.stderr.readline()
+    write_to_pipe(path, msgspec.json.encode(second))
 
+    assert "read again" in program.stderr.readline()
+    while not programs.endpoint_log.queries():
+        programs.endpoint_log.pump()
+    assert programs.endpoint_log.queries() == [["since", "1"]]
+    program.send_signal(signal.SIGTERM)
+    assert program.wait(EXIT_TIMEOUT_S) == 0
+
+
+@pytest.mark.parametrize(
+    ("key", "make_content"),
+    [
+        ("JSON", lambda _: b"{"),
+        ("JSON", lambda _: b"[" * 50_000),
+        ("settings", lambda _: b"{}"),
+        ("changelog", lambda config: msgspec.json.encode({**config, "changelog": "x"})),
+    ],
+    ids=["not JSON", "nested too deeply", "key missing", "value invalid"],
+)
+def test_reload_of_an_invalid_file_changes_nothing(key, make_content, programs, tmp_path):
+    path = tmp_path / "pipe"
+    os.mkfifo(path)
+    config = programs.config()
+    program = programs.launch(config, "serve", "--config", str(path))
+    write_to_pipe(path, msgspec.json.encode(config))
+    assert "serving" in program.stderr.readline()
+
+    program.send_signal(signal.SIGHUP)
+    write_to_pipe(path, make_content(config))
+    line = program.stderr.readline()
 
-def test_sighup_even_at_the_start_moves_the_change_log_and_a_bad_file_changes_nothing(programs):
-    with tempfile.TemporaryDirectory() as folder:
-        path, first = os.path.join(folder, "pipe"), programs.config()
-        second = programs.config()
-        os.mkfifo(path)
-        program = programs.launch(first, "serve", "--config", path)
-        pipe = os.open(path, os.O_WRONLY)  # returns once the program reads its configuration
-        program.send_signal(signal.SIGHUP)
-        os.write(pipe, msgspec.json.encode(first))
-        os.close(pipe)
-        assert "serving" in program.stderr.readline()
-        feed(path, second)
-        assert "read again" in program.stderr.readline()
-        faulty = [(b"{", "JSON"), (b"[" * 50_000, "JSON"), ({}, "settings")]
-        for bad, key in [*faulty, ({**first, "changelog": "x"}, "changelog")]:
-            program.send_signal(signal.SIGHUP)
-            feed(path, bad)
-            line = program.stderr.readline()
-            assert "not taken over" in line
-            assert key in line
-        while not programs.endpoint_log.queries():
-            programs.endpoint_log.pump()
-        assert programs.endpoint_log.queries() == [["since", "1"]]
-        program.send_signal(signal.SIGTERM)
-        assert program.wait(20) == 0
-
-
-def test_the_other_commands(programs):
-    cases = [
+    assert "not taken over" in line
+    assert key in line
+    while not programs.endpoint_log.queries():
+        programs.endpoint_log.pump()
+    assert programs.endpoint_log.queries() == [["since", "1"]]
+    program.send_signal(signal.SIGTERM)
+    assert program.wait(EXIT_TIMEOUT_S) == 0
+
+
+@pytest.mark.parametrize(
+    ("words", "status", "text"),
+    [
         (["version"], 0, "function_router 0.2.0"),
         (["check-config"], 0, "classes: view, save, settle"),
         (["unheard-of"], 2, "unheard-of"),
         (["serve", "--config", "/nonexistent"], 2, "ROUTER_CONFIG"),
-    ]
-    for words, status, text in cases:
-        program = programs.launch(programs.config(), *words)
-        out, errors = program.communicate(timeout=20)
-        assert program.returncode == status
-        assert text in out + errors
+    ],
+    ids=["version", "check-config", "unknown command", "no such file"],
+)
+def test_command_exits_with_its_status_and_text(words, status, text, programs):
+    program = programs.launch(programs.config(), *words)
+
+    output, errors = program.communicate(timeout=EXIT_TIMEOUT_S)
+
+    assert program.returncode == status
+    assert text in output + errors
 
 
-def test_an_address_in_use_is_said_so(programs):
+def test_serving_does_not_import_the_command_line():
+    code = "import sys, function_router.server; print('typer' in sys.modules, 'click' in sys.modules)"
+    environment = {**os.environ, "PYTHONPATH": str(ROOT)}
+
+    output = subprocess.check_output([sys.executable, "-c", code], env=environment, text=True)
+
+    assert output == "False False\n"
+
+
+def test_listen_address_in_use_is_reported(programs):
     with socket.create_server(("127.0.0.1", 0)) as other:
         program = programs.launch(programs.config(listen=f"127.0.0.1:{other.getsockname()[1]}"))
-        _, errors = program.communicate(timeout=20)
+
+        _, errors = program.communicate(timeout=EXIT_TIMEOUT_S)
+
     assert program.returncode == 2
     assert "listen" in errors
 
 
-def test_a_faulty_configuration_ends_the_program_with_the_keys_name(programs):
-    cases = [
+@pytest.mark.parametrize(
+    ("key", "change"),
+    [
         ("limits.sockets", {"limits": {"sockets": "many"}}),
         ("listen", {"listen": "here"}),
         ("known.results", {"known": {"seq": 1, "results": [{"seq": 1, "fleet": 5}]}}),
-    ]
-    for key, more in cases:
-        program = programs.launch(programs.config(**more))
-        _, errors = program.communicate(timeout=20)
-        assert program.returncode == 2
-        assert key in errors
-        assert "Traceback" not in errors
-
-
-def test_idle_clients_that_fill_them_while_the_list_is_away_keep_nobody_out(cleanups, programs):
-    worker = FakeWorker()
-    cleanups.callback(worker.close)
+    ],
+)
+def test_invalid_configuration_ends_the_program_with_the_name_of_the_key(key, change, programs):
+    program = programs.launch(programs.config(**change))
+
+    _, errors = program.communicate(timeout=EXIT_TIMEOUT_S)
+
+    assert program.returncode == 2
+    assert key in errors
+    assert "Traceback" not in errors
+
+
+def test_idle_clients_that_fill_the_sockets_without_an_endpoint_log_keep_nobody_out(
+    worker, connect, cleanups, programs
+):
     program = programs.launch(programs.config(limits={"sockets": 64}))
-    host, port = program.stderr.readline().rsplit(" ", 1)[1].strip().split(":")
+    address = served_address(program)
     resource.prlimit(program.pid, resource.RLIMIT_NOFILE, (64, 64))
-    crowd = [client(cleanups, host, port) for _ in range(1)]
-    programs.pump(crowd[0], programs.endpoint_log.queries, programs.endpoint_log)
+    clients = [connect(address)]
+    programs.pump(clients[0], programs.endpoint_log.queries, programs.endpoint_log)
     log_port = int(programs.endpoint_log.host_port.split(":")[1])
     programs.endpoint_log.close()
-    for n in range(80):
-        crowd.append(client(cleanups, host, port))
-        if n % 2:  # it says something, gets its answer and stays
-            crowd[-1].status()
-            programs.pump(crowd[-1], lambda: crowd[-1].answers)
+    for number in range(80):
+        client = connect(address)
+        clients.append(client)
+        if number % 2:  # it asks something, gets its answer and stays
+            client.status()
+            programs.pump(client, lambda client=client: client.answers)
+
     programs.endpoint_log = FakeEndpointLog(log_port)
     cleanups.callback(programs.endpoint_log.close)
-    programs.pump(crowd[-1], programs.endpoint_log.queries, programs.endpoint_log)
+    programs.pump(clients[-1], programs.endpoint_log.queries, programs.endpoint_log)
     programs.endpoint_log.send_line({"seq": 2, "fleet": {"members": [worker.record()]}})
-    usual = client(cleanups, host, port)
-    usual.call()
-    programs.pump(usual, lambda: worker.requests, worker, programs.endpoint_log)
+    new_client = connect(address)
+    new_client.call()
+    programs.pump(new_client, lambda: worker.requests, worker, programs.endpoint_log)
     worker.answer(worker.requests[0], body=b"served")
-    programs.pump(usual, lambda: usual.answers)
-    assert usual.answers[0][1:] == ("answer", {1: b"served", 2: {}, 3: True})
-
+    programs.pump(new_client, lambda: new_client.answers)
 
-def client(cleanups, host, port):
-    client = FakeClient((host, int(port)))
-    cleanups.callback(client.sock.close)
-    return client
+    assert new_client.answers[0][1:] == ("answer", {1: b"served", 2: {}, 3: True})
