--- a/function_router/simulator_adapter.py
+++ b/function_router/simulator_adapter.py
@@ -1,6 +1,7 @@
-"""The adapter: JSON lines on standard input to events, actions to JSON lines on standard output.
+"""Runs the decisions in the simulator: JSON lines on standard input, replies on standard output.
 
-Translation only; every decision is in policy.py. Run as ``python -m function_router.simulator_adapter``.
+Run as ``python -m function_router.simulator_adapter``. Every decision is in `function_router.decisions`, and
+the messages are translated by `function_router.simulator_codec`.
 """
 
 import gc
@@ -10,185 +11,140 @@
 from typing import Any, TextIO
 
 from function_router.config import parse_settings
-from function_router.decisions.actions import (
-    CancelAttempt,
-    EnsureInstances,
-    FailRequest,
-    LogMessage,
-    RejectRequest,
-    SendRequest,
-    SetTimer,
-)
-from function_router.decisions.events import (
-    AttemptEnded,
-    Endpoint,
-    EndpointsChanged,
-    Event,
-    InstancesReported,
-    RequestArrived,
-    RequestCancelled,
-    TimerFired,
-)
+from function_router.decisions.events import Event
 from function_router.decisions.router import Router
-from function_router.decisions.types import Outcome, StartKind, WorkerState
 from function_router.errors import FunctionRouterError
+from function_router.simulator_codec import (
+    INSTANCE_KILLED,
+    INSTANCE_STARTED,
+    READERS,
+    SEED,
+    SETTINGS,
+    WRITERS,
+    JsonObject,
+    write_exception,
+)
 
-ENDINGS = {ending.value: ending for ending in Outcome}
+# Fields of a batch, of its elements, and of the reply.
+NOW = "wall"
+INSTANCE_BATCHES = "ends"
+INSTANCE_ID = "who"
+MESSAGES = "inbox"
+REPLY_MESSAGES = "steps"
 
+COMPACT_SEPARATORS = (",", ":")
+MAX_QUOTED_MESSAGE = 80
 
-class InvalidBatchError(FunctionRouterError, ValueError):
-    """A line that is no valid batch; the text names what is wrong."""
+EXIT_OK = 0
+EXIT_INVALID_BATCH = 2
+
+# What a reader raises for a body that lacks a field or has one of a wrong type.
+INVALID_BODY_ERRORS = (KeyError, TypeError, ValueError, AttributeError)
 
 
-def entry_from(entry: dict[str, Any]) -> Endpoint:
-    units = entry.get("units")
-    return Endpoint(
-        worker_id=entry["worker"],
-        state=WorkerState(entry.get("state") or WorkerState.READY),
-        machine_kind=entry.get("family_type") or "",
-        zone=entry.get("hall") or "",
-        cell=entry.get("stripe") or 0,
-        size=1.0 if units is None else units,
-        started_at_ms=entry.get("up_since") or None,
-    )
-
-
-def roster_from(body: dict[str, Any]) -> EndpointsChanged | None:
-    kind = body.get("kind") or 0
-    if kind == 3:  # the call failed: the prior list stays in effect
-        return None
-    entries = [entry_from(entry) for entry in body.get("entries") or []]
-    return EndpointsChanged(entries, is_complete=kind in (1, 2))
-
-
-def request_from(body: dict[str, Any]) -> RequestArrived:
-    return RequestArrived(
-        request_id=body["tid"],
-        function=body.get("fn") or "",
-        class_name=body.get("service") or "",
-        tenant=str(body.get("billing") or ""),
-        timeout_ms=body.get("time_budget") or 0.0,
-        concurrency=body.get("per_copy") or 1,
-        memory_mb=body.get("mem_mb"),
-        start_ms=body.get("load_ms"),
-        hint_ms=body.get("hint") if (body.get("bitmap") or 0) & 1 else None,
-    )
-
-
-def attempt_from(body: dict[str, Any]) -> AttemptEnded:
-    remark = body.get("remark")
-    return AttemptEnded(
-        request_id=body["tid"],
-        attempt_number=body.get("try") or 0,
-        worker_id=body.get("worker") or 0,
-        outcome=ENDINGS[body["ending"]],
-        duration_ms=body.get("took") or 0.0,
-        is_answered=bool(body.get("ended")),
-        start_kind=StartKind((remark or 0) & 7),
-        in_flight=None if remark is None else remark >> 3,
-        load_report=body.get("health_info"),
-    )
-
-
-def order_from(body: dict[str, Any]) -> InstancesReported:
-    return InstancesReported(
-        worker_id=body["worker"],
-        function=body["fn"],
-        outcome=ENDINGS[body["ending"]],
-        instances=body.get("how_many") or 0,
-        duration_ms=body.get("took") or 0.0,
-    )
-
-
-READERS = {
-    "TARGETS": roster_from,
-    "NEW_REQUEST": request_from,
-    "HANGUP": lambda body: RequestCancelled(body["tid"]),
-    "RESOLVED": attempt_from,
-    "RESIDENT": order_from,
-    "DEADLINE_HIT": lambda body: TimerFired(body["handle"]),
-}
-
-WRITERS = {
-    SendRequest: lambda a: {"ATTEMPT": {"tid": a.request_id, "worker": a.worker_id}},
-    CancelAttempt: lambda a: {"STOP_ATTEMPT": {"tid": a.request_id, "try": a.attempt_number}},
-    RejectRequest: lambda a: {"SAY_NO": {"tid": a.request_id, "hold_off": a.retry_after_ms}},
-    FailRequest: lambda a: {"ERROR": {"tid": a.request_id}},
-    EnsureInstances: lambda a: {"MOUNT": {"worker": a.worker_id, "fn": a.function, "how_many": a.instances}},
-    SetTimer: lambda a: {"NOTIFY_ME": {"sleep_for": a.delay_ms, "handle": a.token}},
-    LogMessage: lambda a: {"LOG": {"body_text": a.text}},
-}
+class InvalidBatchError(FunctionRouterError, ValueError):
+    """A line that is no valid batch; the text names what is wrong."""
 
 
 class SimulatorAdapter:
-    """One Router for each instance; they share nothing."""
+    """One `Router` for each instance; they share nothing."""
 
     def __init__(self) -> None:
         self.routers: dict[int, Router] = {}
 
     def answer(self, line: str) -> str:
-        """The reply to one line of input."""
-        try:
-            batch = json.loads(line)
-        except ValueError as error:
-            raise InvalidBatchError(f"not JSON: {error}") from None
-        if not isinstance(batch, dict) or not isinstance(batch.get("wall"), int | float):
-            raise InvalidBatchError("a batch is an object with a number 'wall'")
-        if not isinstance(batch.get("ends"), list):
-            raise InvalidBatchError("a batch has an array 'ends'")
-        ends = []
-        for end in batch["ends"]:
-            if not isinstance(end, dict) or "who" not in end or not isinstance(end.get("inbox"), list):
-                raise InvalidBatchError("an element of 'ends' has 'who' and an array 'inbox'")
-            steps = self._serve(end["who"], batch["wall"], end["inbox"])
-            if steps:
-                ends.append({"who": end["who"], "steps": steps})
-        return json.dumps({"ends": ends}, separators=(",", ":"))
-
-    def _serve(self, who: int, now_ms: float, inbox: list[Any]) -> list[dict[str, Any]]:
-        steps: list[dict[str, Any]] = []
+        """The reply to one line of input.
+
+        Raises:
+            InvalidBatchError: The line is no valid batch.
+        """
+        batch = _decode_batch(line)
+        now_ms = batch[NOW]
+        replies = []
+        for instance_batch in batch[INSTANCE_BATCHES]:
+            _check_instance_batch(instance_batch)
+            instance_id = instance_batch[INSTANCE_ID]
+            messages = self._answer_instance(instance_id, now_ms, instance_batch[MESSAGES])
+            if messages:
+                replies.append({INSTANCE_ID: instance_id, REPLY_MESSAGES: messages})
+        return json.dumps({INSTANCE_BATCHES: replies}, separators=COMPACT_SEPARATORS)
+
+    def _answer_instance(self, instance_id: int, now_ms: float, messages: list[Any]) -> list[JsonObject]:
+        """The messages in reply to those of one instance, whose events form one batch between restarts."""
+        replies: list[JsonObject] = []
         events: list[Event] = []
-        for message in inbox:
+        for message in messages:
             if not isinstance(message, dict) or len(message) != 1:
-                raise InvalidBatchError(f"an event is an object with one name: {json.dumps(message)[:80]}")
+                quoted = json.dumps(message)[:MAX_QUOTED_MESSAGE]
+                problem = f"an event is an object with one name: {quoted}"
+                raise InvalidBatchError(problem)
             [(name, body)] = message.items()
-            if name in ("ATTACH", "POWER_OFF"):
-                steps += self._handle(who, now_ms, events)
+            if name in (INSTANCE_STARTED, INSTANCE_KILLED):
+                replies += self._handle(instance_id, now_ms, events)
                 events = []
-                self.routers.pop(who, None)
+                self.routers.pop(instance_id, None)
             try:
-                if name == "ATTACH":
-                    self.routers[who] = Router(parse_settings(body.get("config") or {}), body["init_seed"])
+                if name == INSTANCE_STARTED:
+                    settings = parse_settings(body.get(SETTINGS) or {})
+                    self.routers[instance_id] = Router(settings, body[SEED])
                 elif name in READERS and (event := READERS[name](body)) is not None:
                     events.append(event)
-            except (KeyError, TypeError, ValueError, AttributeError) as error:
-                raise InvalidBatchError(f"{name}: {type(error).__name__}: {error}") from None
-        return steps + self._handle(who, now_ms, events)
-
-    def _handle(self, who: int, now_ms: float, events: list[Event]) -> list[dict[str, Any]]:
-        if not events or who not in self.routers:
+            except INVALID_BODY_ERRORS as error:
+                problem = f"{name}: {type(error).__name__}: {error}"
+                raise InvalidBatchError(problem) from None
+        return replies + self._handle(instance_id, now_ms, events)
+
+    def _handle(self, instance_id: int, now_ms: float, events: list[Event]) -> list[JsonObject]:
+        """The actions of the instance's router, as messages; a fault in it is reported as one."""
+        if not events or instance_id not in self.routers:
             return []
         try:
-            actions = self.routers[who].handle(now_ms, events)
-        except Exception as error:  # reported for this instance as the wire provides
-            place = traceback.extract_tb(error.__traceback__)[-1]
-            text = f"{type(error).__name__} in {place.name}, line {place.lineno}: {error}"
-            return [{"EXCEPTION": {"body_text": text}}]
+            actions = self.routers[instance_id].handle(now_ms, events)
+        except Exception as error:  # noqa: BLE001 (the wire has a message for any fault of the decisions)
+            return [write_exception(_describe(error))]
         return [WRITERS[type(action)](action) for action in actions]
 
 
+def _decode_batch(line: str) -> JsonObject:
+    try:
+        batch = json.loads(line)
+    except ValueError as error:
+        problem = f"not JSON: {error}"
+        raise InvalidBatchError(problem) from None
+    if not isinstance(batch, dict) or not isinstance(batch.get(NOW), int | float):
+        problem = f"a batch is an object with a number {NOW!r}"
+        raise InvalidBatchError(problem)
+    if not isinstance(batch.get(INSTANCE_BATCHES), list):
+        problem = f"a batch has an array {INSTANCE_BATCHES!r}"
+        raise InvalidBatchError(problem)
+    return batch
+
+
+def _check_instance_batch(value: object) -> None:
+    if not isinstance(value, dict) or INSTANCE_ID not in value or not isinstance(value.get(MESSAGES), list):
+        problem = f"an element of {INSTANCE_BATCHES!r} has {INSTANCE_ID!r} and an array {MESSAGES!r}"
+        raise InvalidBatchError(problem)
+
+
+def _describe(error: Exception) -> str:
+    """The type of the error, the innermost place it came from, and its text."""
+    place = traceback.extract_tb(error.__traceback__)[-1]
+    return f"{type(error).__name__} in {place.name}, line {place.lineno}: {error}"
+
+
 def main(source: TextIO = sys.stdin, sink: TextIO = sys.stdout) -> int:
-    gc.freeze()
-    host = SimulatorAdapter()
+    """Answer batches until the input ends; 0, or 2 at a line that is no valid batch."""
+    gc.freeze()  # what the start has made stays: no collection needs to walk it
+    adapter = SimulatorAdapter()
     for line in source:
         try:
-            reply = host.answer(line)
+            reply = adapter.answer(line)
         except InvalidBatchError as error:
-            print(f"wirehost: {error}", file=sys.stderr)
-            return 2
+            print(f"simulator_adapter: {error}", file=sys.stderr)
+            return EXIT_INVALID_BATCH
         sink.write(reply + "\n")
         sink.flush()
-    return 0
+    return EXIT_OK
 
 
 if __name__ == "__main__":
--- a/tests/test_simulator_adapter.py
+++ b/tests/test_simulator_adapter.py
@@ -1,12 +1,40 @@
-"""The adapter over a real pipe."""
+"""Tests of `function_router.simulator_adapter` over a real pipe, and of the messages that it translates."""
 
 import json
 import os
 import subprocess
 import sys
 from pathlib import Path
+from typing import get_args
+
+import pytest
+
+from function_router.decisions.actions import (
+    Action,
+    CancelAttempt,
+    EnsureInstances,
+    FailRequest,
+    LogMessage,
+    RejectRequest,
+    SendRequest,
+    SetTimer,
+)
+from function_router.decisions.events import (
+    AttemptEnded,
+    DrainStarted,
+    Endpoint,
+    EndpointsChanged,
+    Event,
+    InstancesReported,
+    RequestArrived,
+    RequestCancelled,
+    TimerFired,
+)
+from function_router.decisions.types import Outcome, StartKind, WorkerState
+from function_router.simulator_adapter import SimulatorAdapter
 
 ROOT = Path(__file__).parent.parent
+EXIT_TIMEOUT_S = 30
 CONFIG = {
     "classes": [{"name": "score", "effect": "idempotent", "give_up": 2500.0, "promise": 1000.0}],
     "bounds": {"max_attempts": 6, "cancel": True, "unheard_of": 1},
@@ -16,88 +44,108 @@
 }
 
 
-def batch(wall, *ends):
-    return json.dumps({"wall": wall, "ends": [{"who": who, "inbox": inbox} for who, inbox in ends]})
+def batch(now_ms, *instances):
+    """A line with the messages of each instance."""
+    ends = [{"who": instance, "inbox": messages} for instance, messages in instances]
+    return json.dumps({"wall": now_ms, "ends": ends})
 
 
-def attach(workers=(11, 12, 13)):
-    entries = [{"worker": w, "state": 1, "up_since": None, "stripe": 0, "units": 1} for w in workers]
+def start_instance(workers=(11, 12, 13)):
+    """The messages that start an instance with these workers."""
+    entries = [
+        {"worker": worker, "state": 1, "up_since": None, "stripe": 0, "units": 1} for worker in workers
+    ]
     return [
         {"ATTACH": {"init_seed": 5, "config": CONFIG}},
         {"TARGETS": {"kind": 2, "serial": 1, "entries": entries, "extra": None}},
     ]
 
 
-def request(tid, fn="fn:a", **more):
-    return {"NEW_REQUEST": {"tid": tid, "service": "score", "fn": fn, "time_budget": 2000.0, **more}}
+def request(request_id, function="fn:a", **more):
+    """The message of a client's request."""
+    body = {"tid": request_id, "service": "score", "fn": function, "time_budget": 2000.0, **more}
+    return {"NEW_REQUEST": body}
 
 
-def talk(*lines, hash_seed="0", check=0):
-    env = {**os.environ, "PYTHONHASHSEED": hash_seed, "PYTHONPATH": str(ROOT)}
-    done = subprocess.run(
+def run_adapter(*lines, hash_seed="0", status=0):
+    """The replies and the standard error of an adapter process that reads these lines."""
+    environment = {**os.environ, "PYTHONHASHSEED": hash_seed, "PYTHONPATH": str(ROOT)}
+    process = subprocess.run(
         [sys.executable, "-m", "function_router.simulator_adapter"],
         input="".join(line + "\n" for line in lines),
         capture_output=True,
+        check=False,
         text=True,
-        env=env,
+        env=environment,
         cwd=ROOT,
-        timeout=30,
+        timeout=EXIT_TIMEOUT_S,
     )
-    assert done.returncode == check, done.stderr
-    return [json.loads(line) for line in done.stdout.splitlines()], done.stderr
-
-
-def day(*whos):
-    """A short day: many functions, at each of the instances named."""
-    lines = [batch(100.0, *((who, attach()) for who in whos))]
-    for n in range(30):
-        inbox = [request(f"t/{n}", f"fn:{n % 7}", load_ms=None, per_copy=2)]
-        if n % 3 == 2:
-            inbox.append({"DEADLINE_HIT": {"handle": 0}})
-        if n > 20:
-            body = {"worker": 12, "fn": f"fn:{n % 7}", "ending": "GOOD", "how_many": 2, "took": 9.0}
-            inbox.append({"RESIDENT": body})
-        lines.append(batch(110.0 + 20 * n, *((who, inbox) for who in whos)))
+    assert process.returncode == status, process.stderr
+    return [json.loads(line) for line in process.stdout.splitlines()], process.stderr
+
+
+def short_day(*instances):
+    """Lines with requests for many functions at each of the instances."""
+    lines = [batch(100.0, *((instance, start_instance()) for instance in instances))]
+    for number in range(30):
+        function = f"fn:{number % 7}"
+        messages = [request(f"t/{number}", function, load_ms=None, per_copy=2)]
+        if number % 3 == 2:
+            messages.append({"DEADLINE_HIT": {"handle": 0}})
+        if number > 20:
+            report = {"worker": 12, "fn": function, "ending": "GOOD", "how_many": 2, "took": 9.0}
+            messages.append({"RESIDENT": report})
+        lines.append(batch(110.0 + 20 * number, *((instance, messages) for instance in instances)))
     return lines
 
 
-def steps(replies, who):
-    return [end["steps"] for reply in replies for end in reply["ends"] if end["who"] == who]
+def messages_of(replies, instance):
+    """The messages of one instance in each reply in which it has any."""
+    return [end["steps"] for reply in replies for end in reply["ends"] if end["who"] == instance]
 
 
-def test_empty_batch_and_end_of_input():
-    replies, _ = talk(batch(1.0))
+def test_empty_batch_has_an_empty_reply_and_the_end_of_the_input_is_no_fault():
+    replies, _ = run_adapter(batch(1.0))
+
     assert replies == [{"ends": []}]
 
 
-def test_a_request_is_asked_after_loaded_sent_and_closed():
-    lines = [batch(100.0, (3, [*attach(), request("t/x")]))]
-    asked = steps(talk(*lines)[0], 3)[0]
-    asks = [step["MOUNT"] for step in asked if "MOUNT" in step]
-    assert asks and all(ask["how_many"] == 0 and ask["fn"] == "fn:a" for ask in asks)
-    body = {"worker": asks[0]["worker"], "fn": "fn:a", "ending": "GOOD", "how_many": 1, "took": 1.0}
-    lines.append(batch(101.0, (3, [{"RESIDENT": body}])))
-    sent = steps(talk(*lines)[0], 3)[1]
-    assert {"ATTEMPT": {"tid": "t/x", "worker": asks[0]["worker"]}} in sent
-    ended = {"tid": "t/x", "ending": "GOOD", "took": 5.0, "ended": True, "try": 0, **body}
+def test_request_is_probed_sent_and_closed():
+    lines = [batch(100.0, (3, [*start_instance(), request("t/x")]))]
+    first_messages = messages_of(run_adapter(*lines)[0], 3)[0]
+    probes = [message["MOUNT"] for message in first_messages if "MOUNT" in message]
+    assert probes
+    assert all(probe["how_many"] == 0 and probe["fn"] == "fn:a" for probe in probes)
+
+    worker_id = probes[0]["worker"]
+    report = {"worker": worker_id, "fn": "fn:a", "ending": "GOOD", "how_many": 1, "took": 1.0}
+    lines.append(batch(101.0, (3, [{"RESIDENT": report}])))
+    second_messages = messages_of(run_adapter(*lines)[0], 3)[1]
+    assert {"ATTEMPT": {"tid": "t/x", "worker": worker_id}} in second_messages
+
+    ended = {"tid": "t/x", "ending": "GOOD", "took": 5.0, "ended": True, "try": 0, **report}
     lines.append(batch(106.0, (3, [{"RESOLVED": {**ended, "remark": None, "health_info": None}}])))
-    assert not [s for s in steps(talk(*lines)[0], 3)[2:] if any("ATTEMPT" in step for step in s)]
+    later_messages = messages_of(run_adapter(*lines)[0], 3)[2:]
+    assert not [messages for messages in later_messages if any("ATTEMPT" in message for message in messages)]
+
+
+def test_actions_do_not_depend_on_the_hash_seed():
+    first, _ = run_adapter(*short_day(0), hash_seed="1")
+    second, _ = run_adapter(*short_day(0), hash_seed="2")
 
+    assert first == second
+    assert sum(len(messages) for messages in messages_of(first, 0)) > 30
 
-def test_same_actions_whatever_the_hash_seed():
-    one, _ = talk(*day(0), hash_seed="1")
-    two, _ = talk(*day(0), hash_seed="2")
-    assert one == two and sum(len(s) for s in steps(one, 0)) > 30
 
+def test_actions_do_not_depend_on_the_process_that_hosts_an_instance():
+    alone, _ = run_adapter(*short_day(1))
+    shared, _ = run_adapter(*short_day(0, 1, 2))
 
-def test_same_actions_whichever_process_hosts_an_instance():
-    alone, _ = talk(*day(1))
-    shared, _ = talk(*day(0, 1, 2))
-    assert steps(alone, 1) == steps(shared, 1)
+    assert messages_of(alone, 1) == messages_of(shared, 1)
 
 
-def test_odd_but_legal_input_is_quiet():
-    odd = [
+def test_unusual_but_legal_input_is_no_fault():
+    unusual = [
         {"TARGETS": {"kind": 3, "serial": 0, "entries": None}},
         {"TARGETS": {"kind": 1, "serial": 2, "entries": []}},
         {"HANGUP": {"tid": "t/none"}},
@@ -109,35 +157,189 @@
         {"NOVELTY": {"x": 1}},
         request("t/late", time_budget=0.0),
     ]
-    replies, err = talk(batch(5.0, (0, [*attach(), *odd])), batch(6.0, (0, [])), batch(7.0, (9, odd[2:3])))
-    assert not err and not any("EXCEPTION" in step for s in steps(replies, 0) for step in s)
-    assert {"SAY_NO": {"tid": "t/late", "hold_off": 0.0}} in steps(replies, 0)[0]
+
+    replies, errors = run_adapter(
+        batch(5.0, (0, [*start_instance(), *unusual])),
+        batch(6.0, (0, [])),
+        batch(7.0, (9, unusual[2:3])),
+    )
+
+    assert not errors
+    assert not any("EXCEPTION" in message for messages in messages_of(replies, 0) for message in messages)
+    assert {"SAY_NO": {"tid": "t/late", "hold_off": 0.0}} in messages_of(replies, 0)[0]
 
 
-def test_a_restart_forgets_everything():
-    replies, _ = talk(
-        batch(1.0, (0, [*attach(), request("t/a")])),
-        batch(2.0, (0, [{"POWER_OFF": {}}, *attach(), request("t/b")])),
+def test_restarted_instance_has_no_state_of_the_one_before():
+    replies, _ = run_adapter(
+        batch(1.0, (0, [*start_instance(), request("t/a")])),
+        batch(2.0, (0, [{"POWER_OFF": {}}, *start_instance(), request("t/b")])),
         batch(2500.0, (0, [{"DEADLINE_HIT": {"handle": 0}}])),
     )
-    assert not any("t/a" in json.dumps(s) for s in steps(replies, 0)[1:])
 
+    assert not any("t/a" in json.dumps(messages) for messages in messages_of(replies, 0)[1:])
 
-def test_what_is_no_batch_ends_with_status_2_and_one_message():
-    for line, word in [
+
+@pytest.mark.parametrize(
+    ("line", "word"),
+    [
         ("{", "JSON"),
         ("[]", "wall"),
         ('{"wall":1}', "ends"),
         ('{"wall":1,"ends":[{"who":1}]}', "inbox"),
         ('{"wall":1,"ends":[{"who":1,"inbox":[{"NEW_REQUEST":{}}]}]}', "NEW_REQUEST"),
         ('{"wall":1,"ends":[{"who":1,"inbox":[7]}]}', "event"),
-    ]:
-        _, err = talk(line, check=2)
-        assert word in err and len(err.splitlines()) == 1, (line, err)
+    ],
+)
+def test_invalid_batch_ends_the_adapter_with_status_2_and_one_line(line, word):
+    _, errors = run_adapter(line, status=2)
+
+    assert word in errors
+    assert len(errors.splitlines()) == 1
+
+
+def test_fault_of_the_decisions_is_reported_with_type_and_place():
+    faulty = {"NEW_REQUEST": {"tid": "t/x", "service": "score", "fn": "fn:a", "time_budget": "soon"}}
+
+    replies, _ = run_adapter(batch(1.0, (0, [*start_instance(), faulty])))
+
+    [[message]] = messages_of(replies, 0)
+    assert "TypeError" in message["EXCEPTION"]["body_text"]
+    assert "line" in message["EXCEPTION"]["body_text"]
+
+
+class RecordingRouter:
+    """Stands in for the decisions: keeps the events and returns the same actions each time."""
+
+    def __init__(self, *actions):
+        self.actions = actions
+        self.events = []
+
+    def handle(self, _now_ms, events):
+        """Keep the events; the actions are those given at the start."""
+        self.events += events
+        return list(self.actions)
+
+
+# One of each action, and the message that it becomes.
+WRITTEN_ACTIONS = [
+    (SendRequest("t/x", 11), {"ATTEMPT": {"tid": "t/x", "worker": 11}}),
+    (CancelAttempt("t/x", 2), {"STOP_ATTEMPT": {"tid": "t/x", "try": 2}}),
+    (RejectRequest("t/x", 250.0), {"SAY_NO": {"tid": "t/x", "hold_off": 250.0}}),
+    (FailRequest("t/x"), {"ERROR": {"tid": "t/x"}}),
+    (EnsureInstances(12, "fn:a", 3), {"MOUNT": {"worker": 12, "fn": "fn:a", "how_many": 3}}),
+    (SetTimer(40.0, 7), {"NOTIFY_ME": {"sleep_for": 40.0, "handle": 7}}),
+    (LogMessage("two workers"), {"LOG": {"body_text": "two workers"}}),
+]
+
+# One of each message that is an event, and the event that it becomes.
+READ_EVENTS = [
+    (
+        {"TARGETS": {"kind": 1, "entries": [{"worker": 11, "state": 2, "hall": "b", "up_since": 0}]}},
+        EndpointsChanged([Endpoint(11, WorkerState.DRAINING, zone="b")], is_complete=True),
+    ),
+    (
+        {"TARGETS": {"kind": 2, "entries": [{"worker": 11, "family_type": "gen-a", "stripe": 3}]}},
+        EndpointsChanged([Endpoint(11, machine_kind="gen-a", cell=3)], is_complete=True),
+    ),
+    (
+        {"TARGETS": {"kind": 0, "entries": [{"worker": 11, "units": 1.5, "up_since": 60.0}]}},
+        EndpointsChanged([Endpoint(11, size=1.5, started_at_ms=60.0)], is_complete=False),
+    ),
+    (
+        {
+            "NEW_REQUEST": {
+                "tid": "t/x",
+                "fn": "fn:a",
+                "service": "score",
+                "billing": "acme",
+                "time_budget": 240.0,
+                "per_copy": 2,
+                "mem_mb": 384,
+                "load_ms": 90.0,
+                "hint": 12.0,
+                "bitmap": 5,
+            }
+        },
+        RequestArrived(
+            "t/x", "fn:a", "score", "acme", 240.0, concurrency=2, memory_mb=384, start_ms=90.0, hint_ms=12.0
+        ),
+    ),
+    (
+        {"NEW_REQUEST": {"tid": "t/x", "hint": 12.0, "bitmap": 4, "billing": 0}},
+        RequestArrived("t/x", "", "", "", 0.0),
+    ),
+    ({"HANGUP": {"tid": "t/x"}}, RequestCancelled("t/x")),
+    (
+        {
+            "RESOLVED": {
+                "tid": "t/x",
+                "try": 1,
+                "worker": 11,
+                "ending": "GOOD",
+                "took": 18.5,
+                "ended": True,
+                "remark": 8 * 5 + 2,
+                "health_info": {"x0": 0.5},
+            }
+        },
+        AttemptEnded(
+            "t/x",
+            1,
+            11,
+            Outcome.OK,
+            18.5,
+            is_answered=True,
+            start_kind=StartKind.COLD_START,
+            in_flight=5,
+            load_report={"x0": 0.5},
+        ),
+    ),
+    (
+        {"RESOLVED": {"tid": "t/x", "ending": "RST"}},
+        AttemptEnded("t/x", 0, 0, Outcome.RESET, 0.0, is_answered=False),
+    ),
+    (
+        {"RESIDENT": {"worker": 11, "fn": "fn:a", "ending": "LATE", "how_many": 2, "took": 9.0}},
+        InstancesReported(11, "fn:a", Outcome.TIMEOUT, 2, 9.0),
+    ),
+    ({"DEADLINE_HIT": {"handle": 7}}, TimerFired(7)),
+]
+
+
+@pytest.mark.parametrize(("action", "message"), WRITTEN_ACTIONS)
+def test_action_is_written_as_its_message(action, message):
+    adapter = SimulatorAdapter()
+    adapter.routers[3] = RecordingRouter(action)
+
+    reply = adapter.answer(batch(1.0, (3, [{"DEADLINE_HIT": {"handle": 0}}])))
+
+    assert json.loads(reply) == {"ends": [{"who": 3, "steps": [message]}]}
+
+
+def test_each_action_has_a_case_above():
+    assert {type(action) for action, _ in WRITTEN_ACTIONS} == set(get_args(Action))
+
+
+@pytest.mark.parametrize(("message", "event"), READ_EVENTS)
+def test_message_is_read_as_its_event(message, event):
+    adapter = SimulatorAdapter()
+    router = RecordingRouter()
+    adapter.routers[3] = router
+
+    adapter.answer(batch(1.0, (3, [message])))
+
+    assert router.events == [event]
+
+
+def test_each_event_but_the_drain_has_a_case_above():
+    assert {type(event) for _, event in READ_EVENTS} == set(get_args(Event)) - {DrainStarted}
+
+
+def test_unavailable_endpoint_list_is_no_event():
+    adapter = SimulatorAdapter()
+    router = RecordingRouter()
+    adapter.routers[3] = router
 
+    adapter.answer(batch(1.0, (3, [{"TARGETS": {"kind": 3, "entries": None}}])))
 
-def test_an_exception_is_reported_with_type_and_place():
-    broken = {"NEW_REQUEST": {"tid": "t/x", "service": "score", "fn": "fn:a", "time_budget": "soon"}}
-    replies, _ = talk(batch(1.0, (0, [*attach(), broken])))
-    [[step]] = steps(replies, 0)
-    assert "TypeError" in step["EXCEPTION"]["body_text"] and "line" in step["EXCEPTION"]["body_text"]
+    assert router.events == []
