--- a/function_router/net/request_table.py
+++ b/function_router/net/request_table.py
@@ -1,13 +1,12 @@
-"""The requests that are open here: from a client's call to its one final answer.
+"""Every pending request, from a client's message to its one final answer, and the attempts in flight.
 
-No protocol of clients is known here: a Call brings what is asked and where the outcome goes, so that
-another protocol can stand before the same decisions.
+Nothing here depends on the protocol of clients: see `function_router.net.pending_request`.
 """
 
 import itertools
 import math
-from collections.abc import Callable, Mapping
-from dataclasses import dataclass, field
+from collections.abc import Mapping
+from dataclasses import dataclass
 
 from function_router.config import TransportSettings
 from function_router.decisions.actions import (
@@ -17,88 +16,49 @@
     RejectRequest,
     SendRequest,
 )
-from function_router.decisions.events import (
-    AttemptEnded,
-    DrainStarted,
-    InstancesReported,
-    RequestArrived,
-    RequestCancelled,
-)
+from function_router.decisions.events import AttemptEnded, DrainStarted, RequestArrived, RequestCancelled
 from function_router.decisions.settings import RequestClass
 from function_router.decisions.types import Outcome, RetrySafety, StartKind
 from function_router.net.clock import monotonic_ms
 from function_router.net.close_reason import outcome_of
 from function_router.net.event_loop import EventLoop
 from function_router.net.log import RateLimitedLog
-from function_router.net.timer_wheel import Timer
-from function_router.net.worker_messages import Answer, Attempt, Result, StartOrder
+from function_router.net.pending_request import (
+    ClientRequest,
+    Failed,
+    FinalAnswer,
+    PendingRequest,
+    Rejected,
+    Served,
+)
+from function_router.net.start_orders import RecountStartOrder, StartOrderSender
+from function_router.net.worker_messages import Answer, Attempt, Result
 from function_router.net.worker_pool import WorkerPool
 
-MAX_TOTAL_BODY_BYTES = 32 * 1024 * 1024  # bytes of open requests' bodies: part of the memory limit
-FULL_PUSHBACK_MS = 250.0  # advice where this front end can hold no more; the module never saw the request
-MAX_IN_FLIGHT = 30
-REPEAT_MARGIN_MS = 50.0  # a keyed repeat must arrive inside the window, not just leave inside it
-NEVER_RAN = (Outcome.QUEUE_FULL, Outcome.CONNECT_FAILED, Outcome.NOT_SENT, Outcome.NOT_LOADED)
-MAX_TRACE_STEPS = 24  # steps outcome_of of one request
-
-
-@dataclass(slots=True)
-class Served:
-    body: bytes
-
-
-@dataclass(slots=True)
-class Rejected:
-    retry_after_ms: float
-
-
-@dataclass(slots=True)
-class Failed:
-    pass
-
-
-FinalAnswer = Served | Rejected | Failed
+__all__ = ["ClientRequest", "Failed", "FinalAnswer", "Rejected", "RequestTable", "Served"]
 
+MAX_TOTAL_BODY_BYTES = 32 * 1024 * 1024  # bodies of all pending requests: part of the memory limit
+FULL_TABLE_RETRY_AFTER_MS = 250.0  # advice to a client whose request finds no room in the table
+MAX_REPORTED_IN_FLIGHT = 30  # a worker's figure beyond it is passed on as this
+IDEMPOTENCY_WINDOW_MARGIN_MS = 50.0  # a repeat must arrive inside the window, not just leave inside it
+LOG_SOURCE = "requests"  # these lines have a rate limit of their own
 
-@dataclass(slots=True)
-class ClientRequest:
-    """What a client asks, free of its protocol."""
-
-    id: bytes
-    class_name: str
-    tenant: str
-    function: str
-    timeout_ms: float
-    body: bytes
-    idempotency_key: str
-    concurrency: int
-    memory_mb: float | None
-    start_ms: float | None
-    reply: Callable[[FinalAnswer], None]
-    age_ms: float  # how long its last bytes had lain unread
-    is_client_connected: Callable[
-        [], bool
-    ]  # whether its client is still there; one that is not is taken off by the asking
+# Outcomes that prove that the worker did not run the request.
+NEVER_RAN = (Outcome.QUEUE_FULL, Outcome.CONNECT_FAILED, Outcome.NOT_SENT, Outcome.NOT_LOADED)
 
 
-@dataclass(slots=True, eq=False)
-class PendingRequest:
-    key: str
-    call: ClientRequest
-    deadline_ms: float  # of the monotonic clock
-    deadline_timer: Timer
-    attempts: int = 0  # sent so far; the module numbers them in the same order
-    ran_ms: float = math.inf  # when the first ended attempt that may have run began
-    taken_ms: float = field(default_factory=monotonic_ms)
-    trace: list[str] = field(default_factory=list)  # what happened to it, for the log
+@dataclass(frozen=True, slots=True)
+class _AttemptReport:
+    """What an ended attempt tells the decision module, and how the log puts it."""
 
-    def note(self, text: str) -> None:
-        if len(self.trace) < MAX_TRACE_STEPS:
-            self.trace.append(f"+{monotonic_ms() - self.taken_ms:.0f} {text}")
+    outcome: Outcome
+    start_kind: StartKind
+    in_flight: int | None  # requests for the function that the worker held before this one
+    description: str
 
 
 class RequestTable:
-    """Owns every open request, and sees to it that each gets exactly one outcome."""
+    """Owns every pending request, and makes sure that each gets exactly one final answer."""
 
     def __init__(
         self,
@@ -106,231 +66,255 @@
         pool: WorkerPool,
         wire: TransportSettings,
         classes: Mapping[str, RequestClass],
-        recount_start_order: Callable[[float, float], float | None],
+        recount_start_order: RecountStartOrder,
         log: RateLimitedLog,
     ) -> None:
         self.pending: dict[str, PendingRequest] = {}
-        self._classes, self._log = classes, log
-        self._loop, self._pool, self._wire = loop, pool, wire
-        self._recount_start_order = (
-            recount_start_order  # asks the module when the first byte of an order is to leave
-        )
-        self._batch_ms = 0.0  # the moment of the batch that is being carried out
-        self._bodies = 0
-        self._ends_ms = math.inf  # when this front end may be ended from outside
-        self._keys: dict[bytes, str] = {}  # by the id of an open request's call
-        self._numbers = itertools.count(1)
-        # Attempts that are out, also of requests that are over: the module may still call them off.
+        self._loop = loop
+        self._pool = pool
+        self._wire = wire
+        self._classes = classes
+        self._log = log
+        self._start_orders = StartOrderSender(loop, pool, recount_start_order, self._add_function_trace_step)
+        self._batch_ms = 0.0  # when the batch whose actions are being carried out was handled
+        self._pending_body_bytes = 0
+        self._shutdown_at_ms = math.inf  # from then on the process may be killed
+        self._keys_by_client_id: dict[bytes, str] = {}  # of pending requests
+        self._request_numbers = itertools.count(1)
+        # Attempts in flight, also of finished requests: the decision module may still cancel those.
         self._attempts: dict[tuple[str, int], Attempt] = {}
-        # Requests that ended while the module did not know it yet, of this batch and of the one before.
-        self._done: dict[str, PendingRequest] = {}
-        self._done_before: dict[str, PendingRequest] = {}
+        # Finished requests that the decision module may still send, as it has not heard of their end yet.
+        self._finished_in_batch: dict[str, PendingRequest] = {}
+        self._finished_in_previous_batch: dict[str, PendingRequest] = {}
 
     # --- from clients -------------------------------------------------------------------------
 
-    def admit(self, call: ClientRequest) -> str | None:
-        """The key of a new request; None where it was refused at once, untouched."""
-        if (
-            len(self.pending) >= self._wire.max_pending_requests
-            or self._bodies + len(call.body) > MAX_TOTAL_BODY_BYTES
-        ):
-            call.reply(Rejected(FULL_PUSHBACK_MS))
+    def admit(self, client_request: ClientRequest) -> str | None:
+        """Add a request and return its key; None if there is no room and it was rejected at once."""
+        if not self._has_room_for(client_request):
+            client_request.reply(Rejected(FULL_TABLE_RETRY_AFTER_MS))
             return None
-        key = f"r{next(self._numbers)}"
-        self._bodies += len(call.body)
-        self._keys[call.id] = key
-        budget_ms = max(0.0, min(call.timeout_ms, self._ends_ms - self._loop.turn_started_ms))
-        deadline_timer = self._loop.timers.call_later(budget_ms, lambda: self._overdue(key))
-        self.pending[key] = PendingRequest(key, call, self._loop.turn_started_ms + budget_ms, deadline_timer)
+        key = f"r{next(self._request_numbers)}"
+        self._pending_body_bytes += len(client_request.body)
+        self._keys_by_client_id[client_request.id] = key
+        now_ms = self._loop.turn_started_ms
+        timeout_ms = max(0.0, min(client_request.timeout_ms, self._shutdown_at_ms - now_ms))
+        deadline_timer = self._loop.timers.call_later(timeout_ms, lambda: self._on_deadline(key))
+        self.pending[key] = PendingRequest(key, client_request, now_ms + timeout_ms, deadline_timer)
         self._loop.submit(
             RequestArrived(
-                key, call.function, call.class_name, call.tenant, budget_ms, call.concurrency,
-                call.memory_mb, call.start_ms, client_id=call.id.hex(), age_ms=call.age_ms,
+                request_id=key,
+                function=client_request.function,
+                class_name=client_request.class_name,
+                tenant=client_request.tenant,
+                timeout_ms=timeout_ms,
+                concurrency=client_request.concurrency,
+                memory_mb=client_request.memory_mb,
+                start_ms=client_request.start_ms,
+                client_id=client_request.id.hex(),
+                age_ms=client_request.age_ms,
             )
-        )  # fmt: skip
+        )
         return key
 
     def drain(self, within_ms: float) -> None:
-        """This front end may be ended from outside by then: what is open then would have no answer at all."""
-        self._ends_ms = self._loop.turn_started_ms + within_ms
+        """Limit all deadlines to when the process may be killed: a request pending then gets no answer."""
+        self._shutdown_at_ms = self._loop.turn_started_ms + within_ms
         for request in self.pending.values():
-            request.deadline_ms = min(request.deadline_ms, self._ends_ms)
+            request.deadline_ms = min(request.deadline_ms, self._shutdown_at_ms)
         self._loop.submit(DrainStarted(within_ms))
 
-    def is_pending(self, id: bytes) -> bool:
-        """Whether a request of this id is open, and its client still there."""
-        key = self._keys.get(id)
-        return key is not None and self.pending[key].call.is_client_connected()
+    def is_pending(self, client_request_id: bytes) -> bool:
+        """Whether a request with this id is pending and its client still connected."""
+        key = self._keys_by_client_id.get(client_request_id)
+        return key is not None and self.pending[key].client_request.is_client_connected()
 
     def cancel_request(self, key: str) -> None:
-        """The client waits no more: no answer is owed."""
+        """Drop a request whose client no longer waits: it gets no answer."""
         if request := self._close(key):
-            self._loop.submit(RequestCancelled(key, request.call.id.hex()))
+            self._submit_cancelled(request)
 
-    def _overdue(self, key: str) -> None:
-        """Guards the one final answer against any fault in the decisions; they end a request earlier."""
-        request = self.pending[key]
-        self._finish(key, Failed())
-        self._loop.submit(RequestCancelled(key, request.call.id.hex()))
-
-    def _close(self, key: str) -> PendingRequest | None:
-        request = self.pending.pop(key, None)
-        if request:
-            request.deadline_timer.cancel()
-            self._bodies -= len(request.call.body)
-            self._keys.pop(request.call.id, None)
-            self._done[key] = request
-            self._take_back(key, request)
-        return request
-
-    def _take_back(self, key: str, request: PendingRequest) -> None:
-        """What no scorer has heard of yet must not begin for a request that is over. The module's cancels
-        don't see to that: where the settings forbid them there are none."""
-        for number in range(request.attempts):
-            if attempt := self._attempts.get((key, number)):
-                self._pool.cancel_if_unsent(attempt)
-
-    def _may_start(self, key: str) -> bool:
-        """Asked when an attempt's first byte is to leave, which may be long after it was decided on."""
-        request = self.pending.get(key)
-        return request is not None and self._in_window(key, request) and request.call.is_client_connected()
-
-    def _in_window(self, key: str, request: PendingRequest) -> bool:
-        """Whether scorers still know the first attempt of a keyed request, if any may have run."""
-        spec = self._classes.get(request.call.class_name)
-        if spec is None or spec.retry_safety is not RetrySafety.IDEMPOTENCY_KEY:
-            return True
-        out = (self._attempts.get((key, number)) for number in range(request.attempts))
-        first_ms = min(
-            [request.ran_ms, *(attempt.created_at_ms for attempt in out if attempt and attempt.is_started)]
-        )
-        return monotonic_ms() - first_ms < spec.idempotency_window_ms - REPEAT_MARGIN_MS
-
-    def _finish(self, key: str, outcome: FinalAnswer) -> None:
-        if request := self._close(key):
-            request.call.reply(outcome)
-            self._log_trace(request, outcome)
-
-    def _log_trace(self, request: PendingRequest, outcome: FinalAnswer) -> None:
-        """A line on each request that was not served in time: what it waited for, step by step."""
-        call, took = request.call, monotonic_ms() - request.taken_ms
-        spec = self._classes.get(call.class_name)
-        if spec is None or (isinstance(outcome, Served) and took <= spec.latency_objective_ms):
-            return
-        what = type(outcome).__name__.lower()
-        steps = "; ".join(request.trace) or "never sent"
-        line = f"{call.id.hex()} {call.class_name} of {call.function} {what} after {took:.0f} ms"
-        self._log(f"{line} of {call.timeout_ms:.0f}: {steps}", "requests")
-
-    # --- from the module ----------------------------------------------------------------------
+    # --- from the decision module -------------------------------------------------------------
 
     def begin_batch(self, now_ms: float) -> None:
+        """Note that a batch of events is about to be handled, at this time of the module's clock."""
         self._batch_ms = now_ms
-        self._done_before, self._done = self._done, {}
+        self._finished_in_previous_batch = self._finished_in_batch
+        self._finished_in_batch = {}
 
     def send(self, action: SendRequest) -> None:
-        key, worker = action.request_id, action.worker_id
-        request = self.pending.get(key) or self._done.get(key) or self._done_before.get(key)
+        """Send an attempt; where its request has just finished, report it as not sent."""
+        key = action.request_id
+        request = (
+            self.pending.get(key)
+            or self._finished_in_batch.get(key)
+            or self._finished_in_previous_batch.get(key)
+        )
         if request is None:
             return
-        number, request.attempts = request.attempts, request.attempts + 1
-        if key not in self.pending:  # it ended in the very batch that this answers
-            self._loop.submit(AttemptEnded(key, number, worker, Outcome.NOT_SENT, 0.0, is_answered=True))
+        number = request.attempt_count
+        request.attempt_count += 1
+        if key not in self.pending:  # it finished after the batch had been gathered
+            self._loop.submit(
+                AttemptEnded(key, number, action.worker_id, Outcome.NOT_SENT, 0.0, is_answered=True)
+            )
             return
-        call = request.call
-        attempt = self._attempts[key, number] = Attempt(
-            worker_id=worker,
-            on_done=lambda attempt, result: self._on_attempt_done(key, number, attempt, result),
-            may_start=lambda: self._may_start(key),
-            exchange_id=call.id,
-            class_name=call.class_name,
-            function=call.function,
-            idempotency_key=call.idempotency_key,
-            body=call.body,
-            deadline_ms=request.deadline_ms,
-        )
-        request.note(f"sent to {worker}")
+        attempt = self._create_attempt(request, number, action.worker_id)
+        self._attempts[key, number] = attempt
+        request.add_trace_step(f"sent to {action.worker_id}")
         self._pool.send(attempt)
 
     def cancel_attempt(self, action: CancelAttempt) -> None:
+        """Cancel an attempt if it is in flight."""
         if attempt := self._attempts.get((action.request_id, action.attempt_number)):
             self._pool.cancel(attempt)
 
     def reject(self, action: RejectRequest) -> None:
+        """Answer a request with a rejection."""
         self._finish(action.request_id, Rejected(action.retry_after_ms))
 
     def fail(self, action: FailRequest) -> None:
+        """Answer a request with a failure."""
         self._finish(action.request_id, Failed())
 
-    # --- from scorers -------------------------------------------------------------------------
+    def ensure_instances(self, action: EnsureInstances) -> None:
+        """Send a start order or a probe."""
+        self._start_orders.send(action, decided_at_ms=self._batch_ms)
+
+    # --- the end of a request -----------------------------------------------------------------
+
+    def _on_deadline(self, key: str) -> None:
+        """Fail a request that the decision module did not finish by its deadline.
+
+        It normally finishes each one earlier; if a fault stops it from doing so, the client still gets its
+        answer.
+        """
+        request = self.pending[key]
+        self._finish(key, Failed())
+        self._submit_cancelled(request)
+
+    def _finish(self, key: str, answer: FinalAnswer) -> None:
+        if request := self._close(key):
+            request.client_request.reply(answer)
+            self._log_trace(request, answer)
+
+    def _close(self, key: str) -> PendingRequest | None:
+        request = self.pending.pop(key, None)
+        if request:
+            request.deadline_timer.cancel()
+            self._pending_body_bytes -= len(request.client_request.body)
+            self._keys_by_client_id.pop(request.client_request.id, None)
+            self._finished_in_batch[key] = request
+            self._cancel_unsent_attempts(request)
+        return request
+
+    def _cancel_unsent_attempts(self, request: PendingRequest) -> None:
+        """Cancel the attempts of a finished request of which their workers have not seen a byte.
+
+        The decision module's own cancellations do not cover these: the settings may forbid them.
+        """
+        for number in range(request.attempt_count):
+            if attempt := self._attempts.get((request.key, number)):
+                self._pool.cancel_if_unsent(attempt)
+
+    def _submit_cancelled(self, request: PendingRequest) -> None:
+        self._loop.submit(RequestCancelled(request.key, request.client_request.id.hex()))
+
+    # --- attempts -----------------------------------------------------------------------------
+
+    def _create_attempt(self, request: PendingRequest, number: int, worker_id: int) -> Attempt:
+        key = request.key
+        client_request = request.client_request
+        return Attempt(
+            worker_id=worker_id,
+            on_done=lambda attempt, result: self._on_attempt_done(key, number, attempt, result),
+            may_start=lambda: self._may_start(key),
+            exchange_id=client_request.id,
+            class_name=client_request.class_name,
+            function=client_request.function,
+            idempotency_key=client_request.idempotency_key,
+            body=client_request.body,
+            deadline_ms=request.deadline_ms,
+        )
+
+    def _may_start(self, key: str) -> bool:
+        """Whether an attempt's first byte may leave now, which may be long after it was decided on."""
+        request = self.pending.get(key)
+        return (
+            request is not None
+            and self._is_in_idempotency_window(request)
+            and request.client_request.is_client_connected()
+        )
+
+    def _is_in_idempotency_window(self, request: PendingRequest) -> bool:
+        """Whether workers would still recognize a repeat of the first attempt that may have run.
+
+        Always true of classes that need no idempotency key.
+        """
+        request_class = self._classes.get(request.client_request.class_name)
+        if request_class is None or request_class.retry_safety is not RetrySafety.IDEMPOTENCY_KEY:
+            return True
+        first_run_at_ms = request.first_run_at_ms
+        for number in range(request.attempt_count):
+            attempt = self._attempts.get((request.key, number))
+            if attempt and attempt.is_started:
+                first_run_at_ms = min(first_run_at_ms, attempt.created_at_ms)
+        window_ms = request_class.idempotency_window_ms - IDEMPOTENCY_WINDOW_MARGIN_MS
+        return monotonic_ms() - first_run_at_ms < window_ms
 
     def _on_attempt_done(self, key: str, number: int, attempt: Attempt, result: Result) -> None:
         del self._attempts[key, number]
-        if isinstance(result, Answer):
-            outcome, start_kind, in_flight = result.outcome, result.start_kind, self._in_flight(result)
-            what = f"{outcome.name} {start_kind.name} crowd {in_flight}"
-        else:
-            outcome, start_kind, in_flight = outcome_of(result, attempt.is_started), StartKind.UNKNOWN, None
-            what = result.name
+        report = self._report_of(attempt, result)
         if request := self.pending.get(key):
-            request.note(f"{attempt.worker_id}: {what} link {attempt.connection_wait_ms:.0f}")
-            if attempt.is_started and outcome not in NEVER_RAN:
-                request.ran_ms = min(request.ran_ms, attempt.created_at_ms)
-        if isinstance(result, Answer) and outcome is Outcome.OK:
+            wait_ms = attempt.connection_wait_ms
+            request.add_trace_step(f"{attempt.worker_id}: {report.description} connection wait {wait_ms:.0f}")
+            if attempt.is_started and report.outcome not in NEVER_RAN:
+                request.first_run_at_ms = min(request.first_run_at_ms, attempt.created_at_ms)
+        if isinstance(result, Answer) and report.outcome is Outcome.OK:
             self._finish(key, Served(result.body))
         self._loop.submit(
             AttemptEnded(
                 request_id=key,
                 attempt_number=number,
                 worker_id=attempt.worker_id,
-                outcome=outcome,
+                outcome=report.outcome,
                 duration_ms=monotonic_ms() - attempt.created_at_ms,
                 is_answered=key not in self.pending,
-                start_kind=start_kind,
-                in_flight=in_flight,
+                start_kind=report.start_kind,
+                in_flight=report.in_flight,
             )
         )
 
-    def _in_flight(self, answer: Answer) -> int | None:
+    def _report_of(self, attempt: Attempt, result: Result) -> _AttemptReport:
+        if not isinstance(result, Answer):
+            outcome = outcome_of(result, attempt.is_started)
+            return _AttemptReport(outcome, StartKind.UNKNOWN, None, result.name)
+        in_flight = self._reported_in_flight(result)
+        description = f"{result.outcome.name} {result.start_kind.name} in flight {in_flight}"
+        return _AttemptReport(result.outcome, result.start_kind, in_flight, description)
+
+    def _reported_in_flight(self, answer: Answer) -> int | None:
         if not self._wire.reports_in_flight or answer.outcome not in (Outcome.OK, Outcome.QUEUE_FULL):
             return None
-        return min(MAX_IN_FLIGHT, answer.in_flight)
-
-    def ensure_instances(self, action: EnsureInstances) -> None:
-        self._note_order(action.function, f"order {action.instances} at {action.worker_id}")
-        may_start = self._asked_anew() if action.instances else lambda: True
-        self._pool.ensure_instances(
-            StartOrder(
-                worker_id=action.worker_id,
-                on_done=self._on_start_order_done,
-                function=action.function,
-                instances=action.instances,
-                may_start=may_start,
-            )
-        )
-
-    def _asked_anew(self) -> Callable[[], bool]:
-        """Asks whether an order may leave, each time that its first byte could."""
-        counted_ms: float | None = self._batch_ms
+        return min(MAX_REPORTED_IN_FLIGHT, answer.in_flight)
 
-        def may_start() -> bool:
-            nonlocal counted_ms
-            if counted_ms is not None:
-                counted_ms = self._recount_start_order(counted_ms, self._loop.clock.now_ms())
-            return counted_ms is not None
+    # --- room and log -------------------------------------------------------------------------
 
-        return may_start
+    def _has_room_for(self, client_request: ClientRequest) -> bool:
+        has_free_place = len(self.pending) < self._wire.max_pending_requests
+        return has_free_place and self._pending_body_bytes + len(client_request.body) <= MAX_TOTAL_BODY_BYTES
 
-    def _note_order(self, function: str, text: str) -> None:
+    def _add_function_trace_step(self, function: str, text: str) -> None:
         for request in self.pending.values():
-            if request.call.function == function:
-                request.note(text)
-
-    def _on_start_order_done(self, order: StartOrder, result: Result) -> None:
-        if isinstance(result, Answer):
-            outcome, instances = result.outcome, result.instances
-        else:
-            outcome, instances = outcome_of(result, order.is_started), 0
-        self._note_order(order.function, f"{order.worker_id} holds {instances} {outcome.name}")
-        duration_ms = monotonic_ms() - order.created_at_ms
-        self._loop.submit(InstancesReported(order.worker_id, order.function, outcome, instances, duration_ms))
+            if request.client_request.function == function:
+                request.add_trace_step(text)
+
+    def _log_trace(self, request: PendingRequest, answer: FinalAnswer) -> None:
+        """Log the steps of a request that was not served within its class's latency objective."""
+        duration_ms = monotonic_ms() - request.admitted_at_ms
+        request_class = self._classes.get(request.client_request.class_name)
+        if request_class is None:
+            return
+        if isinstance(answer, Served) and duration_ms <= request_class.latency_objective_ms:
+            return
+        self._log(request.format_trace(answer, duration_ms), LOG_SOURCE)
--- a/tests/test_request_table.py
+++ b/tests/test_request_table.py
@@ -148,7 +148,7 @@
     with mock.patch.object(request_table, "MAX_TOTAL_BODY_BYTES", 10):
         seqid = client.call(body=b"x" * 11)
         harness.run_until(lambda: client.answers, "it is refused")
-    expected = {1: {"pushback": str(int(request_table.FULL_PUSHBACK_MS)).encode()}}
+    expected = {1: {"pushback": str(int(request_table.FULL_TABLE_RETRY_AFTER_MS)).encode()}}
     assert client.answers == [(seqid, "throttled", expected)]
 
 
@@ -205,7 +205,7 @@
     [line] = [line for line in harness.log_lines if "9b1f03aa5c7e2d41" in line]
     worker = endpoint_registry.worker_id_of(worker.id)
     assert f"view of {ROW} rejected after" in line
-    assert f"order 0 at {worker}" in line
+    assert f"ensure 0 instances at {worker}" in line
 
 
 def test_a_request_served_in_time_is_not_told(start_router):
@@ -371,7 +371,7 @@
     assert ready(served.connection._sock)
     with mock.patch.object(connection, "MAX_READS_PER_TURN", 1):
         served.connection._ready(READ)
-    assert (harness.process.table.pending, harness.process.table._keys) == ({}, {})
+    assert (harness.process.table.pending, harness.process.table._keys_by_client_id) == ({}, {})
 
 
 def test_one_that_was_called_off_before_its_first_byte_starts_no_window(start_router, unreachable_address):
@@ -382,7 +382,7 @@
     harness.process.pool.update_endpoint(PLACE, unreachable_address(), WorkerState.READY, 0.0)
     harness.process.table.send(SendRequest(key, PLACE))
     harness.process.table.cancel_attempt(CancelAttempt(key, 0))
-    assert request.ran_ms == math.inf
+    assert request.first_run_at_ms == math.inf
 
 
 def test_a_repeat_that_waited_for_a_dial_past_the_window_is_not_sent(cleanups, start_router):
