--- a/function_router/net/codecs/worker_frames.py
+++ b/function_router/net/codecs/worker_frames.py
@@ -1,82 +1,149 @@
-"""The binary frames between front ends and scorers. Pure: bytes in, frames out, and back."""
+"""The binary frames between routers and workers, without I/O: bytes in, frames out, and back.
+
+A frame is a header (direction, code, length of the fields, length of the body, exchange id), the fields as
+`name=value,name=value`, the body, and a CRC-32 of fields and body. Numbers are big-endian.
+"""
 
 import struct
 import zlib
-from dataclasses import dataclass
 
-FROM_FRONT_END, FROM_SCORER = 128, 129
-RUN, GIVE_UP, ENSURE = 1, 2, 5
-OK, MISS, FULL, ERROR, OVER = 0, 2, 3, 4, 5
-MAX_BODY_BYTES = 256 * 1024  # far over any body that a client may be passed; a length beyond it is no frame
+from msgspec import Struct
+
+from function_router.errors import FunctionRouterError
+
+# The first byte of a frame: who sent it.
+FROM_ROUTER = 128
+FROM_WORKER = 129
+
+# The second byte of a router's frame: what the worker is to do.
+RUN = 1
+CANCEL = 2
+ENSURE_INSTANCES = 5
+
+# The second byte of a worker's frame: its answer.
+OK = 0
+NOT_LOADED = 2
+QUEUE_FULL = 3
+ERROR = 4
+EXPIRED = 5
+
+# The names of the fields.
+CLASS_FIELD = "kind"
+FUNCTION_FIELD = "obj"
+TIMEOUT_MS_FIELD = "ms"
+IDEMPOTENCY_KEY_FIELD = "token"
+INSTANCES_FIELD = "slots_up"
+IN_FLIGHT_FIELD = "company"
+START_KIND_FIELD = "res"
+
+# Far above any body that may be passed to a client: a frame that claims more is invalid.
+MAX_BODY_BYTES = 256 * 1024
+
+# The names until the modules and tests that use them have moved to those above.
+FROM_FRONT_END = FROM_ROUTER
+FROM_SCORER = FROM_WORKER
+GIVE_UP = CANCEL
+ENSURE = ENSURE_INSTANCES
 
 _HEADER = struct.Struct(">BBHI8s")
-_CHECK = struct.Struct(">I")
+_CHECKSUM = struct.Struct(">I")
 
 
-@dataclass(slots=True)
-class Frame:
+class FrameError(FunctionRouterError):
+    """Bytes that are no valid frame; nothing after them can be read."""
+
+
+class Frame(Struct, frozen=True):
+    """One frame; `exchange_id` is that of the exchange that it opens, cancels or answers."""
+
     code: int
-    id: bytes
+    exchange_id: bytes
     fields: dict[str, str]
     body: bytes
 
+    @property
+    def id(self) -> bytes:
+        """The name of `exchange_id` until the tests that use it have moved."""
+        return self.exchange_id
 
-def encode(code: int, id: bytes, fields: str = "", body: bytes = b"", mark: int = FROM_FRONT_END) -> bytes:
-    data = fields.encode()
-    check = zlib.crc32(body, zlib.crc32(data))
-    return _HEADER.pack(mark, code, len(data), len(body), id) + data + body + _CHECK.pack(check)
 
+def encode(
+    code: int, exchange_id: bytes, fields: str = "", body: bytes = b"", direction: int = FROM_ROUTER
+) -> bytes:
+    """A whole frame; `fields` are already joined as `name=value,name=value`."""
+    field_bytes = fields.encode()
+    checksum = zlib.crc32(body, zlib.crc32(field_bytes))
+    header = _HEADER.pack(direction, code, len(field_bytes), len(body), exchange_id)
+    return header + field_bytes + body + _CHECKSUM.pack(checksum)
 
-def fields_from(data: bytes) -> dict[str, str]:
-    """`name=value,name=value`; a part without a name or a sign says nothing and is passed over."""
+
+def parse_fields(data: bytes) -> dict[str, str]:
+    """The fields by name; a part without a name or without `=` is ignored."""
     parts = (part.partition("=") for part in data.decode("utf-8", "replace").split(",") if part)
-    return {name: value for name, sign, value in parts if sign and name}
+    return {name: value for name, separator, value in parts if separator and name}
 
 
-def run(id: bytes, kind: str, function: str, wait_ms: float, token: str, body: bytes) -> bytes:
-    fields = f"kind={kind},obj={function},ms={max(1, int(wait_ms))}"
-    return encode(RUN, id, f"{fields},token={token}" if token else fields, body)
+def encode_run(
+    exchange_id: bytes, class_name: str, function: str, timeout_ms: float, idempotency_key: str, body: bytes
+) -> bytes:
+    """The frame that has a worker run a request; without an idempotency key where that is empty."""
+    fields = (
+        f"{CLASS_FIELD}={class_name},{FUNCTION_FIELD}={function},{TIMEOUT_MS_FIELD}={max(1, int(timeout_ms))}"
+    )
+    if idempotency_key:
+        fields = f"{fields},{IDEMPOTENCY_KEY_FIELD}={idempotency_key}"
+    return encode(RUN, exchange_id, fields, body)
 
 
-def give_up(id: bytes) -> bytes:
-    return encode(GIVE_UP, id)
+def encode_cancel(exchange_id: bytes) -> bytes:
+    """The frame that cancels a request; the worker doesn't answer it."""
+    return encode(CANCEL, exchange_id)
 
 
-def ensure(id: bytes, function: str, copies: int) -> bytes:
-    return encode(ENSURE, id, f"obj={function},slots_up={copies}")
+def encode_ensure_instances(exchange_id: bytes, function: str, instances: int) -> bytes:
+    """The frame that has a worker start instances of a function up to a number; 0 only asks for the count."""
+    return encode(ENSURE_INSTANCES, exchange_id, f"{FUNCTION_FIELD}={function},{INSTANCES_FIELD}={instances}")
 
 
 class FrameReader:
-    """Splits a scorer's stream into frames; keeps at most one that is not whole yet."""
+    """Splits the bytes of one connection into frames; keeps at most one that is incomplete.
+
+    `error` is set once bytes came that are no valid frame.
+    """
+
+    __slots__ = ("_buffer", "_direction", "error")
 
-    def __init__(self, mark: int = FROM_SCORER) -> None:
+    def __init__(self, direction: int = FROM_WORKER) -> None:
+        self.error: FrameError | None = None
         self._buffer = bytearray()
-        self._mark = mark
-        self.fault = ""  # set once bytes came that are no frame: nothing after them can be read
+        self._direction = direction
 
     @property
-    def waits(self) -> bool:
-        """Whether a frame has begun and is not whole yet."""
+    def has_partial_frame(self) -> bool:
+        """Whether a frame has begun and is incomplete."""
         return bool(self._buffer)
 
     def feed(self, data: bytes) -> list[Frame]:
-        """The frames that are now whole, up to a fault."""
+        """Take bytes in; the frames that are now complete, up to an error."""
         self._buffer += data
-        found: list[Frame] = []
+        frames: list[Frame] = []
         start = 0
         while len(self._buffer) - start >= _HEADER.size:
-            mark, code, fields, body, id = _HEADER.unpack_from(self._buffer, start)
-            if mark != self._mark or body > MAX_BODY_BYTES:
-                self.fault = f"mark {mark}, body of {body} bytes"
+            direction, code, fields_length, body_length, exchange_id = _HEADER.unpack_from(
+                self._buffer, start
+            )
+            if direction != self._direction or body_length > MAX_BODY_BYTES:
+                self.error = FrameError(f"direction byte {direction}, body of {body_length} bytes")
                 break
-            end = start + _HEADER.size + fields + body
-            if len(self._buffer) < end + _CHECK.size:
+            end = start + _HEADER.size + fields_length + body_length
+            if len(self._buffer) < end + _CHECKSUM.size:
                 break
             content = bytes(self._buffer[start + _HEADER.size : end])
-            if zlib.crc32(content) != _CHECK.unpack_from(self._buffer, end)[0]:
-                self.fault = "the check does not fit"
+            if zlib.crc32(content) != _CHECKSUM.unpack_from(self._buffer, end)[0]:
+                self.error = FrameError("checksum mismatch")
                 break
-            found.append(Frame(code, id, fields_from(content[:fields]), content[fields:]))
-            start = end + _CHECK.size
+            fields = parse_fields(content[:fields_length])
+            frames.append(Frame(code, exchange_id, fields, content[fields_length:]))
+            start = end + _CHECKSUM.size
         del self._buffer[:start]
-        return found
+        return frames
--- a/function_router/net/worker_messages.py
+++ b/function_router/net/worker_messages.py
@@ -13,15 +13,26 @@
 from function_router.net.timer_wheel import Timer
 
 if TYPE_CHECKING:
-    from function_router.net.worker_pool import WorkerConnection
+    from function_router.net.worker_connection import WorkerConnection
+
+MAX_COUNT_DIGITS = 9  # of a number in an answer: what is longer is no count
 
 _ATTEMPT_OUTCOMES = {
     frames.OK: Outcome.OK,
-    frames.MISS: Outcome.NOT_LOADED,
-    frames.FULL: Outcome.QUEUE_FULL,
-    frames.OVER: Outcome.NOT_SENT,
+    frames.NOT_LOADED: Outcome.NOT_LOADED,
+    frames.QUEUE_FULL: Outcome.QUEUE_FULL,
+    frames.EXPIRED: Outcome.NOT_SENT,
+}
+_START_ORDER_OUTCOMES = {
+    frames.OK: Outcome.OK,
+    frames.QUEUE_FULL: Outcome.QUEUE_FULL,
+}
+_START_KINDS = {
+    "reused": StartKind.WARM,
+    "init": StartKind.COLD_START,
+    "shared_init": StartKind.JOINED_COLD_START,
+    "init_error": StartKind.START_FAILED,
 }
-_START_ORDER_OUTCOMES = {frames.OK: Outcome.OK, frames.FULL: Outcome.QUEUE_FULL}
 
 
 @dataclass(frozen=True, slots=True)
@@ -32,13 +43,20 @@
     body: bytes
     start_kind: StartKind
     in_flight: int  # requests for the function that the worker held before this one
-    instances: int  # that stand there, in the answer to a start order or probe
+    instances: int  # of the function on the worker, in the answer to a start order or probe
 
 
 Result = Answer | CloseReason
 """What became of an exchange: the worker's answer, or why there is none."""
 
 
+def _parse_count(text: str | None) -> int:
+    """The number in a field of an answer; 0 where the field is absent or no count."""
+    if text and text.isascii() and text.isdigit() and len(text) <= MAX_COUNT_DIGITS:
+        return int(text)
+    return 0
+
+
 def _always() -> bool:
     return True
 
@@ -49,7 +67,7 @@
 
     worker_id: int
     exchange_id: bytes = b""  # eight bytes, under which the worker answers
-    may_start: Callable[[], bool] = _always  # asked whenever its first byte could leave
+    may_start: Callable[[], bool] = _always  # called whenever its first byte could leave
     created_at_ms: float = field(default_factory=monotonic_ms, init=False)
     connection: "WorkerConnection | None" = field(default=None, init=False)
     pending_write: PendingWrite | None = field(default=None, init=False)
@@ -79,6 +97,17 @@
     def finish(self, result: Result) -> None:
         """Hand the result to whoever sent it; called once."""
 
+    def parse_answer(self, frame: frames.Frame) -> Answer:
+        """The worker's answer to it; a field that is absent or invalid counts as 0 or unknown."""
+        fields = frame.fields
+        return Answer(
+            outcome=self.outcome_of(frame.code),
+            body=frame.body,
+            start_kind=_START_KINDS.get(fields.get(frames.START_KIND_FIELD, ""), StartKind.UNKNOWN),
+            in_flight=_parse_count(fields.get(frames.IN_FLIGHT_FIELD)),
+            instances=_parse_count(fields.get(frames.INSTANCES_FIELD)),
+        )
+
 
 @dataclass(slots=True, eq=False, kw_only=True)
 class Attempt(Exchange):
@@ -97,14 +126,18 @@
         return True
 
     def encode(self) -> bytes:
-        """The request's frame, with the time that is left of it."""
-        left_ms = self.deadline_ms - monotonic_ms()
-        return frames.run(
-            self.exchange_id, self.class_name, self.function, left_ms, self.idempotency_key, self.body
+        """The request's frame, with the time that is left until its deadline."""
+        return frames.encode_run(
+            self.exchange_id,
+            self.class_name,
+            self.function,
+            timeout_ms=self.deadline_ms - monotonic_ms(),
+            idempotency_key=self.idempotency_key,
+            body=self.body,
         )
 
     def outcome_of(self, code: int) -> Outcome:
-        """What the code means; one that is not known may stand for a run."""
+        """What the code means; after an unknown one the request may have run."""
         return _ATTEMPT_OUTCOMES.get(code, Outcome.ERROR)
 
     def finish(self, result: Result) -> None:
@@ -127,7 +160,7 @@
 
     def encode(self) -> bytes:
         """The order's frame."""
-        return frames.ensure(self.exchange_id, self.function, self.instances)
+        return frames.encode_ensure_instances(self.exchange_id, self.function, self.instances)
 
     def outcome_of(self, code: int) -> Outcome:
         """What the code means."""
--- a/tests/test_worker_frames.py
+++ b/tests/test_worker_frames.py
@@ -31,7 +31,7 @@
 
 
 def test_the_layout_is_the_documented_one():
-    data = worker_frames.run(bytes(range(8)), "view", ROW, 1499.9, "tok", b"hi")
+    data = worker_frames.encode_run(bytes(range(8)), "view", ROW, 1499.9, "tok", b"hi")
     fields = f"kind=view,obj={ROW},ms=1499,token=tok".encode()
     assert data[:16] == b"\x80\x01" + struct.pack(">HI", len(fields), 2) + bytes(range(8))
     assert data[16:-4] == fields + b"hi"
@@ -49,7 +49,7 @@
         contents = [(f.code, f.fields["company"], len(f.body)) for f in found]
         assert contents == [(code, str(code), code) for code in range(6)]
         assert found[0].fields == {"res": "init", "company": "0"}
-        assert not reader.fault
+        assert not reader.error
 
 
 def test_faults_end_the_stream_after_what_was_whole():
@@ -64,4 +64,4 @@
     for name, bad in cases.items():
         reader = worker_frames.FrameReader()
         assert [frame.body for frame in reader.feed(good + bad + good)] == [b"x"], name
-        assert reader.fault, name
+        assert reader.error, name
--- a/tests/test_worker_pool.py
+++ b/tests/test_worker_pool.py
@@ -19,7 +19,8 @@
 from function_router.net import (
     endpoint_registry,
     router_process,
-    worker_pool,
+    pooled_worker,
+    worker_connection,
 )
 from function_router.net.close_reason import CloseReason
 from function_router.net.codecs import worker_frames
@@ -168,7 +169,7 @@
     for n in range(3):
         harness.process.pool.send(attempt(id, [], exchange_id=b"%08d" % n))
         harness.run_until(lambda n=n: len(worker.requests) > n, "it runs")
-        dials.append(harness.process.pool.counters["dials"])
+        dials.append(harness.process.pool.counters["connects"])
     assert dials == [1, 2, 2]
 
 
@@ -199,7 +200,7 @@
     harness.process.pool.send(attempt(id, ended, exchange_id=b"%08d" % 0))
     harness.run_until(lambda: len(worker.requests) == 34, "all run")
     for link in worker.connections:
-        ids = [frame.id for at, frame in worker.requests if at is link]
+        ids = [frame.exchange_id for at, frame in worker.requests if at is link]
         assert len(ids) <= 32
         assert len(ids) == len(set(ids))
 
@@ -247,7 +248,7 @@
     harness.run_until(lambda: min(used.idle_ms(), spare.idle_ms()) > 100.0, "both are idle for long")
     worker.instances = None
     pool.ensure_instances(start_order(id, ended))
-    with mock.patch.object(worker_pool, "STALE_SIGN_MS", 60_000.0):
+    with mock.patch.object(worker_connection, "STALE_RESET_MS", 60_000.0):
         harness.run_until(lambda: len(worker.frames) == 2, "it is used again")
         worker.frames[1][0].sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
         worker.frames[1][0].sock.close()
@@ -264,7 +265,7 @@
     harness.process.pool.send(attempt(endpoint_registry.worker_id_of(worker.id), ended))
     harness.run_until(lambda: worker.requests, "it runs")
     link, frame = worker.requests[0]
-    whole = worker_frames.encode(0, frame.id, body=b"x" * 50, mark=worker_frames.FROM_SCORER)
+    whole = worker_frames.encode(0, frame.exchange_id, body=b"x" * 50, direction=worker_frames.FROM_WORKER)
     link.sock.sendall(whole[:40])
     harness.run_until(lambda: ended, "it ends")
     assert ended == [(CloseReason.READ_TIMEOUT, True)]
@@ -274,7 +275,7 @@
     worker, ended = FakeWorker(instances=None), []
     harness = start_router(worker)
     id = endpoint_registry.worker_id_of(worker.id)
-    with mock.patch.object(worker_pool, "CONNECTIONS_BEFORE_SHARING", 1):
+    with mock.patch.object(pooled_worker, "CONNECTIONS_BEFORE_SHARING", 1):
         harness.process.pool.send(attempt(id, ended))
         harness.run_until(lambda: worker.requests, "it runs")
         worker.answer(worker.requests[0], 3, "")
@@ -293,7 +294,7 @@
     id = endpoint_registry.worker_id_of(worker.id)
     harness.process.pool.send(attempt(id, ended))
     harness.run_until(lambda: worker.requests, "it runs")
-    with mock.patch.object(worker_pool, "QUIET_MS", -1.0):
+    with mock.patch.object(worker_connection, "UNRESPONSIVE_AFTER_MS", -1.0):
         harness.process.pool.send(attempt(id, ended, exchange_id=b"abcdefgh"))
         harness.run_until(lambda: len(worker.requests) == 2, "the second runs")
     assert worker.requests[0][0] is not worker.requests[1][0]
@@ -359,13 +360,13 @@
     harness = start_router(worker, settings={"bounds": {"streams_per_conn": 1}})
     pool = harness.process.pool
     pool.update_endpoint(PLACE, address_of(worker), WorkerState.READY, 0.0)
-    for n in range(worker_pool.MAX_CONNECTIONS):
+    for n in range(pooled_worker.MAX_CONNECTIONS):
         pool.send(attempt(PLACE, ended, exchange_id=b"%08d" % n))
         harness.run_until(lambda n=n: len(worker.requests) > n, "it runs")
     pool.update_endpoint(PLACE, None, WorkerState.READY, 5.0)
     pool.send(attempt(PLACE, ended, exchange_id=b"abcdefgh"))
     harness.run_until(
-        lambda: len(worker.requests) > worker_pool.MAX_CONNECTIONS or ended, "the next one runs"
+        lambda: len(worker.requests) > pooled_worker.MAX_CONNECTIONS or ended, "the next one runs"
     )
     assert ended == []
 
@@ -414,7 +415,7 @@
         harness.process.pool.ensure_instances(start_order(n, ended, instances=0))
         harness.run_until(lambda n=n: len(ended) > n, "it is reached")
     assert {end for end, _ in ended} == {Outcome.OK}
-    assert harness.process.pool._links <= 32 * router_process.SCORER_SHARE
+    assert harness.process.pool._connection_count <= 32 * router_process.SCORER_SHARE
 
 
 # --- Orders to load are rationed by when they arrive, and by the calls that clients did not take back.
@@ -474,7 +475,7 @@
         harness.run_until(lambda link=link: link.is_connected, "the dial comes up")
         harness.process.table.ensure_instances(EnsureInstances(PLACE, ROW, 0))
         harness.run_until(lambda peer=peer: peer.frames, "what is sent after it arrives")
-        counts = [frame.fields["slots_up"] for _, frame in peer.received(worker_frames.ENSURE)]
+        counts = [frame.fields["slots_up"] for _, frame in peer.received(worker_frames.ENSURE_INSTANCES)]
         assert ("1" in counts) == (others == 1)
         ordered = list(harness.process.router.start_order_times)
         assert len(ordered) == 2
@@ -491,9 +492,9 @@
     pump, peer.pump = peer.pump, lambda: None  # it reads no more
     filler = link.connection.write(b"")
     while not link.connection._blocked:
-        filler = link.connection.write(worker_frames.give_up(b"nobody00") * 50_000)
+        filler = link.connection.write(worker_frames.encode_cancel(b"nobody00") * 50_000)
         link.connection.flush()
-    with mock.patch.object(worker_pool, "MAX_PENDING_BYTES", 1 << 30):
+    with mock.patch.object(worker_connection, "MAX_PENDING_BYTES", 1 << 30):
         now_ms = harness.process.loop.clock.now_ms()
         harness.process.table.begin_batch(now_ms)
         harness.process.router.start_order_times.add(now_ms)
@@ -507,7 +508,7 @@
     harness.run_until(lambda: not link.connection.pending_bytes, "all is written")
     harness.run_until(lambda: filler.written == len(filler.data), "the filler too")
     harness.process.table.ensure_instances(EnsureInstances(PLACE, ROW, 0))
-    asked = lambda: [f for _, f in peer.received(worker_frames.ENSURE) if f.fields["slots_up"] == "0"]  # noqa: E731
+    asked = lambda: [f for _, f in peer.received(worker_frames.ENSURE_INSTANCES) if f.fields["slots_up"] == "0"]  # noqa: E731
     harness.run_until(asked, "what is sent after it arrives")
-    counts = [frame.fields["slots_up"] for _, frame in peer.received(worker_frames.ENSURE)]
+    counts = [frame.fields["slots_up"] for _, frame in peer.received(worker_frames.ENSURE_INSTANCES)]
     assert "2" not in counts
