--- a/tests/test_worker_connection.py
+++ b/tests/test_worker_connection.py
@@ -11,6 +11,9 @@
 from function_router.net.codecs import worker_frames
 from function_router.net.endpoint_registry import worker_id_of
 
+# The codes of answers, as documented.
+NOT_LOADED = 2
+QUEUE_FULL = 3
 NO_FRAME = b"HTTP/1.1 200 OK\r\n\r\n"
 LINGER_ON_FOR_0_S = b"\1\0\0\0\0\0\0\0"  # closing then resets the connection
 
@@ -84,10 +87,10 @@
     with mock.patch.object(pooled_worker, "CONNECTIONS_BEFORE_SHARING", 1):
         pool.send(attempt(worker_id, results))
         harness.run_until(lambda: worker.requests, "it runs")
-        worker.answer(worker.requests[0], worker_frames.QUEUE_FULL, "")
+        worker.answer(worker.requests[0], QUEUE_FULL, "")
         harness.run_until(lambda: results, "the worker's queue is full")
         pool.send(attempt(worker_id, results))
-        worker.answer(worker.requests[0], worker_frames.QUEUE_FULL, "")
+        worker.answer(worker.requests[0], QUEUE_FULL, "")
         harness.run_until(lambda: len(worker.requests) == 2, "it runs again")
 
     worker.answer(worker.requests[1])
@@ -133,7 +136,7 @@
 
     assert worker.requests[0][0] is not worker.requests[1][0]
 
-    worker.answer(worker.requests[1], worker_frames.NOT_LOADED, "")
+    worker.answer(worker.requests[1], NOT_LOADED, "")
     harness.run_until(lambda: second_results, "the second ends")
 
     assert (first_results, second_results) == (
--- a/tests/test_worker_frames.py
+++ b/tests/test_worker_frames.py
@@ -7,9 +7,10 @@
 from fakes import ROW
 
 from function_router.net.codecs import worker_frames
-from function_router.net.codecs.worker_frames import FROM_WORKER, FrameReader
+from function_router.net.codecs.worker_frames import FrameReader
 
-VALID_FRAME = worker_frames.encode(0, b"goodgood", "res=reused", b"x", FROM_WORKER)
+WORKER_BYTE = 129  # the first byte of a worker's frame, as documented
+VALID_FRAME = worker_frames.encode(0, b"goodgood", "res=reused", b"x", WORKER_BYTE)
 
 
 def with_flipped_bit(frame):
@@ -39,7 +40,7 @@
     reader = FrameReader()
     data = b"".join(
         worker_frames.encode(
-            code, b"%08d" % code, f"res=init,company={code},odd,=x", b"b" * code, FROM_WORKER
+            code, b"%08d" % code, f"res=init,company={code},odd,=x", b"b" * code, WORKER_BYTE
         )
         for code in range(6)
     )
@@ -57,7 +58,7 @@
     [
         pytest.param(worker_frames.encode(0, b"goodgood"), id="from-a-router"),
         pytest.param(with_flipped_bit(VALID_FRAME), id="flipped-bit"),
-        pytest.param(struct.pack(">BBHI8s", FROM_WORKER, 0, 0, 2**31, b"goodgood"), id="body-too-long"),
+        pytest.param(struct.pack(">BBHI8s", WORKER_BYTE, 0, 0, 2**31, b"goodgood"), id="body-too-long"),
     ],
 )
 def test_invalid_frame_ends_reading_after_the_frames_before_it(invalid):
