--- a/function_router/net/client_listener.py
+++ b/function_router/net/client_listener.py
@@ -8,9 +8,9 @@
 from function_router.net.client_connection import ClientConnection
 from function_router.net.clock import monotonic_ms
 from function_router.net.close_reason import CloseReason, reason_of_os_error
-from function_router.net.connection import enable_receive_timestamps
 from function_router.net.event_loop import READ, EventLoop
 from function_router.net.log import RateLimitedLog
+from function_router.net.receive_timestamps import enable_receive_timestamps
 from function_router.net.request_table import RequestTable
 
 BACKLOG = 1024  # connections that the system keeps until they are accepted
--- a/function_router/net/codecs/thrift.py
+++ b/function_router/net/codecs/thrift.py
@@ -71,9 +71,3 @@
     "encode_throttled",
     "parse_head",
 ]
-
-# The names by which tests/fakes.py knows these functions; to be removed once it uses the ones above.
-_fields = encode_string_map
-_frame = encode_frame
-_head = parse_head
-_text = encode_string
--- a/function_router/net/codecs/worker_frames.py
+++ b/function_router/net/codecs/worker_frames.py
@@ -40,10 +40,6 @@
 MAX_BODY_BYTES = 256 * 1024
 
 # The names until the modules and tests that use them have moved to those above.
-FROM_FRONT_END = FROM_ROUTER
-FROM_SCORER = FROM_WORKER
-GIVE_UP = CANCEL
-ENSURE = ENSURE_INSTANCES
 
 _HEADER = struct.Struct(">BBHI8s")
 _CHECKSUM = struct.Struct(">I")
@@ -61,11 +57,6 @@
     fields: dict[str, str]
     body: bytes
 
-    @property
-    def id(self) -> bytes:
-        """The name of `exchange_id` until the tests that use it have moved."""
-        return self.exchange_id
-
 
 def encode(
     code: int, exchange_id: bytes, fields: str = "", body: bytes = b"", direction: int = FROM_ROUTER
--- a/function_router/net/connection.py
+++ b/function_router/net/connection.py
@@ -13,14 +13,11 @@
 from function_router.net.receive_timestamps import (
     ANCILLARY_BYTES,
     AncillaryData,
-    enable_receive_timestamps,
     receive_delay_ms,
 )
 from function_router.net.timer_wheel import Timer
 from function_router.net.write_queue import PendingWrite, WriteQueue
 
-__all__ = ["Connection", "ConnectionHandler", "PendingWrite", "enable_receive_timestamps"]
-
 MAX_READ_BYTES = 64 * 1024  # of one read
 MAX_READS_PER_TURN = 4  # so that no peer starves the others; a cancellation lies behind the request it is for
 LINGER_MS = 1_000.0  # how long a peer may go on reading, and close by itself, after `close_after_flush`
--- a/function_router/net/router_process.py
+++ b/function_router/net/router_process.py
@@ -32,7 +32,6 @@
 COUNTERS_INTERVAL_MS = 5_000.0
 # Between the checks for idle and silent connections.
 TIMEOUT_CHECK_INTERVAL_MS = 250.0
-TIDY_MS = TIMEOUT_CHECK_INTERVAL_MS  # the earlier name, which tests of other modules still use
 
 # After SIGTERM, new connections and requests keep coming for 0.6 s.
 LATE_ARRIVALS_MS = 800.0
@@ -51,7 +50,6 @@
 CLIENT_SHARE = 0.4
 # Share of the file descriptors for connections to workers.
 WORKER_SHARE = 0.4
-SCORER_SHARE = WORKER_SHARE  # the earlier name, which tests of other modules still use
 # Connections of either kind, however few descriptors there are.
 MIN_CONNECTIONS = 4
 
--- a/function_router/net/worker_messages.py
+++ b/function_router/net/worker_messages.py
@@ -9,8 +9,8 @@
 from function_router.net.clock import monotonic_ms
 from function_router.net.close_reason import CloseReason
 from function_router.net.codecs import worker_frames as frames
-from function_router.net.connection import PendingWrite
 from function_router.net.timer_wheel import Timer
+from function_router.net.write_queue import PendingWrite
 
 if TYPE_CHECKING:
     from function_router.net.worker_connection import WorkerConnection
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -82,16 +82,18 @@
     def pump(self):
         super().pump()
         for link in self.connections:
-            reader = self.readers.setdefault(link, worker_frames.FrameReader(worker_frames.FROM_FRONT_END))
+            reader = self.readers.setdefault(link, worker_frames.FrameReader(worker_frames.FROM_ROUTER))
             data, link.data = bytes(link.data), bytearray()
             for frame in reader.feed(data):
                 self.frames.append((link, frame))
-                if frame.code == worker_frames.ENSURE and self.instances is not None:
+                if frame.code == worker_frames.ENSURE_INSTANCES and self.instances is not None:
                     self.answer((link, frame), 0, f"slots_up={self.instances}")
 
     def answer(self, item, code=0, fields="res=reused", body=b""):
         link, frame = item
-        link.sock.sendall(worker_frames.encode(code, frame.id, fields, body, worker_frames.FROM_SCORER))
+        link.sock.sendall(
+            worker_frames.encode(code, frame.exchange_id, fields, body, worker_frames.FROM_WORKER)
+        )
 
     def received(self, code):
         return [(link, frame) for link, frame in self.frames if frame.code == code]
@@ -144,24 +146,26 @@
 
     def cancel(self, seqid):
         payload = struct.pack(">bhib", thrift.I32, 1, seqid, 0)
-        self.sock.sendall(thrift._frame(thrift.ONEWAY, b"withdraw", 99, payload))
+        self.sock.sendall(thrift.encode_frame(thrift.ONEWAY, b"withdraw", 99, payload))
 
     def status(self, seqid=500):
-        self.sock.sendall(thrift._frame(thrift.CALL, b"status", seqid, struct.pack(">bhbb", 2, 1, 1, 0)))
+        self.sock.sendall(
+            thrift.encode_frame(thrift.CALL, b"status", seqid, struct.pack(">bhbb", 2, 1, 1, 0))
+        )
 
     def answer_kinds(self):
         return {seqid: kind for seqid, kind, _ in self.answers}
 
 
 def handle_frame(seqid, fields, body=b"", name=b"handle", kind=thrift.CALL):
-    payload = struct.pack(">bh", thrift.MAP, 1) + thrift._fields(fields)
-    payload += struct.pack(">bh", thrift.STRING, 2) + thrift._text(body) + b"\0"
-    return thrift._frame(kind, name, seqid, payload)
+    payload = struct.pack(">bh", thrift.MAP, 1) + thrift.encode_string_map(fields)
+    payload += struct.pack(">bh", thrift.STRING, 2) + thrift.encode_string(body) + b"\0"
+    return thrift.encode_frame(kind, name, seqid, payload)
 
 
 def reply_from(data):
     """Sequence number, what kind of answer, and its content."""
-    kind, _, seqid, at = thrift._head(data)
+    kind, _, seqid, at = thrift.parse_head(data)
     if kind == thrift.EXCEPTION:
         return seqid, "exception", data[at:]
     _, number, at = *struct.unpack_from(">bh", data, at), at + 3
--- a/tests/test_client_connection.py
+++ b/tests/test_client_connection.py
@@ -302,4 +302,6 @@
     now_ms = clock.monotonic_ms()
 
     assert not served.is_overdue(now_ms)
-    assert served.is_overdue(served._waiting_since_ms + ANSWER_LIMIT_MS - router_process.TIDY_MS)
+    assert served.is_overdue(
+        served._waiting_since_ms + ANSWER_LIMIT_MS - router_process.TIMEOUT_CHECK_INTERVAL_MS
+    )
--- a/tests/test_endpoint_registry.py
+++ b/tests/test_endpoint_registry.py
@@ -153,7 +153,7 @@
     harness.run_until(lambda: new_id in workers, "the new one is known")
 
     for sequence, phase in ((3, "in_service"), (4, "terminated")):  # late events of the old one
-        states = [workers[worker_id].entry.state for worker_id in (old_id, new_id)]
+        states = [workers[worker_id].endpoint.state for worker_id in (old_id, new_id)]
         assert states == [WorkerState.REMOVED, WorkerState.READY]
         assert list(harness.process.pool.workers) == [new_id]
         harness.endpoint_log.send_line({"seq": sequence, "fleet": {"members": [old.record(phase)]}})
--- a/tests/test_event_ordering_requests.py
+++ b/tests/test_event_ordering_requests.py
@@ -207,7 +207,7 @@
     harness.run_until(lambda: len(first.answers) == 30 and second.answers, "all others are answered")
 
     assert set(first.answer_kinds().values()) | set(second.answer_kinds().values()) == {"exception"}
-    assert (len(harness.process.table.pending), len(harness.process.router.taken)) == (1, 1)
+    assert (len(harness.process.table.pending), len(harness.process.router.recent_arrivals)) == (1, 1)
 
 
 def test_id_is_free_again_after_its_request_finished_or_its_client_closed(start_router):
@@ -225,7 +225,7 @@
     [second_connection] = [each for each in connections if each.pending]
 
     close_client_unread(second, second_connection)
-    [third_connection] = [each for each in connections if not each.spoke]
+    [third_connection] = [each for each in connections if not each.has_received_message]
     third.call(call=REPEATED_ID)
     assert ready(third_connection.connection._sock)
     third_connection.connection._ready(READ)  # before the end of the second one is read
@@ -268,7 +268,8 @@
 
 
 @pytest.mark.parametrize(
-    ("code", "opens_window"), [(worker_frames.FULL, False), (worker_frames.MISS, False), (UNKNOWN_CODE, True)]
+    ("code", "opens_window"),
+    [(worker_frames.QUEUE_FULL, False), (worker_frames.NOT_LOADED, False), (UNKNOWN_CODE, True)],
 )
 def test_only_an_attempt_that_may_have_run_opens_the_idempotency_window(start_router, code, opens_window):
     worker = FakeWorker("s-9")
@@ -310,6 +311,6 @@
     started.created_at_ms -= connect_ms  # as if the second connection took that long
     harness.run_until(lambda: second_connection.is_connected, "the second worker is connected")
     probe(harness, OTHER_TEST_WORKER_ID)
-    harness.run_until(lambda: second.received(worker_frames.ENSURE), "the probe arrives")
+    harness.run_until(lambda: second.received(worker_frames.ENSURE_INSTANCES), "the probe arrives")
 
     assert len(second.requests) == repeat_count
--- a/tests/test_request_table.py
+++ b/tests/test_request_table.py
@@ -28,7 +28,7 @@
     for number, request in enumerate(reversed(worker.requests)):
         worker.answer(request, body=b"for " + request[1].body)
         harness.run_until(lambda number=number: len(client.answers) > number, "the next one is answered")
-        assert client.answers[number][0] == int.from_bytes(request[1].id, "big")
+        assert client.answers[number][0] == int.from_bytes(request[1].exchange_id, "big")
 
     bodies = {seqid: content[1] for seqid, _, content in client.answers}
     assert bodies == {number + 1: b"for ask%d" % number for number in range(4)}
@@ -46,7 +46,7 @@
     [(_, frame)] = worker.requests
     fields = {name: frame.fields[name] for name in ("kind", "obj", "token")}
     assert fields == {"kind": "save", "obj": ROW, "token": idempotency_key}
-    assert (frame.id.hex(), frame.body) == (CLIENT_REQUEST_ID, body)
+    assert (frame.exchange_id.hex(), frame.body) == (CLIENT_REQUEST_ID, body)
     assert 0 < int(frame.fields["ms"]) <= 8000
 
 
@@ -58,7 +58,7 @@
     harness.run_until(lambda: worker.requests, "it runs")
 
     client.cancel(seqid)
-    harness.run_until(lambda: worker.received(worker_frames.GIVE_UP), "it is cancelled at the worker")
+    harness.run_until(lambda: worker.received(worker_frames.CANCEL), "it is cancelled at the worker")
     worker.answer(worker.requests[0], body=b"late")
     second = client.call()
     harness.run_until(lambda: len(worker.requests) == 2, "the next one runs")
@@ -93,7 +93,7 @@
 
     client.sock.close()
     client.ended = True
-    harness.run_until(lambda: worker.received(worker_frames.GIVE_UP), "it is cancelled at the worker")
+    harness.run_until(lambda: worker.received(worker_frames.CANCEL), "it is cancelled at the worker")
 
     assert not harness.process.table.pending
     assert not harness.process.listener.connections
@@ -268,4 +268,4 @@
         harness.process._log_counters()
 
     lines = [line for line in harness.log_lines if line.startswith("sent: ")]
-    assert lines == ["sent: calls 1, dials 2, questions 1"]
+    assert lines == ["sent: connects 2, probes 1, requests 1"]
--- a/tests/test_router_process.py
+++ b/tests/test_router_process.py
@@ -83,7 +83,7 @@
 def test_half_read_request_is_served_in_a_drain(harness, worker, client):
     [served] = harness.process.listener.connections
     client.call(withhold=9)
-    harness.run_until(lambda: served._reader.waits, "half of the request is read")
+    harness.run_until(lambda: served._reader.has_partial_frame, "half of the request is read")
 
     drain_past_late_arrivals(harness)
     client.send_rest()
--- a/tests/test_start_order_limit.py
+++ b/tests/test_start_order_limit.py
@@ -32,14 +32,14 @@
     """Have the decisions count so many orders that leave now."""
     now_ms = harness.process.loop.clock.now_ms()
     for _ in range(count):
-        harness.process.router.ordered.append(now_ms)
+        harness.process.router.start_order_times.add(now_ms)
 
 
 def order_now(harness, instances):
     """Carry out a start order that was decided on now."""
     now_ms = harness.process.loop.clock.now_ms()
     harness.process.table.begin_batch(now_ms)
-    harness.process.router.ordered.append(now_ms)
+    harness.process.router.start_order_times.add(now_ms)
     harness.process.table.ensure_instances(EnsureInstances(UNLISTED_ID, ROW, instances))
 
 
@@ -77,7 +77,7 @@
         client.cancel(seqid)
     harness.round_trip(client)
 
-    assert harness.process.router.taken == {}
+    assert harness.process.router.recent_arrivals == {}
 
 
 def test_id_that_is_sent_again_after_each_rejection_counts_once(start_router):
@@ -89,7 +89,7 @@
         harness.run_until(lambda seqid=seqid: seqid in client.answer_kinds(), "it is rejected")
 
     assert set(client.answer_kinds().values()) == {"throttled"}
-    assert list(harness.process.router.taken) == [CLIENT_ID]
+    assert list(harness.process.router.recent_arrivals) == [CLIENT_ID]
 
 
 @pytest.mark.parametrize(("others", "is_sent"), [(1, True), (2, False)], ids=["room", "no-room"])
@@ -106,7 +106,7 @@
     harness.run_until(lambda: worker.frames, "what is sent after it arrives")
 
     assert ("1" in ordered_instances(worker)) == is_sent
-    ordered = list(harness.process.router.ordered)
+    ordered = list(harness.process.router.start_order_times)
     assert len(ordered) == 2
     one_second_ago_ms = harness.process.loop.clock.now_ms() - 1000.0
     assert min(ordered) > one_second_ago_ms
@@ -118,7 +118,7 @@
     order_at_unconnected(harness, worker)
     harness.run_until(lambda: worker.frames, "a connection is established")
     [connection, *_] = harness.process.pool.workers[UNLISTED_ID].connections
-    harness.process.router.ordered.clear()
+    harness.process.router.start_order_times.clear()
     read_again = worker.pump
     worker.pump = lambda: None
     filler = fill_socket(connection)
--- a/tests/test_worker_pool.py
+++ b/tests/test_worker_pool.py
@@ -185,50 +185,6 @@
     assert results == []
 
 
-def test_new_worker_replaces_the_one_still_listed_at_its_address(start_router):
-    old = FakeWorker("s-1")
-    ids = [worker_id_of(name) for name in ("s-1", "s-2")]
-    harness = start_router(old)
-    workers = harness.process.router.workers
-    harness.run_until(lambda: ids[0] in workers, "the old one is known")
-
-    member = old.record(up_since_ms=1000.0) | {"id": "s-2", "locality": "east"}
-    harness.endpoint_log.send_line({"seq": 2, "fleet": {"members": [member]}})
-    harness.run_until(lambda: ids[1] in workers, "the new one is known")
-
-    for sequence, phase in ((3, "in_service"), (4, "terminated")):  # late records of the old one
-        states = [workers[worker_id].entry.state for worker_id in ids]
-        assert states == [WorkerState.REMOVED, WorkerState.READY]
-        assert list(harness.process.pool.workers) == [ids[1]]
-        harness.endpoint_log.send_line({"seq": sequence, "fleet": {"members": [old.record(phase)]}})
-        harness.run_until(
-            lambda sequence=sequence: harness.process.endpoint_watch.last_sequence == sequence, "it is read"
-        )
-        harness.process.loop.run_once(0)
-    harness.connect_client().call()
-    harness.run_until(lambda: old.requests, "a request runs")
-
-    assert all(attempt.worker_id == ids[1] for attempt in harness.process.table._attempts.values())
-    assert workers[ids[1]].started_ms == 1000.0
-
-
-@pytest.mark.parametrize("step", [1, -1], ids=["started-last-is-last", "started-last-is-first"])
-def test_complete_list_with_two_workers_at_one_address_keeps_the_one_started_last(
-    cleanups, start_router, step
-):
-    worker = FakeWorker("s-2")
-    harness = start_router()
-    cleanups.callback(worker.close)
-    members = [worker.record() | {"id": "s-1"}, worker.record(up_since_ms=9.0)][::step]
-
-    harness.endpoint_log.send_line({"seq": 2, "fleet": {"complete": True, "members": members}})
-    harness.run_until(lambda: harness.process.router.ready, "the list is read")
-
-    ready_ids = [ready_worker.id for ready_worker in harness.process.router.ready]
-    assert ready_ids == [worker_id_of("s-2")]
-    assert list(harness.process.pool.workers) == ready_ids
-
-
 # --- timeouts
 
 
@@ -293,7 +249,7 @@
     harness.run_until(lambda: len(worker.requests) + len(results) == 40, "all run or end")
 
     assert set(results) == {(CloseReason.NO_FILE_DESCRIPTOR, False)}
-    assert len(worker.connections) <= 32 * router_process.SCORER_SHARE
+    assert len(worker.connections) <= 32 * router_process.WORKER_SHARE
 
 
 def test_idle_connections_make_room_for_a_worker_that_is_sent_to(cleanups, start_router):
@@ -310,4 +266,4 @@
         harness.run_until(lambda number=number: len(results) > number, "it is reached")
 
     assert {result for result, _ in results} == {Outcome.OK}
-    assert pool._connection_count <= 32 * router_process.SCORER_SHARE
+    assert pool._connection_count <= 32 * router_process.WORKER_SHARE
