--- a/tests/decision_harness.py
+++ b/tests/decision_harness.py
@@ -1,6 +1,11 @@
-"""Helpers to drive a Router by events, with a clock of their own."""
+"""Drives the decision module by events, with a clock that only the test moves.
 
-from function_router.decisions.actions import EnsureInstances, SendRequest
+Times are milliseconds. Workers have the ids 1, 2, ...; the default function is `f`.
+"""
+
+from typing import NamedTuple
+
+from function_router.decisions.actions import Action, EnsureInstances, SendRequest
 from function_router.decisions.events import (
     AttemptEnded,
     Endpoint,
@@ -13,67 +18,192 @@
 from function_router.decisions.settings import RequestClass, Settings
 from function_router.decisions.types import DeduplicationScope, Outcome, RetrySafety, StartKind
 
-SAFE = RequestClass("safe", 1000.0, 2500.0, RetrySafety.IDEMPOTENT)
-KEYED = RequestClass("keyed", 1000.0, 4000.0, RetrySafety.IDEMPOTENCY_KEY, DeduplicationScope.ZONE, 2500.0)
-UNSAFE = RequestClass("unsafe", 1000.0, 4000.0, RetrySafety.AT_MOST_ONCE)
+IDEMPOTENT = RequestClass("idempotent", 1000.0, 2500.0, RetrySafety.IDEMPOTENT)
+IDEMPOTENCY_KEY = RequestClass(
+    "keyed", 1000.0, 4000.0, RetrySafety.IDEMPOTENCY_KEY, DeduplicationScope.ZONE, 2500.0
+)
+AT_MOST_ONCE = RequestClass("at-most-once", 1000.0, 4000.0, RetrySafety.AT_MOST_ONCE)
+
+TIMER_STEP_MS = 20  # between two firings of the router's timer, finer than the router asks for
+RUN_MS = 100.0  # that each attempt and each start order is said to have taken
+
+MANY_ROUTERS_WORKERS = 20  # that many routers share
+MANY_ROUTERS_TENANT = "t"  # their one tenant, and its quota over all of them
+MANY_ROUTERS_QUOTA_RPS = 100.0
+
+
+class LoggedAction(NamedTuple):
+    """An action of the router and when it was decided."""
+
+    time_ms: float
+    action: Action
 
 
 class DecisionHarness:
-    """One Router, its clock, and everything it has done."""
+    """One router, its clock, and all actions that it has decided so far.
+
+    The methods that feed an event return the actions that the router answers it with.
+    """
 
-    def __init__(self, workers=4, zones=("a",), seed=1, **settings):
+    def __init__(self, workers=4, zones=("a",), seed=1, tenant="", **settings):
         settings.setdefault("max_attempts", 4)
-        specs = {spec.name: spec for spec in (SAFE, KEYED, UNSAFE)}
-        self.router = Router(Settings(classes=specs, **settings), seed)
-        self.now = 0.0
-        self.log = []
-        self.endpoints = [Endpoint(n, zone=zones[n % len(zones)]) for n in range(1, workers + 1)]
+        classes = {
+            request_class.name: request_class for request_class in (IDEMPOTENT, IDEMPOTENCY_KEY, AT_MOST_ONCE)
+        }
+        self.router = Router(Settings(classes=classes, **settings), seed)
+        self.now_ms = 0.0
+        self.action_log = []
+        self.tenant = tenant  # of requests that name none
+        self.endpoints = [
+            Endpoint(worker_id, zone=zones[worker_id % len(zones)]) for worker_id in range(1, workers + 1)
+        ]
         self.feed(EndpointsChanged(self.endpoints, is_complete=True))
 
     def feed(self, *events):
-        actions = self.router.handle(self.now, list(events))
-        self.log += [(self.now, action) for action in actions]
+        """Hand the router a batch of events of this moment."""
+        actions = self.router.handle(self.now_ms, list(events))
+        self.action_log += [LoggedAction(self.now_ms, action) for action in actions]
         return actions
 
-    def sweep(self, until):
-        """Let the timer run up to a moment; the actions it brought."""
-        done = []
-        while self.now + 20 <= until:
-            self.now += 20
-            done += self.feed(TimerFired(0))
-        self.now = until
-        return done
-
-    def ask(self, name, fn="f", spec="safe", budget=2500.0, lanes=1, load_ms=500.0, tenant=""):
-        return self.feed(RequestArrived(name, fn, spec, tenant, budget, lanes, start_ms=load_ms))
-
-    def count(self, worker, copies, fn="f", ending=Outcome.OK):
-        return self.feed(InstancesReported(worker, fn, ending, copies, 1.0))
-
-    def answer_asks(self, actions, standing=None):
-        """Answer each question with what stands there; the loads among the actions and all that follows."""
-        standing = standing or {}
-        done = [action for action in actions if isinstance(action, EnsureInstances) and action.instances]
-        for action in actions:
-            if isinstance(action, EnsureInstances) and action.instances == 0:
-                done += self.count(action.worker_id, standing.get(action.worker_id, 0), action.function)
-        return done
-
-    def end(self, send, ending=Outcome.OK, attempt=0, closed=None, warmth=StartKind.WARM, crowd=None):
-        closed = ending is Outcome.OK if closed is None else closed
+    def run_timer_until(self, until_ms):
+        """Move the clock to a moment and fire the timer on the way there."""
+        actions = []
+        while self.now_ms + TIMER_STEP_MS <= until_ms:
+            self.now_ms += TIMER_STEP_MS
+            actions += self.feed(TimerFired(0))
+        self.now_ms = until_ms
+        return actions
+
+    def request(
+        self,
+        request_id,
+        function="f",
+        class_name="idempotent",
+        timeout_ms=2500.0,
+        concurrency=1,
+        start_ms=500.0,
+        tenant=None,
+    ):
+        """Let a request of a client arrive."""
+        tenant = self.tenant if tenant is None else tenant
         return self.feed(
-            AttemptEnded(send.request_id, attempt, send.worker_id, ending, 100.0, closed, warmth, crowd)
+            RequestArrived(
+                request_id, function, class_name, tenant, timeout_ms, concurrency, start_ms=start_ms
+            )
         )
 
-    def warm(self, fn="f", lanes=1, spec="safe", load_ms=500):
-        """A first request served, so that one worker holds a copy; that worker."""
-        loads = of(self.answer_asks(self.ask("first-" + fn, fn, spec, lanes=lanes)), EnsureInstances)
-        self.now += load_ms
-        [send] = of(self.count(loads[0].worker_id, 1, fn), SendRequest)
-        self.now += 100
-        self.end(send)
+    def report_instances(self, worker_id, instances, function="f", outcome=Outcome.OK):
+        """Let a worker answer a probe or a start order with the number of instances that stand there."""
+        return self.feed(InstancesReported(worker_id, function, outcome, instances, 1.0))
+
+    def answer_probes(self, actions, instances_by_worker=None):
+        """Answer each probe among the actions; by default, no instance stands anywhere.
+
+        Returns:
+            The start orders among the actions, and all actions that follow from the answers.
+        """
+        instances_by_worker = instances_by_worker or {}
+        followed = start_orders(actions)
+        for probe in probes(actions):
+            instances = instances_by_worker.get(probe.worker_id, 0)
+            followed += self.report_instances(probe.worker_id, instances, probe.function)
+        return followed
+
+    def complete_starts(self, actions):
+        """Answer each probe and start order with one instance, and those that follow from the answers.
+
+        Returns:
+            The sends among the actions, and those that follow.
+        """
+        sends = actions_of(actions, SendRequest)
+        for order in actions_of(actions, EnsureInstances):
+            sends += self.complete_starts(self.report_instances(order.worker_id, 1, order.function))
+        return sends
+
+    def end_attempt(
+        self,
+        send,
+        outcome=Outcome.OK,
+        attempt_number=0,
+        *,
+        is_answered=None,
+        start_kind=StartKind.WARM,
+        in_flight=None,
+    ):
+        """End the attempt that a send began; by default, only an answer that is OK goes to the client."""
+        if is_answered is None:
+            is_answered = outcome is Outcome.OK
+        return self.feed(
+            AttemptEnded(
+                send.request_id,
+                attempt_number,
+                send.worker_id,
+                outcome,
+                RUN_MS,
+                is_answered,
+                start_kind,
+                in_flight,
+            )
+        )
+
+    def warm_up(self, function="f", concurrency=1, class_name="idempotent", start_ms=500):
+        """Serve a first request of a function, so that one worker has an instance.
+
+        Returns:
+            The id of that worker.
+        """
+        actions = self.request("first-" + function, function, class_name, concurrency=concurrency)
+        order = start_orders(self.answer_probes(actions))[0]
+        self.now_ms += start_ms
+        [send] = actions_of(self.report_instances(order.worker_id, 1, function), SendRequest)
+        self.now_ms += 100
+        self.end_attempt(send)
         return send.worker_id
 
+    def zone_of(self, worker_id):
+        """The zone of a worker."""
+        return self.endpoints[worker_id - 1].zone
+
+    def logged(self, *kinds):
+        """The actions of these kinds so far, with their times."""
+        return [entry for entry in self.action_log if isinstance(entry.action, kinds)]
 
-def of(actions, kind):
+    def all_actions(self):
+        """All actions so far, without their times."""
+        return [entry.action for entry in self.action_log]
+
+
+def actions_of(actions, kind):
+    """The actions of one kind."""
     return [action for action in actions if isinstance(action, kind)]
+
+
+def probes(actions):
+    """The orders that only ask how many instances stand."""
+    return [order for order in actions_of(actions, EnsureInstances) if order.instances == 0]
+
+
+def start_orders(actions):
+    """The orders that start instances."""
+    return [order for order in actions_of(actions, EnsureInstances) if order.instances]
+
+
+def many_routers(count, **settings):
+    """Harnesses of routers that share their workers and a tenant, and differ in their seeds only."""
+    return [_router_of_many(number, count, **settings) for number in range(count)]
+
+
+def one_of_many_routers(count, **settings):
+    """The first of so many routers; the others stay unseen."""
+    return _router_of_many(0, count, **settings)
+
+
+def _router_of_many(number, count, **settings):
+    return DecisionHarness(
+        workers=MANY_ROUTERS_WORKERS,
+        seed=number * 7919 + 5,
+        tenant=MANY_ROUTERS_TENANT,
+        router_count=count,
+        tenant_quotas_rps={MANY_ROUTERS_TENANT: MANY_ROUTERS_QUOTA_RPS},
+        **settings,
+    )
--- /dev/null
+++ b/tests/test_many_routers_placement.py
@@ -0,0 +1,201 @@
+"""Many routers: each sees a part of the requests, and their choices of workers have to add up."""
+
+import sys
+from collections import Counter
+
+import pytest
+from decision_harness import (
+    MANY_ROUTERS_TENANT,
+    DecisionHarness,
+    actions_of,
+    many_routers,
+    one_of_many_routers,
+)
+
+from function_router.decisions.actions import EnsureInstances, SendRequest
+from function_router.decisions.router import FAR_FACTOR
+from function_router.decisions.state import Function
+from function_router.decisions.types import Outcome
+from function_router.hashing import hash64
+
+# --- the spread of requests ----------------------------------------------------------------
+
+
+def test_hot_function_is_spread_by_routers_that_see_a_part_each():
+    harnesses = many_routers(100)
+    sends_by_worker = Counter()
+
+    for turn in range(5):
+        for harness in harnesses:
+            harness.now_ms += 1000.0
+            for send in harness.complete_starts(harness.request(f"r{turn}", concurrency=2)):
+                sends_by_worker[send.worker_id] += turn == 4
+                harness.now_ms += 100.0
+                harness.end_attempt(send, in_flight=3)
+
+    assert sum(sends_by_worker.values()) == 100
+    assert len(sends_by_worker) >= 10
+    assert sends_by_worker.most_common(1)[0][1] <= 30
+
+
+def test_rare_function_keeps_to_one_worker_at_all_routers():
+    harnesses = many_routers(50)
+
+    workers = {
+        harness.complete_starts(harness.request("r", concurrency=2))[0].worker_id for harness in harnesses
+    }
+
+    assert len(workers) == 1
+
+
+def functions_with_the_same_first_worker(router):
+    """Names of functions that the router prefers to send to one worker, and that worker."""
+    for name in (f"f{number}" for number in range(400)):
+        router.functions[name] = Function(name, "idempotent", 2, None, hash64(name))
+    first_worker = router._hash_order(router.functions["f0"])[0]
+    names = [
+        function.name
+        for function in router.functions.values()
+        if router._hash_order(function)[0] is first_worker
+    ]
+    router.functions.clear()
+    return names, first_worker
+
+
+def test_functions_that_share_their_first_worker_move_on_past_its_share_of_the_sends():
+    harness = one_of_many_routers(40)
+    functions, first_worker = functions_with_the_same_first_worker(harness.router)
+    sends_by_worker = Counter()
+
+    for turn in range(60):
+        harness.now_ms += 100.0
+        for send in harness.complete_starts(harness.request(f"r{turn}", functions[turn % 5], concurrency=2)):
+            sends_by_worker[send.worker_id] += 1
+            harness.end_attempt(send)
+
+    assert len(functions) >= 5
+    assert sum(sends_by_worker.values()) >= 60
+    assert sends_by_worker[first_worker.id] <= 60 / 20 * FAR_FACTOR + 2
+
+
+def test_full_worker_is_passed_over_for_a_while():
+    harness = one_of_many_routers(100)
+    [first_send] = harness.complete_starts(harness.request("first"))
+    full_worker = first_send.worker_id
+    harness.end_attempt(first_send)
+    harness.now_ms += 60_000.0  # requests are so rare that one worker is enough
+    [send] = harness.complete_starts(harness.request("full"))
+    assert send.worker_id == full_worker
+
+    retries = harness.complete_starts(harness.end_attempt(send, Outcome.QUEUE_FULL, is_answered=False))
+    retries += harness.complete_starts(harness.run_timer_until(harness.now_ms + 200))
+    assert [retry.request_id for retry in retries] == ["full"]
+    assert retries[0].worker_id != full_worker
+
+    harness.end_attempt(retries[0], attempt_number=1)
+    harness.now_ms += 700.0
+    sends = harness.complete_starts(harness.request("next"))
+    sends += harness.complete_starts(harness.run_timer_until(harness.now_ms + 200))
+    assert sends
+    assert sends[0].worker_id != full_worker
+
+
+# --- probes --------------------------------------------------------------------------------
+
+
+def test_router_without_a_known_instance_probes_the_fit_worker_that_all_routers_probe_first():
+    harness = one_of_many_routers(40)
+    for turn in range(40):  # so many that the function spreads
+        harness.now_ms += 100.0
+        for send in harness.complete_starts(harness.request(f"r{turn}", "hot", concurrency=2)):
+            harness.end_attempt(send)
+    function = harness.router.functions["hot"]
+    function.pools.clear()
+    function.known_workers = None
+    first_worker = next(filter(harness.router._is_fit, harness.router._hash_order(function)))
+
+    orders = actions_of(harness.request("next", "hot", concurrency=2), EnsureInstances)
+
+    assert function.width > 1
+    assert [order.worker_id for order in orders] == [first_worker.id]
+
+
+def test_fit_worker_that_is_believed_warm_is_not_probed_as_other_routers_renew_its_instance():
+    harness = one_of_many_routers(40, keep_alive_ms=8_000.0)
+    first_send = harness.complete_starts(harness.request("first", concurrency=2))[0]
+    harness.end_attempt(first_send)
+    harness.now_ms += 20_000.0  # an idle instance lives for less, but other routers use it
+
+    actions = harness.request("second", concurrency=2)
+
+    assert not actions_of(actions, EnsureInstances)
+    assert {send.worker_id for send in actions_of(actions, SendRequest)} == {first_send.worker_id}
+
+
+@pytest.mark.parametrize(
+    ("sends_to_worker", "are_others_probed"),
+    [
+        pytest.param(4.5, False, id="past-its-share"),
+        pytest.param(8.0, True, id="far-past-its-share"),
+    ],
+)
+def test_worker_past_its_share_is_passed_over_but_others_are_probed_only_far_past_it(
+    sends_to_worker, are_others_probed
+):
+    harness = one_of_many_routers(40)
+    [first_send] = harness.complete_starts(harness.request("first", concurrency=2))
+    harness.end_attempt(first_send)
+    router = harness.router
+    worker = router.workers[first_send.worker_id]
+    worker.sends.reset(harness.now_ms, sends_to_worker)
+    router.sends.reset(harness.now_ms, 60.0)  # a share of three
+
+    is_fit = router._is_fit(worker)
+    actions = harness.request("next", concurrency=2)
+
+    assert not is_fit
+    assert bool(actions_of(actions, EnsureInstances)) is are_others_probed
+
+
+# --- the cost of an event ------------------------------------------------------------------
+
+
+def serve_one_request(harness, request_id):
+    harness.now_ms += 500.0
+    for send in harness.complete_starts(harness.request(request_id, concurrency=2)):
+        harness.now_ms += 100.0
+        harness.end_attempt(send)
+    harness.run_timer_until(harness.now_ms + 200)
+
+
+def count_calls_while_serving(workers):
+    """Function calls that a router takes to serve and to fire its timer, once it knows its workers."""
+    harness = DecisionHarness(
+        workers=workers,
+        tenant=MANY_ROUTERS_TENANT,
+        router_count=100,
+        tenant_quotas_rps={MANY_ROUTERS_TENANT: 5.0 * workers},
+    )
+    call_count = 0
+
+    def count_call(_frame, event, _arg):
+        nonlocal call_count
+        call_count += event in ("call", "c_call")
+
+    serve_one_request(harness, "r0")
+    # the sums over all workers are taken once a second, and not at each event
+    harness.router.refreshed_ms = harness.now_ms + 1e9
+    sys.setprofile(count_call)
+    try:
+        for number in range(1, 20):
+            serve_one_request(harness, f"r{number}")
+    finally:
+        sys.setprofile(None)
+    return call_count
+
+
+def test_event_costs_about_the_same_with_ten_times_as_many_workers():
+    calls_of_few_workers = count_calls_while_serving(100)
+    calls_of_many_workers = count_calls_while_serving(1000)
+
+    assert calls_of_many_workers < 1.5 * calls_of_few_workers
--- /dev/null
+++ b/tests/test_router_health.py
@@ -0,0 +1,205 @@
+"""Health: unresponsive workers, circuit breakers, and workers in slow start."""
+
+from dataclasses import dataclass
+
+import pytest
+from decision_harness import DecisionHarness, actions_of, probes, start_orders
+
+from function_router.decisions.actions import Action, EnsureInstances, LogMessage, SendRequest
+from function_router.decisions.events import Endpoint, EndpointsChanged
+from function_router.decisions.types import Outcome
+
+# --- unresponsive workers ------------------------------------------------------------------
+
+
+def test_silent_worker_is_probed_then_avoided_and_its_requests_are_retried_elsewhere():
+    harness = DecisionHarness()
+    warm_worker = harness.warm_up()
+    harness.request("r1")
+
+    actions = harness.run_timer_until(harness.now_ms + 360)
+    assert warm_worker in [probe.worker_id for probe in probes(actions)]
+
+    actions = harness.run_timer_until(harness.now_ms + 100)
+    assert [message for message in actions_of(actions, LogMessage) if "silent" in message.text]
+
+    harness.answer_probes(actions)
+    harness.run_timer_until(harness.now_ms + 60)
+    last_start = start_orders(harness.all_actions())[-1]
+    assert last_start.worker_id != warm_worker
+
+    sends = actions_of(harness.report_instances(last_start.worker_id, 1), SendRequest)
+    assert [send.request_id for send in sends] == ["r1"]
+
+
+def test_unresponsive_worker_that_replies_is_used_again():
+    harness = DecisionHarness()
+    warm_worker = harness.warm_up()
+    harness.request("r1")
+    harness.run_timer_until(harness.now_ms + 1000)
+
+    actions = harness.report_instances(warm_worker, 1)
+
+    assert [message for message in actions_of(actions, LogMessage) if "again" in message.text]
+    assert harness.router.workers[warm_worker].unresponsive_since_ms is None
+
+
+@pytest.mark.parametrize("is_answered", [True, False])
+def test_connection_reset_brings_a_probe_and_only_without_its_answer_is_the_worker_unresponsive(is_answered):
+    harness = DecisionHarness()
+    warm_worker = harness.warm_up()
+    [send] = actions_of(harness.request("r1"), SendRequest)
+
+    actions = harness.end_attempt(send, Outcome.RESET)
+    assert warm_worker in [probe.worker_id for probe in probes(actions)]
+
+    if is_answered:
+        harness.report_instances(warm_worker, 1)
+    harness.run_timer_until(harness.now_ms + 200)
+    assert (harness.router.workers[warm_worker].unresponsive_since_ms is None) is is_answered
+
+    sends = actions_of(harness.request("r2"), SendRequest)
+    assert [send.worker_id for send in sends] == ([warm_worker] if is_answered else [])
+
+
+def test_unresponsive_workers_are_used_when_most_of_the_workers_are():
+    harness = DecisionHarness(workers=2)
+    for worker_id in (1, 2):
+        harness.router._hold_unresponsive(harness.router.workers[worker_id])
+
+    actions = harness.request("r1")
+
+    assert actions_of(actions, EnsureInstances)
+
+
+# --- circuit breakers ----------------------------------------------------------------------
+
+
+@dataclass
+class LostAnswers:
+    """Two requests whose answers don't come, from a worker that gives every other sign of life."""
+
+    harness: DecisionHarness
+    worker_id: int
+    sends: list[SendRequest]
+    actions: list[Action]  # while the answers were awaited
+
+
+@pytest.fixture
+def lost_answers():
+    harness = DecisionHarness()
+    warm_worker = harness.warm_up(concurrency=2)
+    actions = harness.request("r1", concurrency=2) + harness.request("r2", concurrency=2)
+    sends = actions_of(actions, SendRequest)
+    assert [send.worker_id for send in sends] == [warm_worker, warm_worker]
+
+    sent_ms = harness.now_ms
+    actions_meanwhile = []
+    while harness.now_ms < sent_ms + 900:
+        actions = harness.run_timer_until(harness.now_ms + 20)
+        actions_meanwhile += actions + harness.answer_probes(actions, {warm_worker: 1})
+    return LostAnswers(harness, warm_worker, sends, actions_meanwhile)
+
+
+def test_lost_answers_open_the_breaker_of_their_class_alone(lost_answers):
+    harness = lost_answers.harness
+    worker = harness.router.workers[lost_answers.worker_id]
+
+    actions = harness.answer_probes(harness.request("r3", concurrency=2), {worker.id: 1})
+
+    assert not [
+        message for message in actions_of(lost_answers.actions, LogMessage) if "silent" in message.text
+    ]
+    assert worker.id not in [send.worker_id for send in actions_of(actions, SendRequest)]
+    assert not harness.router._is_usable(worker, "idempotent")
+    assert harness.router._is_usable(worker, "at-most-once")
+
+
+def test_open_breaker_lets_one_trial_request_through(lost_answers):
+    harness = lost_answers.harness
+    worker = harness.router.workers[lost_answers.worker_id]
+    function = harness.router.functions["f"]
+    harness.answer_probes(harness.request("r3", concurrency=2), {worker.id: 1})
+    for send in lost_answers.sends:
+        harness.end_attempt(send, Outcome.CANCELLED, is_answered=True)
+    harness.now_ms += 2000
+
+    trials = actions_of(harness.report_instances(worker.id, 1), SendRequest)
+    assert [(trial.request_id, trial.worker_id) for trial in trials] == [("r3", worker.id)]
+    assert not harness.router._is_usable(worker, function.class_name)
+
+    actions = harness.request("r4", concurrency=2)
+    assert not actions_of(actions, SendRequest)
+
+
+def test_answers_that_come_after_all_close_the_breaker(lost_answers):
+    harness = lost_answers.harness
+
+    for send in lost_answers.sends:
+        harness.end_attempt(send)
+
+    assert not harness.router.workers[lost_answers.worker_id].breakers
+
+
+@pytest.mark.parametrize("was_served", [True, False])
+def test_errors_open_the_breaker_unless_the_function_was_never_served(was_served):
+    harness = DecisionHarness()
+    warm_worker = harness.warm_up(concurrency=4, class_name="at-most-once")
+    worker = harness.router.workers[warm_worker]
+    function = harness.router.functions["f"]
+    if not was_served:
+        function.run_times.clear()
+    actions = harness.request("r1", class_name="at-most-once", concurrency=4)
+    actions += harness.request("r2", class_name="at-most-once", concurrency=4)
+    sends = actions_of(actions, SendRequest)
+
+    for send in sends:
+        harness.end_attempt(send, Outcome.ERROR, is_answered=False)
+
+    assert len(sends) == 2
+    assert harness.router._is_usable(worker, function.class_name) is not was_served
+
+
+def test_breaker_is_that_of_the_requests_class_and_not_of_the_functions_first_class():
+    harness = DecisionHarness(workers=1)
+    warm_worker = harness.warm_up(concurrency=4, class_name="at-most-once")
+    actions = harness.request("r1", class_name="idempotent", concurrency=4)
+    actions += harness.request("r2", class_name="idempotent", concurrency=4)
+    sends = actions_of(actions, SendRequest)
+
+    for send in sends:
+        harness.end_attempt(send, Outcome.ERROR, is_answered=True)
+
+    assert len(sends) == 2
+    assert list(harness.router.workers[warm_worker].breakers) == ["idempotent"]
+
+
+# --- slow start ----------------------------------------------------------------------------
+
+
+def test_worker_in_slow_start_gets_no_more_than_its_budget_in_any_window():
+    harness = DecisionHarness(
+        workers=1,
+        slow_start_ms=10_000.0,
+        slow_start_initial=0.2,
+        overload_window_ms=1000.0,
+        overload_multiple=2.0,
+    )
+    harness.now_ms = 20_000.0
+    harness.feed(EndpointsChanged([Endpoint(1, started_at_ms=20_000.0)], is_complete=False))
+    harness.request("r")
+    harness.now_ms += 1
+    for send in actions_of(harness.report_instances(1, 16), SendRequest):
+        harness.end_attempt(send)
+
+    for number in range(200):
+        harness.now_ms += 10
+        for send in actions_of(harness.request(f"r{number}"), SendRequest):
+            harness.now_ms += 1
+            harness.end_attempt(send)
+            harness.report_instances(1, 16)
+
+    sent_ms = [entry.time_ms for entry in harness.logged(SendRequest)]
+    most_in_a_window = max(sum(start <= time < start + 1000 for time in sent_ms) for start in sent_ms)
+    # about 90 requests a second arrive at the one worker; it can take 2 x (0.2 to 0.4) of that
+    assert 1 <= most_in_a_window <= 60
--- /dev/null
+++ b/tests/test_router_retries.py
@@ -0,0 +1,66 @@
+"""Retries: which class of requests may be sent again, where to, and how long."""
+
+from decision_harness import DecisionHarness, actions_of
+
+from function_router.decisions.actions import FailRequest, RejectRequest, SendRequest
+from function_router.decisions.types import Outcome
+
+WORKERS = (1, 2, 3, 4)
+
+
+def test_at_most_once_request_that_may_have_run_is_failed_and_neither_retried_nor_rejected():
+    harness = DecisionHarness()
+    harness.warm_up(class_name="at-most-once")
+    [send] = actions_of(harness.request("r1", class_name="at-most-once", timeout_ms=4000.0), SendRequest)
+
+    actions = harness.end_attempt(send, Outcome.ERROR, is_answered=False)
+
+    assert not actions_of(actions, SendRequest)
+    assert not actions_of(actions, RejectRequest)
+    assert [failure.request_id for failure in actions_of(actions, FailRequest)] == ["r1"]
+
+
+def test_at_most_once_request_is_retried_once_it_is_known_not_to_have_run():
+    harness = DecisionHarness()
+    warm_worker = harness.warm_up(class_name="at-most-once")
+    other_worker = next(worker_id for worker_id in WORKERS if worker_id != warm_worker)
+    harness.report_instances(other_worker, 1)
+    [send] = actions_of(harness.request("r1", class_name="at-most-once", timeout_ms=4000.0), SendRequest)
+
+    actions = harness.end_attempt(send, Outcome.QUEUE_FULL, is_answered=False)
+
+    assert send.request_id in [retry.request_id for retry in actions_of(actions, SendRequest)]
+
+
+def send_keyed_request_and_wait(wait_ms):
+    """Send a request with an idempotency key to one of four warm workers in two zones, and wait."""
+    harness = DecisionHarness(workers=4, zones=("a", "b"))
+    harness.request("r1", class_name="keyed", timeout_ms=4000.0)
+    for worker_id in WORKERS:
+        harness.report_instances(worker_id, 1)
+    send = harness.logged(SendRequest)[-1].action
+    harness.run_timer_until(harness.now_ms + wait_ms)
+    for worker_id in WORKERS:
+        harness.report_instances(worker_id, 1)
+    return harness, send
+
+
+def test_keyed_retry_stays_in_its_deduplication_scope():
+    harness, send = send_keyed_request_and_wait(100)
+
+    actions = harness.end_attempt(send, Outcome.ERROR, is_answered=False)
+
+    [retry] = actions_of(actions, SendRequest)
+    assert retry.worker_id != send.worker_id
+    assert harness.zone_of(retry.worker_id) == harness.zone_of(send.worker_id)
+
+
+def test_retry_after_the_idempotency_window_is_not_sent():
+    harness, send = send_keyed_request_and_wait(2410)
+
+    actions = harness.end_attempt(send, Outcome.ERROR, is_answered=False)
+    actions += harness.run_timer_until(4000)
+
+    assert not actions_of(actions, SendRequest)
+    assert not actions_of(actions, RejectRequest)
+    assert len(actions_of(actions, FailRequest)) == 1
