--- a/tests/test_many_routers_placement.py
+++ b/tests/test_many_routers_placement.py
@@ -94,6 +94,7 @@
 
     harness.end_attempt(retries[0], attempt_number=1)
     harness.now_ms += 700.0
+    harness.router.workers[full_worker].sends.reset(harness.now_ms)  # not past its share of the sends
     sends = harness.complete_starts(harness.request("next"))
     sends += harness.complete_starts(harness.run_timer_until(harness.now_ms + 200))
     assert sends
--- a/tests/test_router_health.py
+++ b/tests/test_router_health.py
@@ -77,7 +77,7 @@
 
 @dataclass
 class LostAnswers:
-    """Two requests whose answers don't come, from a worker that gives every other sign of life."""
+    """Requests whose answers don't come, from a worker that gives every other sign of life."""
 
     harness: DecisionHarness
     worker_id: int
@@ -85,13 +85,14 @@
     actions: list[Action]  # while the answers were awaited
 
 
-@pytest.fixture
-def lost_answers():
+def lose_answers(count):
     harness = DecisionHarness()
-    warm_worker = harness.warm_up(concurrency=2)
-    actions = harness.request("r1", concurrency=2) + harness.request("r2", concurrency=2)
+    warm_worker = harness.warm_up(concurrency=count)
+    actions = []
+    for number in range(1, count + 1):
+        actions += harness.request(f"r{number}", concurrency=count)
     sends = actions_of(actions, SendRequest)
-    assert [send.worker_id for send in sends] == [warm_worker, warm_worker]
+    assert [send.worker_id for send in sends] == [warm_worker] * count
 
     sent_ms = harness.now_ms
     actions_meanwhile = []
@@ -101,6 +102,11 @@
     return LostAnswers(harness, warm_worker, sends, actions_meanwhile)
 
 
+@pytest.fixture
+def lost_answers():
+    return lose_answers(2)
+
+
 def test_lost_answers_open_the_breaker_of_their_class_alone(lost_answers):
     harness = lost_answers.harness
     worker = harness.router.workers[lost_answers.worker_id]
@@ -132,8 +138,11 @@
     assert not actions_of(actions, SendRequest)
 
 
-def test_answers_that_come_after_all_close_the_breaker(lost_answers):
+@pytest.mark.parametrize("count", [2, 3])
+def test_answers_that_come_after_all_close_the_breaker(count):
+    lost_answers = lose_answers(count)
     harness = lost_answers.harness
+    assert harness.router.workers[lost_answers.worker_id].breakers
 
     for send in lost_answers.sends:
         harness.end_attempt(send)
@@ -174,6 +183,21 @@
     assert list(harness.router.workers[warm_worker].breakers) == ["idempotent"]
 
 
+def test_success_counts_for_the_class_of_the_attempt_and_not_for_the_functions_newest_class():
+    harness = DecisionHarness(workers=1)
+    warm_worker = harness.warm_up(concurrency=4)
+    actions = harness.request("r1", concurrency=4) + harness.request("r2", concurrency=4)
+    failed, succeeded = actions_of(actions, SendRequest)
+    harness.end_attempt(failed, Outcome.ERROR, is_answered=True)
+    harness.request("r3", class_name="at-most-once", concurrency=4)
+    breakers = harness.router.workers[warm_worker].breakers
+    assert list(breakers) == ["idempotent"]
+
+    harness.end_attempt(succeeded)
+
+    assert not breakers
+
+
 # --- slow start ----------------------------------------------------------------------------
 
 
--- a/tests/test_router_retries.py
+++ b/tests/test_router_retries.py
@@ -32,21 +32,31 @@
     assert send.request_id in [retry.request_id for retry in actions_of(actions, SendRequest)]
 
 
-def send_keyed_request_and_wait(wait_ms):
-    """Send a request with an idempotency key to one of four warm workers in two zones, and wait."""
-    harness = DecisionHarness(workers=4, zones=("a", "b"))
-    harness.request("r1", class_name="keyed", timeout_ms=4000.0)
+def report_one_instance_at_each_worker(harness):
     for worker_id in WORKERS:
         harness.report_instances(worker_id, 1)
+
+
+def send_keyed_request():
+    """Send a request with an idempotency key to one of four warm workers in two zones."""
+    harness = DecisionHarness(workers=4, zones=("a", "b"))
+    harness.request("r1", class_name="keyed", timeout_ms=4000.0)
+    report_one_instance_at_each_worker(harness)
     send = harness.logged(SendRequest)[-1].action
-    harness.run_timer_until(harness.now_ms + wait_ms)
-    for worker_id in WORKERS:
-        harness.report_instances(worker_id, 1)
     return harness, send
 
 
+def wait_with_responsive_workers(harness, until_ms):
+    """Let the time pass while all workers reply to everything but the request."""
+    while harness.now_ms < until_ms:
+        harness.run_timer_until(min(until_ms, harness.now_ms + 40))
+        report_one_instance_at_each_worker(harness)
+
+
 def test_keyed_retry_stays_in_its_deduplication_scope():
-    harness, send = send_keyed_request_and_wait(100)
+    harness, send = send_keyed_request()
+    harness.run_timer_until(100)
+    report_one_instance_at_each_worker(harness)
 
     actions = harness.end_attempt(send, Outcome.ERROR, is_answered=False)
 
@@ -55,8 +65,37 @@
     assert harness.zone_of(retry.worker_id) == harness.zone_of(send.worker_id)
 
 
+def test_retry_shortly_before_the_end_of_the_idempotency_window_is_sent():
+    harness, send = send_keyed_request()
+    wait_with_responsive_workers(harness, 2390)
+    assert len(harness.logged(SendRequest)) == 1
+
+    actions = harness.end_attempt(send, Outcome.ERROR, is_answered=False)
+
+    assert len(actions_of(actions, SendRequest)) == 1
+
+
 def test_retry_after_the_idempotency_window_is_not_sent():
-    harness, send = send_keyed_request_and_wait(2410)
+    harness, send = send_keyed_request()
+    wait_with_responsive_workers(harness, 2410)
+    assert len(harness.logged(SendRequest)) == 1
+
+    actions = harness.end_attempt(send, Outcome.ERROR, is_answered=False)
+    actions += harness.run_timer_until(4000)
+
+    assert not actions_of(actions, SendRequest)
+    assert not actions_of(actions, RejectRequest)
+    assert len(actions_of(actions, FailRequest)) == 1
+
+
+def test_keyed_request_is_failed_once_every_worker_in_its_scope_was_tried():
+    harness, send = send_keyed_request()
+    harness.run_timer_until(2410)  # the workers are silent, and a retry goes to the other one of the zone
+    report_one_instance_at_each_worker(harness)
+    tried_workers = {entry.action.worker_id for entry in harness.logged(SendRequest)}
+    assert tried_workers == {
+        worker for worker in WORKERS if harness.zone_of(worker) == harness.zone_of(send.worker_id)
+    }
 
     actions = harness.end_attempt(send, Outcome.ERROR, is_answered=False)
     actions += harness.run_timer_until(4000)
