--- a/function_router/decisions/events.py
+++ b/function_router/decisions/events.py
@@ -8,7 +8,7 @@
 from function_router.decisions.types import Outcome, StartKind, WorkerState
 
 
-class Endpoint(Struct):
+class Endpoint(Struct, frozen=True):
     """A worker as the endpoint list has it."""
 
     worker_id: int
@@ -20,14 +20,14 @@
     started_at_ms: float | None = None  # None: long past
 
 
-class EndpointsChanged(Struct):
+class EndpointsChanged(Struct, frozen=True):
     """The endpoint list, or what has changed in it."""
 
     endpoints: list[Endpoint]
     is_complete: bool  # False: changed ones only
 
 
-class RequestArrived(Struct):
+class RequestArrived(Struct, frozen=True):
     """A request of a client was admitted; it is to get one final answer."""
 
     request_id: str
@@ -43,14 +43,14 @@
     age_ms: float = 0.0  # how long ago it came
 
 
-class RequestCancelled(Struct):
+class RequestCancelled(Struct, frozen=True):
     """The client of a request waits no more: no answer is owed."""
 
     request_id: str
     client_id: str = ""
 
 
-class AttemptEnded(Struct):
+class AttemptEnded(Struct, frozen=True):
     """An attempt of a request at a worker has ended."""
 
     request_id: str
@@ -64,7 +64,7 @@
     load_report: dict[str, float] | None = None
 
 
-class InstancesReported(Struct):
+class InstancesReported(Struct, frozen=True):
     """The answer to an `EnsureInstances`."""
 
     worker_id: int
@@ -74,13 +74,13 @@
     duration_ms: float
 
 
-class TimerFired(Struct):
+class TimerFired(Struct, frozen=True):
     """A timer that `SetTimer` set is due."""
 
     token: int
 
 
-class DrainStarted(Struct):
+class DrainStarted(Struct, frozen=True):
     """This router ends: what is pending has its answer within so long, whatever its client would wait."""
 
     within_ms: float
--- a/function_router/decisions/router.py
+++ b/function_router/decisions/router.py
@@ -24,12 +24,11 @@
 REFRESH_MS, FRESH_MS = 1_000.0, 1_000.0  # interval of limits; an older sign of an instance is doubtful
 RATE_MS = 5_000.0  # stretch over which arrivals are counted where start orders are not rationed
 BOUND_FACTOR, MIN_BOUND = 1.5, 2.0  # own requests for a worker: so many times its fair share, and these
-SHARE_FACTOR, FAR_FACTOR, MIN_SHARE = 1.3, 2.0, 0.5  # past and far past its share of own sends; a least share
+SHARE_FACTOR, MIN_SHARE = 1.3, 0.5  # and a multiple of its share of own sends over the window
+FAR_FACTOR = 2.0  # past this multiple another worker is probed: past the other one, chance alone takes many
 SILENT_MS = 300.0  # a worker that owes a reply and says nothing for less is not silent
-SLOW_START_SAFETY, CROWD_SPREAD = (
-    0.75,
-    1.5,
-)  # part of a budget that is used; room for chance, in roots of a mean
+SLOW_START_SAFETY = 0.75  # part of a slow-start budget that is used: capacity and other routers are guesses
+CROWD_SPREAD = 1.5  # room for chance in a worker's limit, in square roots of its mean requests
 LATE_START_MS = 20.0  # a start order that leaves this long after its decision is looked at once more
 SLOTS_PART, CAPACITY_PART = 1.2, 0.6  # of an instance's slots, and a worker's capacity, for a wide function
 OVERDUE_RUNS, LOST_RUNS = 3.0, 8.0  # out for so many runs, an attempt may be hedged, and is held lost
@@ -39,7 +38,8 @@
 FAILURES_TO_OPEN, FAILURES_KEPT = 2.0, 0.7  # of a class at a worker; after each answer of it
 OPEN_MS, MAX_OPEN_MS = 2_000.0, 8_000.0  # for so long a circuit breaker opens: at first, and at the most
 PROBE_WAIT_MS, BLOCK_MS = 12.0, 1_000.0  # a cold start waits so long for probes, and after a failed one
-ANSWER_LEAD_MS, IDEMPOTENCY_MARGIN_MS = 20.0, 100.0  # to be early for a client, and for a worker's window
+ANSWER_LEAD_MS = 20.0  # a final answer leaves so long before its client: room for a starved process
+IDEMPOTENCY_MARGIN_MS = 100.0  # a retry must arrive inside the idempotency window, not just leave inside it
 MAX_FUNCTIONS, FORGET_MS = 2_000, 60_000.0  # kept in mind, and without a request; a removed worker too
 MAX_INSTANCES, SURVEY_WIDTH, CROWD = 16, 4, 2  # ordered at a worker; probed at once; attempts that crowd it
 HEDGES_PER_REQUEST, MAX_HEDGES = 0.1, 3.0  # hedged attempts a request, and saved up
