--- a/tests/test_client_connection.py
+++ b/tests/test_client_connection.py
@@ -6,7 +6,8 @@
 from unittest import mock
 
 import pytest
-from fakes import SETTINGS, FakeWorker, handle_frame, ready
+from fakes import FakeWorker, encode_request, wait_readable
+from router_harness import SETTINGS
 
 from function_router.net import client_connection, clock, connection, router_process
 from function_router.net.event_loop import READ
@@ -17,19 +18,13 @@
 ANSWER_LIMIT_MS = 3000.0
 
 
-def only_connection(harness):
-    """The one client connection that the router has accepted."""
-    harness.run_until(lambda: harness.process.listener.connections, "the connection is accepted")
-    [served] = harness.process.listener.connections
-    return served
-
-
 def connect_accepted_client(harness):
     """A new client and the router's side of its connection."""
-    known = set(harness.process.listener.connections)
+    connections = harness.router_process.listener.connections
+    known = set(connections)
     client = harness.connect_client()
-    harness.run_until(lambda: len(harness.process.listener.connections) > len(known), "it is accepted")
-    [served] = set(harness.process.listener.connections) - known
+    harness.run_until(lambda: len(connections) > len(known), "it is accepted")
+    [served] = set(connections) - known
     return client, served
 
 
@@ -37,9 +32,7 @@
     """A router that knows a warm instance, so that it sends a request in the turn that reads it."""
     worker = FakeWorker(instances=8)
     harness = start_router(worker, **options)
-    client = harness.connect_client()
-    client.call()
-    harness.run_until(lambda: worker.requests, "the first request is sent to the worker")
+    client = harness.run_request(worker)
     worker.answer(worker.requests[0])
     harness.run_until(lambda: client.answers, "the first request is answered")
     return harness, worker
@@ -47,9 +40,9 @@
 
 def read_in_one_turn(harness, served):
     """Read what has arrived on the connection and carry out what follows from it."""
-    assert ready(served.connection._sock)
+    assert wait_readable(served.connection._sock)
     served.connection._ready(READ)
-    harness.process.loop._run_turn([], harness.process.loop.clock.now_ms())
+    harness.router_process.loop._run_turn([], harness.router_process.loop.clock.now_ms())
 
 
 # --- malformed messages -------------------------------------------------------------------------
@@ -59,19 +52,19 @@
     harness = start_router(FakeWorker())
     client = harness.connect_client()
 
-    client.call(op="unheard", seqid=1)
-    client.call(row="short", seqid=2)
-    client.call(body=b"x" * 17_000, seqid=3)
-    client.sock.sendall(handle_frame(4, {}, b"x" * 100_000))
-    client.call(org="nobody", seqid=6)
-    client.call(ttl="9999999", seqid=7)
+    client.send_request(class_name="unheard", seqid=1)
+    client.send_request(row="short", seqid=2)
+    client.send_request(body=b"x" * 17_000, seqid=3)
+    client.sock.sendall(encode_request(4, {}, b"x" * 100_000))
+    client.send_request(org="nobody", seqid=6)
+    client.send_request(ttl="9999999", seqid=7)
     for seqid, concurrency in enumerate(("0", "-1", "0.5", "5000", "x", ""), 8):
-        client.call(props=f"memory_mb:512;lanes:{concurrency}", seqid=seqid)
-    client.call(seqid=5)
-    harness.run_until(lambda: len(client.answers) >= 12 and harness.process.table.pending, "all are read")
+        client.send_request(props=f"memory_mb:512;lanes:{concurrency}", seqid=seqid)
+    client.send_request(seqid=5)
+    harness.run_until(lambda: len(client.answers) >= 12 and harness.table.pending, "all are read")
 
     assert client.answer_kinds() == dict.fromkeys((1, 2, 3, 4, *range(6, 14)), "exception")
-    assert len(harness.process.table.pending) == 1
+    assert len(harness.table.pending) == 1
 
 
 def test_bytes_without_a_sequence_number_end_only_their_own_connection(start_router):
@@ -80,11 +73,11 @@
     malformed = harness.connect_client()
     valid = harness.connect_client()
 
-    valid.call()
+    valid.send_request()
     malformed.sock.sendall(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n")
-    harness.run_until(lambda: malformed.ended and worker.requests, "one ends and one is sent")
+    harness.run_until(lambda: malformed.is_closed and worker.requests, "one ends and one is sent")
 
-    assert not valid.ended
+    assert not valid.is_closed
 
 
 def test_error_in_a_handler_ends_only_its_own_connection(start_router):
@@ -94,9 +87,9 @@
     other = harness.connect_client()
 
     with mock.patch.object(client_connection.ClientConnection, "_on_handle", side_effect=KeyError("boom")):
-        failing.call()
-        harness.run_until(lambda: failing.ended, "the connection ends")
-    other.call()
+        failing.send_request()
+        harness.run_until(lambda: failing.is_closed, "the connection ends")
+    other.send_request()
     harness.run_until(lambda: worker.requests, "the other client's request is sent")
 
     assert "boom" in "".join(harness.log_lines)
@@ -107,35 +100,35 @@
     client = harness.connect_client()
 
     for _ in range(33):
-        client.call()
+        client.send_request()
     harness.run_until(lambda: client.answers, "one is answered")
 
     assert client.answer_kinds() == {33: "exception"}
-    assert len(harness.process.table.pending) == 32
+    assert len(harness.table.pending) == 32
 
 
 def test_sequence_number_of_a_pending_request_used_again_ends_the_connection(start_router):
     harness = start_router(FakeWorker(instances=None))
     client = harness.connect_client()
 
-    client.call(seqid=5)
-    client.call(seqid=5)
-    harness.run_until(lambda: client.ended, "the connection ends")
+    client.send_request(seqid=5)
+    client.send_request(seqid=5)
+    harness.run_until(lambda: client.is_closed, "the connection ends")
 
-    assert (client.answer_kinds(), harness.process.table.pending) == ({5: "broken"}, {})
+    assert (client.answer_kinds(), harness.table.pending) == ({5: "broken"}, {})
 
 
 def test_answers_before_a_malformed_message_reach_a_client_that_goes_on_sending(start_router):
     harness = start_router(FakeWorker())
     client = harness.connect_client()
 
-    client.status(1)
-    client.call(op="unheard", seqid=2)
-    client.call(seqid=3)
+    client.request_status(1)
+    client.send_request(class_name="unheard", seqid=2)
+    client.send_request(seqid=3)
     client.sock.setblocking(True)
     client.sock.sendall(b"GET / HTTP/1.1\r\n" + b"x" * 300_000)
     client.sock.setblocking(False)
-    harness.run_until(lambda: client.ended, "the connection ends")
+    harness.run_until(lambda: client.is_closed, "the connection ends")
 
     assert client.answer_kinds() == {1: "answer", 2: "exception", 3: "broken"}
 
@@ -147,15 +140,14 @@
     harness = start_router(FakeWorker())
     client = harness.connect_client()
     harness.round_trip(client)
-    [served] = harness.process.listener.connections
+    [served] = harness.router_process.listener.connections
     reference = weakref.ref(served.connection)
     gc.disable()
     cleanups.callback(gc.enable)
     del served
 
-    client.sock.close()
-    client.ended = True
-    harness.run_until(lambda: not harness.process.listener.connections, "the connection is closed")
+    client.close()
+    harness.run_until(lambda: not harness.router_process.listener.connections, "the connection is closed")
 
     assert reference() is None
 
@@ -165,11 +157,10 @@
 def test_request_whose_client_has_closed_behind_it_is_not_sent(start_router, settings, unread):
     harness, worker = start_with_warm_instances(start_router, settings=settings)
     client, served = connect_accepted_client(harness)
-    client.call()
+    client.send_request()
     request_size = len(client.last_frame)
     client.sock.sendall(unread)  # between the request and the close
-    client.sock.close()
-    client.ended = True
+    client.close()
 
     with (
         mock.patch.object(connection, "MAX_READ_BYTES", request_size),
@@ -178,21 +169,21 @@
         read_in_one_turn(harness, served)
     harness.round_trip(harness.connect_client())
 
-    assert (len(worker.requests), harness.process.table.pending) == (1, {})
+    assert (len(worker.requests), harness.table.pending) == (1, {})
 
 
 def test_withdrawal_far_behind_its_request_is_read_before_anything_is_sent(start_router):
     harness, worker = start_with_warm_instances(start_router, settings=WITHOUT_CANCEL)
     client, served = connect_accepted_client(harness)
     for seqid in range(1, 11):
-        client.call(seqid=seqid, body=b"x" * 12_000)
+        client.send_request(seqid=seqid, body=b"x" * 12_000)
     for seqid in range(1, 11):
         client.cancel(seqid)
 
     read_in_one_turn(harness, served)
     harness.round_trip(harness.connect_client())
 
-    assert (len(worker.requests), harness.process.table.pending) == (1, {})
+    assert (len(worker.requests), harness.table.pending) == (1, {})
 
 
 # --- clients that do not read -------------------------------------------------------------------
@@ -202,15 +193,15 @@
     harness = start_router(FakeWorker())
     client = harness.connect_client()
     harness.round_trip(client)
-    [served] = harness.process.listener.connections
+    [served] = harness.router_process.listener.connections
 
     with mock.patch.object(client_connection, "MAX_UNREAD_BYTES", 8 * 1024 * 1024):
         served._write(b"x" * 7_000_000)
-        harness.process.loop.run_once(0)
-        harness.process.loop.run_once(0)
+        harness.router_process.loop.run_once(0)
+        harness.router_process.loop.run_once(0)
         assert not served.connection._reading
     served._write(b"x" * 9_000_000)
-    harness.process.loop.run_once(0)
+    harness.router_process.loop.run_once(0)
 
     assert served.connection.is_closed
 
@@ -219,42 +210,43 @@
 def test_client_that_does_not_read_can_still_withdraw_or_disconnect(start_router, disconnects):
     harness = start_router(FakeWorker(instances=None))
     client, served = connect_accepted_client(harness)
-    seqid = client.call()
-    harness.run_until(lambda: harness.process.table.pending, "the request is admitted")
-    client.pump = lambda: None  # it reads no more
+    seqid = client.send_request()
+    harness.run_until(lambda: harness.table.pending, "the request is admitted")
+    client.receive = lambda: None  # it reads no more
 
     with mock.patch.object(client_connection, "MAX_UNREAD_BYTES", 16 * 1024 * 1024):
         served._write(b"x" * 12_000_000)
-        harness.process.loop.run_once(0)
+        harness.router_process.loop.run_once(0)
         assert served.connection.pending_bytes > client_connection.STOP_READING_BYTES
         if disconnects:
             client.sock.shutdown(socket.SHUT_WR)
         else:
             client.cancel(seqid)
-        assert ready(served.connection._sock)
-        harness.process.loop.run_once(0)
+        assert wait_readable(served.connection._sock)
+        harness.router_process.loop.run_once(0)
 
-        assert not harness.process.table.pending
+        assert not harness.table.pending
 
 
 # --- timeouts -----------------------------------------------------------------------------------
 
 
-def test_silent_clients_and_partial_messages_time_out_but_clients_that_asked_do_not(start_router):
+def test_silent_clients_and_partial_messages_time_out_but_served_clients_do_not(start_router):
     harness = start_router(FakeWorker())
     silent, partial, served, partial_after_message = (harness.connect_client() for _ in range(4))
-    partial.sock.sendall(handle_frame(1, {})[:9])
-    served.status(1)
-    partial_after_message.status(1)
+    partial.sock.sendall(encode_request(1, {})[:9])
+    served.request_status(1)
+    partial_after_message.request_status(1)
     harness.run_until(lambda: served.answers and partial_after_message.answers, "two are answered")
-    partial_after_message.sock.sendall(handle_frame(2, {})[:9])
+    partial_after_message.sock.sendall(encode_request(2, {})[:9])
 
     with mock.patch.object(client_connection, "MESSAGE_TIMEOUT_MS", 0.0):
         harness.run_until(
-            lambda: silent.ended and partial.ended and partial_after_message.ended, "three are closed"
+            lambda: all(client.is_closed for client in (silent, partial, partial_after_message)),
+            "three are closed",
         )
 
-    assert not served.ended
+    assert not served.is_closed
 
 
 @pytest.mark.parametrize("after_a_message", [False, True], ids=["first message", "later message"])
@@ -263,23 +255,23 @@
     client = harness.connect_client()
     if after_a_message:
         harness.round_trip(client)
-    served = only_connection(harness)
+    served = harness.only_client_connection()
 
-    client.call(withhold=50)
+    client.send_request(withhold=50)
     for _ in range(5):
         harness.run_until(lambda: served.connection.peek() is None, "a chunk is read")
         served._waiting_since_ms -= client_connection.MESSAGE_TIMEOUT_MS
-        harness.process.listener.check_timeouts()
-        client.send_rest(10)
+        harness.router_process.listener.check_timeouts()
+        client.send_withheld(10)
 
-    harness.run_until(lambda: harness.process.table.pending, "the request is admitted")
+    harness.run_until(lambda: harness.table.pending, "the request is admitted")
 
 
 def test_message_that_has_come_in_several_chunks_may_pause_for_longer(start_router):
     harness = start_router(FakeWorker(instances=None))
     client = harness.connect_client()
-    client.call(withhold=50)
-    served = only_connection(harness)
+    client.send_request(withhold=50)
+    served = harness.only_client_connection()
 
     overdue = []
     for _ in range(3):
@@ -287,7 +279,7 @@
         last_received_ms = served.connection.last_received_ms
         overdue.append(served.is_overdue(last_received_ms + client_connection.MESSAGE_TIMEOUT_MS))
         served._waiting_since_ms = last_received_ms - client_connection.MESSAGE_TIMEOUT_MS
-        client.send_rest(10)
+        client.send_withheld(10)
 
     assert overdue == [True, True, False]
 
@@ -295,9 +287,9 @@
 def test_partial_request_that_stops_is_overdue_within_the_limit(start_router):
     harness = start_router(FakeWorker(instances=None))
     client = harness.connect_client()
-    served = only_connection(harness)
+    served = harness.only_client_connection()
 
-    client.call(withhold=50)
+    client.send_request(withhold=50)
     harness.run_until(lambda: served._reader.has_partial_frame, "the first part is read")
     now_ms = clock.monotonic_ms()
 
--- a/tests/test_client_listener.py
+++ b/tests/test_client_listener.py
@@ -2,7 +2,7 @@
 
 from unittest import mock
 
-from fakes import FakeWorker, ready
+from fakes import FakeWorker, wait_readable
 
 from function_router.net import client_listener, router_process
 
@@ -10,16 +10,9 @@
 FEW_SOCKETS = {"sockets": MAX_SOCKETS}
 
 
-def only_connection(harness):
-    """The one client connection that the router has accepted."""
-    harness.run_until(lambda: harness.process.listener.connections, "the connection is accepted")
-    [served] = harness.process.listener.connections
-    return served
-
-
 def connect_and_request_status(harness, what):
     client = harness.connect_client()
-    client.status()
+    client.request_status()
     harness.run_until(lambda: client.answers, what)
     return client
 
@@ -28,7 +21,7 @@
     worker = FakeWorker()
     harness = start_router(worker, limits=FEW_SOCKETS)
     first = harness.connect_client()
-    first.call()
+    first.send_request()
     silent_clients = [harness.connect_client() for _ in range(40)]
 
     harness.run_until(lambda: worker.requests, "the first request is sent to the worker")
@@ -36,47 +29,47 @@
     harness.run_until(lambda: first.answers, "the first request is answered")
     connect_and_request_status(harness, "a late client is served in place of silent ones")
 
-    assert sum(client.ended for client in silent_clients) > 20
+    assert sum(client.is_closed for client in silent_clients) > 20
 
 
 def test_connections_stay_within_the_clients_share_of_file_descriptors(start_router):
     harness = start_router(FakeWorker(instances=None), limits=FEW_SOCKETS)
     first = harness.connect_client()
-    first.call()
-    harness.run_until(lambda: harness.process.table.pending, "the first request is pending")
+    first.send_request()
+    harness.run_until(lambda: harness.table.pending, "the first request is pending")
 
     for _ in range(30):
         connect_and_request_status(harness, "each client is answered")
-        assert len(harness.process.listener.connections) <= MAX_SOCKETS * router_process.CLIENT_SHARE
+        assert len(harness.router_process.listener.connections) <= MAX_SOCKETS * router_process.CLIENT_SHARE
 
-    assert not first.ended
+    assert not first.is_closed
 
 
 def test_connection_with_a_partial_message_is_evicted_after_silent_ones(start_router):
     harness = start_router(FakeWorker(instances=None), limits=FEW_SOCKETS)
     client = harness.connect_client()
-    client.call(withhold=9)
-    served = only_connection(harness)
+    client.send_request(withhold=9)
+    served = harness.only_client_connection()
     harness.run_until(lambda: served._reader.has_partial_frame, "the first part is read")
     served.connection.last_used_ms -= 10 * client_listener.FIRST_MESSAGE_GRACE_MS
 
     for _ in range(30):
         connect_and_request_status(harness, "each client is answered")
-    client.send_rest()
+    client.send_withheld()
 
-    harness.run_until(lambda: harness.process.table.pending, "the request is admitted")
+    harness.run_until(lambda: harness.table.pending, "the request is admitted")
 
 
 def test_request_that_arrives_as_its_idle_connection_times_out_is_admitted(start_router):
     harness = start_router(FakeWorker(instances=None))
     client = harness.connect_client()
     harness.round_trip(client)
-    served = only_connection(harness)
-    client.call()
-    assert ready(served.connection._sock)
+    served = harness.only_client_connection()
+    client.send_request()
+    assert wait_readable(served.connection._sock)
 
     with mock.patch.object(client_listener, "IDLE_TIMEOUT_MS", -1.0):
-        harness.process.listener.check_timeouts()  # before the request is read
-        harness.run_until(lambda: harness.process.table.pending, "the request is admitted")
+        harness.router_process.listener.check_timeouts()  # before the request is read
+        harness.run_until(lambda: harness.table.pending, "the request is admitted")
 
     assert not served.connection.is_closed
--- a/tests/test_client_request.py
+++ b/tests/test_client_request.py
@@ -1,14 +1,12 @@
 """Tests of parsing and checking the fields of a client's request."""
 
 import pytest
-from fakes import ROW
+from fakes import FUNCTION, REQUEST_FIELDS
 
 from function_router.config import parse_settings
 from function_router.net.client_request import parse_client_request
 from function_router.net.codecs import thrift
 
-FIELDS = {"op": "view", "call": "9b1f03aa5c7e2d41", "ttl": "1500", "org": "acme", "row": ROW}
-
 
 @pytest.fixture(scope="module")
 def classes():
@@ -23,12 +21,12 @@
 
 def test_checked_fields_are_typed(classes):
     properties = "memory_mb:512;lanes:2;load_ms:640.5;unheard:x"
-    message = thrift.Handle(1, FIELDS | {"props": properties}, b"b")
+    message = thrift.Handle(1, REQUEST_FIELDS | {"props": properties}, b"b")
 
     parsed = parse_client_request(message, classes)
 
     assert (parsed.concurrency, parsed.memory_mb, parsed.start_ms) == (2, 512.0, 640.5)
-    assert (parsed.request_id.hex(), parsed.function) == (FIELDS["call"], ROW)
+    assert (parsed.request_id.hex(), parsed.function) == (REQUEST_FIELDS["call"], FUNCTION)
     assert parsed.timeout_ms == 1500.0
 
 
@@ -38,7 +36,7 @@
         {"op": "nothing"},
         {"call": "xyz"},
         {"call": "9b1f03aa5c7e2d4"},
-        {"row": ROW + ",kind=x"},
+        {"row": FUNCTION + ",kind=x"},
         {"row": ""},
         {"ttl": "0"},
         {"ttl": "-5"},
@@ -57,7 +55,7 @@
     ids=str,
 )
 def test_request_with_an_invalid_field_is_malformed(classes, changes):
-    message = thrift.Handle(1, FIELDS | changes, b"")
+    message = thrift.Handle(1, REQUEST_FIELDS | changes, b"")
 
     with pytest.raises(thrift.MalformedMessageError):
         parse_client_request(message, classes)
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -1,7 +1,7 @@
 """Tests of `function_router.config`."""
 
 import pytest
-from fakes import SETTINGS
+from router_harness import SETTINGS
 
 from function_router.config import (
     ConfigurationError,
--- a/tests/test_connection.py
+++ b/tests/test_connection.py
@@ -91,7 +91,7 @@
     def run(condition, *peers):
         give_up_at = time.monotonic() + PATIENCE_S
         while not condition():
-            assert time.monotonic() < give_up_at, "waited in vain"
+            assert time.monotonic() < give_up_at, "timed out waiting for the condition"
             loop.run_once(0.005)
             for peer in peers:
                 peer.receive()
--- a/tests/test_endpoint_registry.py
+++ b/tests/test_endpoint_registry.py
@@ -2,6 +2,7 @@
 
 import pytest
 from fakes import FakeWorker
+from router_harness import endpoint_event
 
 from function_router.config import ConfigurationError, EndpointList, EndpointRecord
 from function_router.decisions.types import WorkerState
@@ -144,24 +145,24 @@
     old_id = worker_id_of("s-1")
     new_id = worker_id_of("s-2")
     harness = start_router(old)
-    workers = harness.process.router.workers
-    watch = harness.process.endpoint_watch
+    workers = harness.router_process.router.workers
+    watch = harness.router_process.endpoint_watch
     harness.run_until(lambda: old_id in workers, "the old one is known")
     member = old.record(up_since_ms=1000.0) | {"id": "s-2", "locality": "east"}
 
-    harness.endpoint_log.send_line({"seq": 2, "fleet": {"members": [member]}})
+    harness.endpoint_log.send_line(endpoint_event(2, member))
     harness.run_until(lambda: new_id in workers, "the new one is known")
 
     for sequence, phase in ((3, "in_service"), (4, "terminated")):  # late events of the old one
         states = [workers[worker_id].endpoint.state for worker_id in (old_id, new_id)]
         assert states == [WorkerState.REMOVED, WorkerState.READY]
-        assert list(harness.process.pool.workers) == [new_id]
-        harness.endpoint_log.send_line({"seq": sequence, "fleet": {"members": [old.record(phase)]}})
+        assert list(harness.pool.workers) == [new_id]
+        harness.endpoint_log.send_line(endpoint_event(sequence, old.record(phase)))
         harness.run_until(lambda awaited=sequence: watch.last_sequence == awaited, "the event is applied")
-        harness.process.loop.run_once(0)
-    harness.connect_client().call()
+        harness.router_process.loop.run_once(0)
+    harness.connect_client().send_request()
     harness.run_until(lambda: old.requests, "a request runs")
-    assert all(attempt.worker_id == new_id for attempt in harness.process.table._attempts.values())
+    assert all(attempt.worker_id == new_id for attempt in harness.table._attempts.values())
     assert workers[new_id].started_ms == 1000.0
 
 
@@ -176,9 +177,9 @@
     if not is_later_one_last:
         members.reverse()
 
-    harness.endpoint_log.send_line({"seq": 2, "fleet": {"complete": True, "members": members}})
-    harness.run_until(lambda: harness.process.router.ready, "the list is applied")
+    harness.endpoint_log.send_line(endpoint_event(2, *members, complete=True))
+    harness.run_until(lambda: harness.router_process.router.ready, "the list is applied")
 
-    ready_ids = [ready.id for ready in harness.process.router.ready]
+    ready_ids = [ready.id for ready in harness.router_process.router.ready]
     assert ready_ids == [worker_id_of("s-2")]
-    assert list(harness.process.pool.workers) == ready_ids
+    assert list(harness.pool.workers) == ready_ids
--- a/tests/test_endpoint_watch.py
+++ b/tests/test_endpoint_watch.py
@@ -4,6 +4,7 @@
 
 import pytest
 from fakes import FakeEndpointLog, FakeWorker
+from router_harness import endpoint_event
 
 from function_router.decisions.types import WorkerState
 from function_router.net import clock, endpoint_registry, endpoint_watch
@@ -29,53 +30,39 @@
         self.lines = lines
         self.served = set()  # indexes of the connections that have the lines
 
-    def pump(self):
+    def receive(self):
         """Read requests and answer each new one."""
-        super().pump()
+        super().receive()
         for index, connection in enumerate(self.connections):
-            if connection.data.endswith(b"\n") and index not in self.served and not connection.ended:
+            if connection.data.endswith(b"\n") and index not in self.served and not connection.is_closed:
                 self.served.add(index)
                 for line in self.lines:
                     self.send_line(line, index)
 
 
-def address_of(peer):
-    return "127.0.0.1", int(peer.host_port.split(":")[1])
-
-
-def event(sequence, *members, complete=False):
-    return {"seq": sequence, "fleet": {"complete": complete, "members": list(members)}}
-
-
 def wait_for_sequence(harness, sequence):
-    watch = harness.process.endpoint_watch
+    watch = harness.router_process.endpoint_watch
     harness.run_until(lambda: watch.last_sequence == sequence, f"event {sequence} is applied")
 
 
-def wait_for_queries(harness, count):
-    harness.run_until(lambda: len(harness.endpoint_log.queries()) == count, f"{count} requests are made")
+def wait_for_requests(harness, count):
+    harness.run_until(lambda: len(harness.endpoint_log.requests()) == count, f"{count} requests are made")
 
 
 def wait_for_state(harness, worker, state):
-    harness.run_until(lambda: state_of(harness, worker) is state, f"{worker.id} is {state.name}")
+    harness.run_until(lambda: state_of(harness, worker) is state, f"{worker.name} is {state.name}")
 
 
 def state_of(harness, worker):
-    pooled = harness.process.pool.workers.get(endpoint_registry.worker_id_of(worker.id))
+    pooled = harness.pool.workers.get(worker.worker_id)
     return pooled and pooled.state
 
 
-@pytest.fixture
-def start_moved_log(cleanups):
-    """Start a second endpoint log, which the harness serves too."""
-
-    def start(harness, log=None):
-        moved = log or FakeEndpointLog()
-        cleanups.callback(moved.close)
-        harness.workers.append(moved)
-        return moved
-
-    return start
+def start_moved_log(harness, log=None):
+    """A second endpoint log, which the harness serves too."""
+    moved = log or FakeEndpointLog()
+    harness.add_listener(moved)
+    return moved
 
 
 # --- order, repeats and silence
@@ -84,9 +71,9 @@
 def test_events_received_twice_or_out_of_date_are_ignored(start_router):
     harness = start_router(FakeWorker())
 
-    with mock.patch.object(harness.process.endpoint_watch, "_on_endpoints") as on_endpoints:
+    with mock.patch.object(harness.router_process.endpoint_watch, "_on_endpoints") as on_endpoints:
         for sequence in (2, 2, 1, 3):
-            harness.endpoint_log.send_line(event(sequence))
+            harness.endpoint_log.send_line(endpoint_event(sequence))
         wait_for_sequence(harness, 3)
 
     assert on_endpoints.call_count == 2
@@ -94,18 +81,18 @@
 
 def test_silent_log_is_requested_again_from_the_last_event(start_router):
     harness = start_router(FakeWorker())
-    harness.endpoint_log.send_line(event(2))
+    harness.endpoint_log.send_line(endpoint_event(2))
     wait_for_sequence(harness, 2)
 
     with mock.patch.object(endpoint_watch, "SILENCE_TIMEOUT_MS", -1.0):
-        wait_for_queries(harness, 2)
+        wait_for_requests(harness, 2)
 
-    assert harness.endpoint_log.queries() == [["since", "1"], ["since", "2"]]
+    assert harness.endpoint_log.requests() == [["since", "1"], ["since", "2"]]
 
 
 def test_silence_timeout_starts_when_the_connection_is_up(start_router):
     harness = start_router(FakeWorker())
-    watch = harness.process.endpoint_watch
+    watch = harness.router_process.endpoint_watch
     watch._last_line_ms -= endpoint_watch.SILENCE_TIMEOUT_MS + 1  # connecting took that long
     before = watch._connection
 
@@ -123,24 +110,24 @@
     harness = start_router(FakeWorker())
 
     harness.endpoint_log.send_line(line)
-    wait_for_queries(harness, 2)
+    wait_for_requests(harness, 2)
 
-    assert harness.endpoint_log.queries()[1] == ["since", "1"]
+    assert harness.endpoint_log.requests()[1] == ["since", "1"]
 
 
 def test_gap_that_stays_is_skipped_at_once_however_wide_it_is(start_router):
     worker = FakeWorker()
     harness = start_router(worker)
 
-    harness.endpoint_log.send_line(event(500, worker.record("terminating")))
-    wait_for_queries(harness, 2)
-    harness.endpoint_log.send_line(event(500, worker.record("terminating")))
+    harness.endpoint_log.send_line(endpoint_event(500, worker.record("terminating")))
+    wait_for_requests(harness, 2)
+    harness.endpoint_log.send_line(endpoint_event(500, worker.record("terminating")))
     wait_for_state(harness, worker, WorkerState.DRAINING)
-    harness.endpoint_log.send_line(event(501, worker.record("in_service")))
+    harness.endpoint_log.send_line(endpoint_event(501, worker.record("in_service")))
     wait_for_state(harness, worker, WorkerState.READY)
 
-    assert len(harness.endpoint_log.queries()) == 2
-    assert harness.process.endpoint_watch.last_sequence == 501
+    assert len(harness.endpoint_log.requests()) == 2
+    assert harness.router_process.endpoint_watch.last_sequence == 501
 
 
 # --- invalid lines
@@ -152,9 +139,9 @@
     harness = start_router(worker)
 
     harness.endpoint_log.send_line(line)
-    wait_for_queries(harness, 2)
+    wait_for_requests(harness, 2)
     harness.endpoint_log.send_line(line)
-    harness.endpoint_log.send_line(event(3, worker.record("terminating")))
+    harness.endpoint_log.send_line(endpoint_event(3, worker.record("terminating")))
     wait_for_sequence(harness, 3)
 
     assert state_of(harness, worker) == WorkerState.DRAINING
@@ -162,11 +149,11 @@
 
 def test_invalid_line_after_the_log_was_caught_up_is_requested_again(start_router):
     harness = start_router(FakeWorker())
-    watch = harness.process.endpoint_watch
+    watch = harness.router_process.endpoint_watch
 
-    for query_count in (2, 3):
+    for request_count in (2, 3):
         harness.endpoint_log.send_line(b"{")
-        wait_for_queries(harness, query_count)
+        wait_for_requests(harness, request_count)
         harness.endpoint_log.send_line(b"1")
         harness.run_until(lambda: not watch._tracker.awaits_repeat, "the log is caught up again")
 
@@ -177,25 +164,25 @@
     harness = start_router(worker)
 
     harness.endpoint_log.send_line(b"noise")
-    wait_for_queries(harness, 2)
+    wait_for_requests(harness, 2)
     harness.endpoint_log.send_line(b"noise")
     if is_announced:
         harness.endpoint_log.send_line(b"1")
-    harness.endpoint_log.send_line(event(2, worker.record("terminating")))
+    harness.endpoint_log.send_line(endpoint_event(2, worker.record("terminating")))
 
     wait_for_state(harness, worker, WorkerState.DRAINING)
 
 
 @pytest.mark.parametrize("line", [b"9", b"noise", b'{"seq":9,"fleet":5}'])
-def test_log_that_sends_nothing_valid_is_not_requested_in_a_busy_loop(start_router, start_moved_log, line):
+def test_log_that_sends_nothing_valid_is_not_requested_in_a_busy_loop(start_router, line):
     harness = start_router(FakeWorker())
     log = start_moved_log(harness, RepeatingEndpointLog(line, line, line))
     elapsed = []
     started_ms = clock.monotonic_ms()
 
-    harness.process.endpoint_watch.move_to(address_of(log))
+    harness.router_process.endpoint_watch.move_to(log.address)
     wait_ms = 4 * endpoint_watch.RECONNECT_DELAY_MS
-    harness.process.loop.timers.call_later(wait_ms, lambda: elapsed.append(True))
+    harness.router_process.loop.timers.call_later(wait_ms, lambda: elapsed.append(True))
     harness.run_until(lambda: elapsed and len(log.connections) > 1, "some time passes")
 
     delays = (clock.monotonic_ms() - started_ms) / endpoint_watch.RECONNECT_DELAY_MS
@@ -212,10 +199,10 @@
     new = FakeWorker("s-2")
     harness = start_router(old)
 
-    harness.endpoint_log.send_line(event(2, new.record(), complete=True))
+    harness.endpoint_log.send_line(endpoint_event(2, new.record(), complete=True))
     wait_for_sequence(harness, 2)
 
-    assert list(harness.process.pool.workers) == [endpoint_registry.worker_id_of("s-2")]
+    assert list(harness.pool.workers) == [endpoint_registry.worker_id_of("s-2")]
 
 
 def test_snapshot_ahead_of_a_gap_is_applied_as_it_replaces_all_events_before(start_router):
@@ -223,14 +210,14 @@
     new = FakeWorker("s-2")
     harness = start_router(worker)
 
-    harness.endpoint_log.send_line(event(40, new.record(), complete=True))
-    harness.endpoint_log.send_line(event(41, new.record("terminating")))
+    harness.endpoint_log.send_line(endpoint_event(40, new.record(), complete=True))
+    harness.endpoint_log.send_line(endpoint_event(41, new.record("terminating")))
     wait_for_state(harness, new, WorkerState.DRAINING)
     harness.endpoint_log.send_line(b"41")
     harness.round_trip(harness.connect_client())
 
-    assert len(harness.endpoint_log.queries()) == 1
-    assert harness.process.endpoint_watch.last_sequence == 41
+    assert len(harness.endpoint_log.requests()) == 1
+    assert harness.router_process.endpoint_watch.last_sequence == 41
     assert state_of(harness, worker) is None
 
 
@@ -238,13 +225,13 @@
     worker = FakeWorker()
     harness = start_router(worker)
 
-    harness.endpoint_log.send_line(event(99_999_999, worker.record(), complete=True))
-    harness.endpoint_log.send_line(event(2, worker.record("terminating")))
+    harness.endpoint_log.send_line(endpoint_event(99_999_999, worker.record(), complete=True))
+    harness.endpoint_log.send_line(endpoint_event(2, worker.record("terminating")))
     harness.endpoint_log.send_line(b"2")
-    wait_for_queries(harness, 2)
+    wait_for_requests(harness, 2)
 
-    assert harness.endpoint_log.queries()[1] == ["since", "1"]
-    harness.endpoint_log.send_line(event(2, worker.record("terminating")))
+    assert harness.endpoint_log.requests()[1] == ["since", "1"]
+    harness.endpoint_log.send_line(endpoint_event(2, worker.record("terminating")))
     wait_for_state(harness, worker, WorkerState.DRAINING)
 
 
@@ -252,45 +239,42 @@
 
 
 @pytest.mark.parametrize("is_broken", [False, True])
-def test_move_leaves_one_connection_and_no_late_reconnect(start_router, start_moved_log, is_broken):
+def test_move_leaves_one_connection_and_no_late_reconnect(start_router, is_broken):
     harness = start_router(FakeWorker())
-    watch = harness.process.endpoint_watch
+    watch = harness.router_process.endpoint_watch
     moved = FakeEndpointLog()
     elapsed = []
 
     with mock.patch.object(endpoint_watch, "RECONNECT_DELAY_MS", 30.0):
-        harness.endpoint_log.send_line(event(2))
+        harness.endpoint_log.send_line(endpoint_event(2))
         wait_for_sequence(harness, 2)
         if is_broken:  # the reconnect to the old address is scheduled already
-            harness.endpoint_log.connections[0].sock.close()
-            harness.endpoint_log.connections[0].ended = True
+            harness.endpoint_log.connections[0].close()
             harness.run_until(lambda: watch._connection is None, "the connection breaks")
-        watch.move_to(address_of(moved))
-    harness.process.loop.timers.call_later(60.0, lambda: elapsed.append(True))
+        watch.move_to(moved.address)
+    harness.router_process.loop.timers.call_later(60.0, lambda: elapsed.append(True))
     start_moved_log(harness, moved)
-    harness.run_until(lambda: elapsed and moved.queries(), "the new log has a request")
+    harness.run_until(lambda: elapsed and moved.requests(), "the new log has a request")
 
-    assert moved.queries() == [["since", "2"]]
+    assert moved.requests() == [["since", "2"]]
     assert len(moved.connections) == 1
-    assert [connection.ended for connection in harness.endpoint_log.connections] == [True]
+    assert [connection.is_closed for connection in harness.endpoint_log.connections] == [True]
 
 
 @pytest.mark.parametrize("is_line_half_read", [False, True], ids=["connecting", "half a line"])
-def test_move_while_connecting_or_inside_a_line_leaves_one_connection(
-    start_router, start_moved_log, is_line_half_read
-):
+def test_move_while_connecting_or_inside_a_line_leaves_one_connection(start_router, is_line_half_read):
     harness = start_router(FakeWorker(), start=is_line_half_read)
     moved = start_moved_log(harness)
-    watch = harness.process.endpoint_watch
+    watch = harness.router_process.endpoint_watch
     if is_line_half_read:
         harness.endpoint_log.connections[0].sock.sendall(b'{"seq":2,"fl')
         harness.run_until(lambda: watch._partial_line, "half a line is read")
     assert watch._connection.is_connected == is_line_half_read
 
-    watch.move_to(address_of(moved))
-    harness.run_until(moved.queries, "the new log has a request")
-    moved.send_line(event(2))
+    watch.move_to(moved.address)
+    harness.run_until(moved.requests, "the new log has a request")
+    moved.send_line(endpoint_event(2))
     wait_for_sequence(harness, 2)
 
-    assert moved.queries() == [["since", "1"]]
+    assert moved.requests() == [["since", "1"]]
     assert len(moved.connections) == 1
--- a/tests/test_event_ordering_requests.py
+++ b/tests/test_event_ordering_requests.py
@@ -1,15 +1,16 @@
 """Tests of `function_router.net.request_table`: attempts that must not start, and ids that come again.
 
-In most of them the end of a client, a connection that comes up or an answer overtakes something else.
+In most of them a client's close, a new connection or an answer is seen earlier than something sent before it.
 """
 
 import math
 from unittest import mock
 
 import pytest
-from fakes import ROW, SETTINGS, FakeWorker, attempt, ready
+from fakes import FakeWorker, wait_readable
+from router_harness import OTHER_UNLISTED_WORKER_ID, SETTINGS, UNLISTED_WORKER_ID, attempt
 
-from function_router.decisions.actions import CancelAttempt, EnsureInstances, SendRequest
+from function_router.decisions.actions import CancelAttempt, SendRequest
 from function_router.decisions.events import AttemptEnded
 from function_router.decisions.types import Outcome, WorkerState
 from function_router.net import connection
@@ -27,80 +28,54 @@
 }
 REPEATED_ID = "ab" * 8
 
-# Workers that the decision module does not know, so that only the test itself sends to them.
-TEST_WORKER_ID = 9
-OTHER_TEST_WORKER_ID = 10
-
-UNKNOWN_CODE = 99  # of a worker's answer; it may stand for a run
+UNKNOWN_CODE = 99  # of a worker's answer: the request may have run
 
 either_cancel_setting = pytest.mark.parametrize(
     "settings", [CANCEL_FORBIDDEN, CANCEL_ALLOWED], ids=["cancel_forbidden", "cancel_allowed"]
 )
 
 
-def address_of(worker):
-    return "127.0.0.1", int(worker.host_port.split(":")[1])
-
-
-def close_client(client):
-    client.sock.close()
-    client.ended = True
-
-
 def close_client_unread(client, client_connection):
     """Close a client so that its end has arrived at the router, which has not read it yet."""
-    close_client(client)
-    assert ready(client_connection.connection._sock)
-
-
-def add_test_worker(harness, worker, worker_id):
-    harness.workers.append(worker)
-    harness.process.pool.update_endpoint(worker_id, address_of(worker), WorkerState.READY, 0.0)
-
-
-def connections_to(harness, worker_id):
-    return harness.process.pool.workers[worker_id].connections
-
-
-def send_pending(harness, worker_id=TEST_WORKER_ID):
-    """Send the one pending request to a test worker; return the connections to it."""
-    [key] = harness.process.table.pending
-    harness.process.table.send(SendRequest(key, worker_id))
-    return connections_to(harness, worker_id)
+    client.close()
+    assert wait_readable(client_connection.connection._sock)
 
 
-def probe(harness, worker_id):
-    harness.process.table.ensure_instances(EnsureInstances(worker_id, ROW, 0))
+def send_pending(harness, worker_id=UNLISTED_WORKER_ID):
+    """Send the one pending request to an unlisted worker; return the connections to it."""
+    [key] = harness.table.pending
+    harness.table.send(SendRequest(key, worker_id))
+    return harness.connections_to(worker_id)
 
 
 # --- clients that have gone: no attempt starts for them, wherever their request waits ---------------
 
 
 def admit_request(start_router, settings, *, connect_worker=False):
-    """A pending request that the decision module does not send, and a test worker to send it to.
+    """A pending request that the decision module does not send, and an unlisted worker to send it to.
 
-    Returns the harness, the test worker, the client and the router's connection to the client.
+    Returns the harness, that worker, the client and the router's connection to the client.
     """
     harness = start_router(FakeWorker(instances=None), settings=settings)
     worker = FakeWorker("s-9")
-    add_test_worker(harness, worker, TEST_WORKER_ID)
+    harness.add_unlisted_worker(worker)
     if connect_worker:
-        probe(harness, TEST_WORKER_ID)
+        harness.probe()
         harness.run_until(lambda: worker.frames, "the worker is connected")
     client = harness.connect_client()
-    client.call()
-    harness.run_until(lambda: harness.process.table.pending, "it is admitted")
-    [client_connection] = harness.process.listener.connections
+    client.send_request()
+    harness.run_until(lambda: harness.table.pending, "it is admitted")
+    [client_connection] = harness.router_process.listener.connections
     return harness, worker, client, client_connection
 
 
 def assert_no_attempt_arrives(harness, worker, worker_connection):
     """A probe that is sent afterwards arrives, and no attempt before it."""
     harness.run_until(lambda: worker_connection.is_connected, "the worker is connected")
-    probe(harness, TEST_WORKER_ID)
+    harness.probe()
     frame_count = len(worker.frames)
     harness.run_until(lambda: len(worker.frames) > frame_count, "the probe arrives")
-    assert (worker.requests, harness.process.table.pending, harness.process.table._attempts) == ([], {}, {})
+    assert (worker.requests, harness.table.pending, harness.table._attempts) == ([], {}, {})
 
 
 def test_attempt_waiting_for_a_connection_is_dropped_even_if_cancel_is_forbidden(start_router):
@@ -110,7 +85,7 @@
     close_client_unread(client, client_connection)
     client_connection.connection._ready(READ)
 
-    assert harness.process.table._attempts == {}
+    assert harness.table._attempts == {}
     assert_no_attempt_arrives(harness, worker, worker_connection)
 
 
@@ -121,7 +96,7 @@
 
     close_client_unread(client, client_connection)
     worker_connection.connection._ready(WRITE)
-    harness.process.loop._run_turn([], harness.process.loop.clock.now_ms())
+    harness.router_process.loop._run_turn([], harness.router_process.loop.clock.now_ms())
 
     assert_no_attempt_arrives(harness, worker, worker_connection)
 
@@ -134,7 +109,7 @@
     for each in [each for each in worker_connections if each is not carrier]:
         each.connection.close(CloseReason.IDLE)
     carrier.connection.close(CloseReason.RESET_BY_PEER)  # before a byte of the attempt was written
-    [worker_connection] = connections_to(harness, TEST_WORKER_ID)
+    [worker_connection] = harness.connections_to()
 
     close_client_unread(client, client_connection)
     client_connection.connection._ready(READ)
@@ -145,22 +120,22 @@
 def test_unsent_attempt_does_not_start_once_another_one_was_served(start_router):
     harness, worker, client, _ = admit_request(start_router, CANCEL_FORBIDDEN, connect_worker=True)
     other = FakeWorker("s-10")
-    add_test_worker(harness, other, OTHER_TEST_WORKER_ID)
+    harness.add_unlisted_worker(other, OTHER_UNLISTED_WORKER_ID)
     send_pending(harness)
     harness.run_until(lambda: worker.requests, "the first attempt runs")
-    [other_connection] = send_pending(harness, OTHER_TEST_WORKER_ID)
+    [other_connection] = send_pending(harness, OTHER_UNLISTED_WORKER_ID)
 
     worker.answer(worker.requests[0], body=b"served")
-    carrier = next(each for each in connections_to(harness, TEST_WORKER_ID) if each.exchanges)
-    assert ready(carrier.connection._sock)
+    carrier = next(each for each in harness.connections_to() if each.exchanges)
+    assert wait_readable(carrier.connection._sock)
     carrier.connection._ready(READ)
     harness.run_until(
         lambda: client.answers and other_connection.is_connected, "it is served, the other worker connected"
     )
-    probe(harness, OTHER_TEST_WORKER_ID)
+    harness.probe(OTHER_UNLISTED_WORKER_ID)
     harness.run_until(lambda: other.frames, "the probe arrives")
 
-    assert (other.requests, harness.process.table._attempts) == ([], {})
+    assert (other.requests, harness.table._attempts) == ([], {})
 
 
 def test_refused_connection_proves_that_the_attempt_did_not_run(start_router):
@@ -168,9 +143,9 @@
     worker = FakeWorker("s-9")
     worker.close()
     harness = start_router()
-    harness.process.pool.update_endpoint(TEST_WORKER_ID, address_of(worker), WorkerState.READY, 0.0)
+    harness.pool.update_endpoint(UNLISTED_WORKER_ID, worker.address, WorkerState.READY, 0.0)
 
-    harness.process.pool.send(attempt(TEST_WORKER_ID, results))
+    harness.pool.send(attempt(UNLISTED_WORKER_ID, results))
     harness.run_until(lambda: results, "the attempt ends")
 
     assert results == [(CloseReason.CONNECTION_REFUSED, False)]
@@ -178,16 +153,16 @@
 
 def test_send_of_a_request_that_has_just_finished_is_reported_as_not_sent(start_router):
     harness, _, client, client_connection = admit_request(start_router, CANCEL_ALLOWED)
-    [key] = harness.process.table.pending
+    [key] = harness.table.pending
     close_client_unread(client, client_connection)
     client_connection.connection._ready(READ)
 
-    with mock.patch.object(harness.process.loop, "submit") as submit:
-        harness.process.table.send(SendRequest(key, TEST_WORKER_ID))
+    with mock.patch.object(harness.router_process.loop, "submit") as submit:
+        harness.table.send(SendRequest(key, UNLISTED_WORKER_ID))
 
-    expected = AttemptEnded(key, 0, TEST_WORKER_ID, Outcome.NOT_SENT, 0.0, is_answered=True)
+    expected = AttemptEnded(key, 0, UNLISTED_WORKER_ID, Outcome.NOT_SENT, 0.0, is_answered=True)
     assert submit.call_args_list == [mock.call(expected)]
-    assert harness.process.table._attempts == {}
+    assert harness.table._attempts == {}
 
 
 # --- ids of clients' requests ---------------------------------------------------------------------
@@ -198,16 +173,16 @@
     harness = start_router(worker)
     first = harness.connect_client()
     second = harness.connect_client()
-    first.call(call=REPEATED_ID)
-    harness.run_until(lambda: harness.process.table.pending, "the first one is admitted")
+    first.send_request(call=REPEATED_ID)
+    harness.run_until(lambda: harness.table.pending, "the first one is admitted")
 
     for seqid in range(2, 32):
-        first.call(call=REPEATED_ID, seqid=seqid)
-    second.call(call=REPEATED_ID, body=b"another")
+        first.send_request(call=REPEATED_ID, seqid=seqid)
+    second.send_request(call=REPEATED_ID, body=b"another")
     harness.run_until(lambda: len(first.answers) == 30 and second.answers, "all others are answered")
 
     assert set(first.answer_kinds().values()) | set(second.answer_kinds().values()) == {"exception"}
-    assert (len(harness.process.table.pending), len(harness.process.router.recent_arrivals)) == (1, 1)
+    assert (len(harness.table.pending), len(harness.router_process.router.recent_arrivals)) == (1, 1)
 
 
 def test_id_is_free_again_after_its_request_finished_or_its_client_closed(start_router):
@@ -215,19 +190,19 @@
     first = harness.connect_client()
     second = harness.connect_client()
     third = harness.connect_client()
-    seqid = first.call(call=REPEATED_ID)
-    harness.run_until(lambda: harness.process.table.pending, "the first one is admitted")
+    seqid = first.send_request(call=REPEATED_ID)
+    harness.run_until(lambda: harness.table.pending, "the first one is admitted")
     first.cancel(seqid)
-    harness.run_until(lambda: not harness.process.table.pending, "it is cancelled")
-    second.call(call=REPEATED_ID)
-    harness.run_until(lambda: harness.process.table.pending, "the second one is admitted")
-    connections = harness.process.listener.connections
+    harness.run_until(lambda: not harness.table.pending, "it is cancelled")
+    second.send_request(call=REPEATED_ID)
+    harness.run_until(lambda: harness.table.pending, "the second one is admitted")
+    connections = harness.router_process.listener.connections
     [second_connection] = [each for each in connections if each.pending]
 
     close_client_unread(second, second_connection)
     [third_connection] = [each for each in connections if not each.has_received_message]
-    third.call(call=REPEATED_ID)
-    assert ready(third_connection.connection._sock)
+    third.send_request(call=REPEATED_ID)
+    assert wait_readable(third_connection.connection._sock)
     third_connection.connection._ready(READ)  # before the end of the second one is read
 
     assert second_connection.connection.is_closed
@@ -238,15 +213,15 @@
     harness = start_router(FakeWorker(instances=None))
     client = harness.connect_client()
     harness.round_trip(client)
-    [client_connection] = harness.process.listener.connections
+    [client_connection] = harness.router_process.listener.connections
 
-    client.call(call=REPEATED_ID, seqid=1)
-    client.call(call=REPEATED_ID, seqid=2)
+    client.send_request(call=REPEATED_ID, seqid=1)
+    client.send_request(call=REPEATED_ID, seqid=2)
     close_client_unread(client, client_connection)
     with mock.patch.object(connection, "MAX_READS_PER_TURN", 1):
         client_connection.connection._ready(READ)
 
-    assert (harness.process.table.pending, harness.process.table._keys_by_client_id) == ({}, {})
+    assert (harness.table.pending, harness.table._keys_by_client_id) == ({}, {})
 
 
 # --- idempotency window ---------------------------------------------------------------------------
@@ -256,13 +231,13 @@
     start_router, unreachable_address
 ):
     harness = start_router(FakeWorker(instances=None))
-    harness.connect_client().call("save")
-    harness.run_until(lambda: harness.process.table.pending, "it is admitted")
-    [(key, request)] = harness.process.table.pending.items()
-    harness.process.pool.update_endpoint(TEST_WORKER_ID, unreachable_address(), WorkerState.READY, 0.0)
+    harness.connect_client().send_request("save")
+    harness.run_until(lambda: harness.table.pending, "it is admitted")
+    [(key, request)] = harness.table.pending.items()
+    harness.pool.update_endpoint(UNLISTED_WORKER_ID, unreachable_address(), WorkerState.READY, 0.0)
 
-    harness.process.table.send(SendRequest(key, TEST_WORKER_ID))
-    harness.process.table.cancel_attempt(CancelAttempt(key, 0))
+    harness.table.send(SendRequest(key, UNLISTED_WORKER_ID))
+    harness.table.cancel_attempt(CancelAttempt(key, 0))
 
     assert request.first_run_at_ms == math.inf
 
@@ -274,15 +249,15 @@
 def test_only_an_attempt_that_may_have_run_opens_the_idempotency_window(start_router, code, opens_window):
     worker = FakeWorker("s-9")
     harness = start_router(FakeWorker(instances=None))
-    add_test_worker(harness, worker, TEST_WORKER_ID)
-    harness.connect_client().call("save")
-    harness.run_until(lambda: harness.process.table.pending, "it is admitted")
-    [request] = harness.process.table.pending.values()
+    harness.add_unlisted_worker(worker)
+    harness.connect_client().send_request("save")
+    harness.run_until(lambda: harness.table.pending, "it is admitted")
+    [request] = harness.table.pending.values()
     send_pending(harness)
     harness.run_until(lambda: worker.requests, "it runs")
 
     worker.answer(worker.requests[0], code=code)
-    harness.run_until(lambda: not harness.process.table._attempts, "the attempt ends")
+    harness.run_until(lambda: not harness.table._attempts, "the attempt ends")
 
     assert (request.first_run_at_ms < math.inf) == opens_window
 
@@ -298,19 +273,19 @@
     first = FakeWorker("s-9", instances=None)
     second = FakeWorker("s-10", instances=None)
     harness = start_router(FakeWorker(instances=None), settings={"classes": [LONG_WINDOW_CLASS]})
-    add_test_worker(harness, first, TEST_WORKER_ID)
-    add_test_worker(harness, second, OTHER_TEST_WORKER_ID)
-    harness.connect_client().call("save")
-    harness.run_until(lambda: harness.process.table.pending, "it is admitted")
+    harness.add_unlisted_worker(first)
+    harness.add_unlisted_worker(second, OTHER_UNLISTED_WORKER_ID)
+    harness.connect_client().send_request("save")
+    harness.run_until(lambda: harness.table.pending, "it is admitted")
     send_pending(harness)
     harness.run_until(lambda: first.requests, "the first attempt runs")
-    [second_connection] = send_pending(harness, OTHER_TEST_WORKER_ID)
+    [second_connection] = send_pending(harness, OTHER_UNLISTED_WORKER_ID)
     assert not second_connection.is_connected
-    [started] = [each for each in harness.process.table._attempts.values() if each.is_started]
+    [started] = [each for each in harness.table._attempts.values() if each.is_started]
 
     started.created_at_ms -= connect_ms  # as if the second connection took that long
     harness.run_until(lambda: second_connection.is_connected, "the second worker is connected")
-    probe(harness, OTHER_TEST_WORKER_ID)
+    harness.probe(OTHER_UNLISTED_WORKER_ID)
     harness.run_until(lambda: second.received(worker_frames.ENSURE_INSTANCES), "the probe arrives")
 
     assert len(second.requests) == repeat_count
--- a/tests/test_idle_limit.py
+++ b/tests/test_idle_limit.py
@@ -12,7 +12,7 @@
 @pytest.mark.parametrize(
     ("idle_ms", "limit_ms"),
     [(500.0, 350.0), (60.0, MIN_LIMIT_MS), (MIN_LIMIT_MS - 1.0, 700.0), (5_000.0, 700.0)],
-    ids=["lowers-it", "never-below-the-least", "idle-too-short-to-count", "never-raises-it"],
+    ids=["lowers-it", "never-below-the-minimum", "idle-too-short-to-count", "never-raises-it"],
 )
 def test_stale_connection_lowers_the_limit_below_its_idle_time(idle_ms, limit_ms):
     limit = IdleLimit(keepalive_ms=1_000.0)
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -23,26 +23,20 @@
     assert taken == [True, True, True, False]
 
 
-def test_adaptive_limit_rises_by_one_over_itself_and_falls_by_a_part():
-    limit = AdaptiveLimit(4.0, 2.0, 10.0, 0.5)
+@pytest.mark.parametrize(
+    ("start", "maximum", "raised", "lowered"),
+    [(4.0, 10.0, 4.25, 2.125), (2.5, 2.6, 2.6, 2.0)],
+    ids=["inside its bounds", "kept to its bounds"],
+)
+def test_adaptive_limit_rises_by_one_over_itself_and_falls_by_a_part(start, maximum, raised, lowered):
+    limit = AdaptiveLimit(start, 2.0, maximum, 0.5)
 
     limit.record(success=True)
-    raised = limit.value
+    value_after_success = limit.value
     limit.record(success=False)
 
-    assert raised == 4.25
-    assert limit.value == 2.125
-
-
-def test_adaptive_limit_stays_between_its_bounds():
-    limit = AdaptiveLimit(2.5, 2.0, 2.6, 0.5)
-
-    limit.record(success=True)
-    highest = limit.value
-    limit.record(success=False)
-
-    assert highest == 2.6
-    assert limit.value == 2.0
+    assert value_after_success == raised
+    assert limit.value == lowered
 
 
 def breaker_with_failures(count, now_ms=0.0):
--- a/tests/test_log.py
+++ b/tests/test_log.py
@@ -3,21 +3,11 @@
 import io
 
 import pytest
+from fakes import FakeMonotonicClock
 
 from function_router.net.log import MAX_LINE_LENGTH, MAX_LINES_PER_SECOND, RateLimitedLog
 
 
-class FakeMonotonicClock:
-    """A clock that the test sets."""
-
-    def __init__(self):
-        self.now_ms = 0.0
-
-    def read_ms(self):
-        """The time now."""
-        return self.now_ms
-
-
 @pytest.fixture
 def clock():
     return FakeMonotonicClock()
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -11,7 +11,8 @@
 
 import msgspec
 import pytest
-from fakes import FakeClient, FakeEndpointLog, FakeWorker
+from fakes import FakeClient, FakeWorker
+from router_harness import endpoint_event
 
 ROOT = Path(__file__).parent.parent
 EXIT_TIMEOUT_S = 20
@@ -55,25 +56,34 @@
     os.close(pipe)
 
 
+def assert_served_from_sequence_1_until_sigterm(programs, program):
+    """The program requests the events after the first from the last log, and SIGTERM ends it."""
+    while not programs.endpoint_log.requests():
+        programs.endpoint_log.receive()
+    assert programs.endpoint_log.requests() == [["since", "1"]]
+    program.send_signal(signal.SIGTERM)
+    assert program.wait(EXIT_TIMEOUT_S) == 0
+
+
 def test_sigterm_admits_late_arrivals_answers_all_and_exits_0(worker, connect, programs):
-    program = programs.launch(programs.config(worker.record()))
+    program = programs.launch(programs.make_config(worker.record()))
     address = served_address(program)
     client = connect(address)
-    client.status()
-    programs.pump(client, lambda: client.answers, worker)
+    client.request_status()
+    programs.receive_until(client, lambda: client.answers, worker)
     assert client.answers[0][1:] == ("answer", {1: b"", 2: {}, 3: True})
-    client.call()
-    programs.pump(client, lambda: worker.requests, worker)
+    client.send_request()
+    programs.receive_until(client, lambda: worker.requests, worker)
 
     program.send_signal(signal.SIGTERM)
     drain_line = program.stderr.readline()
     late_client = connect(address)
-    late_client.call(call="ff" * 8)
+    late_client.send_request(call="ff" * 8)
     worker.answer(worker.requests[0], body=b"one")
-    programs.pump(late_client, lambda: len(worker.requests) == 2, worker)
+    programs.receive_until(late_client, lambda: len(worker.requests) == 2, worker)
     worker.answer(worker.requests[1], body=b"two")
-    programs.pump(late_client, lambda: late_client.answers, worker)
-    programs.pump(client, lambda: 1 in client.answer_kinds(), worker)
+    programs.receive_until(late_client, lambda: late_client.answers, worker)
+    programs.receive_until(client, lambda: 1 in client.answer_kinds(), worker)
 
     assert "leaving" in drain_line
     assert (client.answer_kinds()[1], late_client.answer_kinds()) == ("answer", {1: "answer"})
@@ -83,8 +93,8 @@
 def test_sighup_before_the_program_is_ready_is_a_reload_that_moves_the_endpoint_log(programs, tmp_path):
     path = tmp_path / "pipe"
     os.mkfifo(path)
-    first = programs.config()
-    second = programs.config()
+    first = programs.make_config()
+    second = programs.make_config()
     program = programs.launch(first, "serve", "--config", str(path))
 
     pipe = os.open(path, os.O_WRONLY)  # returns once the program reads its configuration
@@ -95,11 +105,7 @@
     write_to_pipe(path, msgspec.json.encode(second))
 
     assert "read again" in program.stderr.readline()
-    while not programs.endpoint_log.queries():
-        programs.endpoint_log.pump()
-    assert programs.endpoint_log.queries() == [["since", "1"]]
-    program.send_signal(signal.SIGTERM)
-    assert program.wait(EXIT_TIMEOUT_S) == 0
+    assert_served_from_sequence_1_until_sigterm(programs, program)
 
 
 @pytest.mark.parametrize(
@@ -115,7 +121,7 @@
 def test_reload_of_an_invalid_file_changes_nothing(key, make_content, programs, tmp_path):
     path = tmp_path / "pipe"
     os.mkfifo(path)
-    config = programs.config()
+    config = programs.make_config()
     program = programs.launch(config, "serve", "--config", str(path))
     write_to_pipe(path, msgspec.json.encode(config))
     assert "serving" in program.stderr.readline()
@@ -126,15 +132,11 @@
 
     assert "not taken over" in line
     assert key in line
-    while not programs.endpoint_log.queries():
-        programs.endpoint_log.pump()
-    assert programs.endpoint_log.queries() == [["since", "1"]]
-    program.send_signal(signal.SIGTERM)
-    assert program.wait(EXIT_TIMEOUT_S) == 0
+    assert_served_from_sequence_1_until_sigterm(programs, program)
 
 
 @pytest.mark.parametrize(
-    ("words", "status", "text"),
+    ("arguments", "status", "text"),
     [
         (["version"], 0, "function_router 0.2.0"),
         (["check-config"], 0, "classes: view, save, settle"),
@@ -143,8 +145,8 @@
     ],
     ids=["version", "check-config", "unknown command", "no such file"],
 )
-def test_command_exits_with_its_status_and_text(words, status, text, programs):
-    program = programs.launch(programs.config(), *words)
+def test_command_exits_with_its_status_and_text(arguments, status, text, programs):
+    program = programs.launch(programs.make_config(), *arguments)
 
     output, errors = program.communicate(timeout=EXIT_TIMEOUT_S)
 
@@ -163,7 +165,7 @@
 
 def test_listen_address_in_use_is_reported(programs):
     with socket.create_server(("127.0.0.1", 0)) as other:
-        program = programs.launch(programs.config(listen=f"127.0.0.1:{other.getsockname()[1]}"))
+        program = programs.launch(programs.make_config(listen=f"127.0.0.1:{other.getsockname()[1]}"))
 
         _, errors = program.communicate(timeout=EXIT_TIMEOUT_S)
 
@@ -180,7 +182,7 @@
     ],
 )
 def test_invalid_configuration_ends_the_program_with_the_name_of_the_key(key, change, programs):
-    program = programs.launch(programs.config(**change))
+    program = programs.launch(programs.make_config(**change))
 
     _, errors = program.communicate(timeout=EXIT_TIMEOUT_S)
 
@@ -190,30 +192,29 @@
 
 
 def test_idle_clients_that_fill_the_sockets_without_an_endpoint_log_keep_nobody_out(
-    worker, connect, cleanups, programs
+    worker, connect, programs
 ):
-    program = programs.launch(programs.config(limits={"sockets": 64}))
+    program = programs.launch(programs.make_config(limits={"sockets": 64}))
     address = served_address(program)
     resource.prlimit(program.pid, resource.RLIMIT_NOFILE, (64, 64))
     clients = [connect(address)]
-    programs.pump(clients[0], programs.endpoint_log.queries, programs.endpoint_log)
-    log_port = int(programs.endpoint_log.host_port.split(":")[1])
+    programs.receive_until(clients[0], programs.endpoint_log.requests, programs.endpoint_log)
+    _, log_port = programs.endpoint_log.address
     programs.endpoint_log.close()
     for number in range(80):
         client = connect(address)
         clients.append(client)
-        if number % 2:  # it asks something, gets its answer and stays
-            client.status()
-            programs.pump(client, lambda client=client: client.answers)
-
-    programs.endpoint_log = FakeEndpointLog(log_port)
-    cleanups.callback(programs.endpoint_log.close)
-    programs.pump(clients[-1], programs.endpoint_log.queries, programs.endpoint_log)
-    programs.endpoint_log.send_line({"seq": 2, "fleet": {"members": [worker.record()]}})
+        if number % 2:  # it has a status answered and stays connected
+            client.request_status()
+            programs.receive_until(client, lambda client=client: client.answers)
+
+    programs.open_endpoint_log(log_port)
+    programs.receive_until(clients[-1], programs.endpoint_log.requests, programs.endpoint_log)
+    programs.endpoint_log.send_line(endpoint_event(2, worker.record()))
     new_client = connect(address)
-    new_client.call()
-    programs.pump(new_client, lambda: worker.requests, worker, programs.endpoint_log)
+    new_client.send_request()
+    programs.receive_until(new_client, lambda: worker.requests, worker, programs.endpoint_log)
     worker.answer(worker.requests[0], body=b"served")
-    programs.pump(new_client, lambda: new_client.answers)
+    programs.receive_until(new_client, lambda: new_client.answers)
 
     assert new_client.answers[0][1:] == ("answer", {1: b"served", 2: {}, 3: True})
--- a/tests/test_request_table.py
+++ b/tests/test_request_table.py
@@ -3,10 +3,10 @@
 from unittest import mock
 
 import pytest
-from fakes import ROW, FakeWorker
+from fakes import FUNCTION, FakeWorker
 
 from function_router.decisions.events import RequestCancelled
-from function_router.net import clock, endpoint_registry, event_loop, request_table
+from function_router.net import clock, event_loop, request_table
 from function_router.net.codecs import worker_frames
 
 CLIENT_REQUEST_ID = "9b1f03aa5c7e2d41"
@@ -21,14 +21,14 @@
     harness = start_router(worker)
     client = harness.connect_client()
     for number in range(4):
-        client.call(body=b"ask%d" % number)
+        client.send_request(body=b"ask%d" % number)
     harness.run_until(lambda: len(worker.requests) == 4, "all four run")
-    assert {frame.fields["obj"] for _, frame in worker.requests} == {ROW}
+    assert {frame.fields["obj"] for _, frame in worker.requests} == {FUNCTION}
 
     for number, request in enumerate(reversed(worker.requests)):
-        worker.answer(request, body=b"for " + request[1].body)
+        worker.answer(request, body=b"for " + request.frame.body)
         harness.run_until(lambda number=number: len(client.answers) > number, "the next one is answered")
-        assert client.answers[number][0] == int.from_bytes(request[1].exchange_id, "big")
+        assert client.answers[number][0] == int.from_bytes(request.frame.exchange_id, "big")
 
     bodies = {seqid: content[1] for seqid, _, content in client.answers}
     assert bodies == {number + 1: b"for ask%d" % number for number in range(4)}
@@ -40,12 +40,12 @@
     body = bytes(range(256)) * 64
     idempotency_key = "5c0f6e1a2b3d4c59a8b7c6d5e4f30211"
 
-    harness.connect_client().call("save", body, call="9B1f03aa5c7e2d41", dedupe=idempotency_key)
+    harness.connect_client().send_request("save", body, call="9B1f03aa5c7e2d41", dedupe=idempotency_key)
     harness.run_until(lambda: worker.requests, "it runs")
 
     [(_, frame)] = worker.requests
     fields = {name: frame.fields[name] for name in ("kind", "obj", "token")}
-    assert fields == {"kind": "save", "obj": ROW, "token": idempotency_key}
+    assert fields == {"kind": "save", "obj": FUNCTION, "token": idempotency_key}
     assert (frame.exchange_id.hex(), frame.body) == (CLIENT_REQUEST_ID, body)
     assert 0 < int(frame.fields["ms"]) <= 8000
 
@@ -53,28 +53,24 @@
 def test_cancelled_request_gets_no_answer_and_its_late_one_is_dropped(start_router):
     worker = FakeWorker()
     harness = start_router(worker)
-    client = harness.connect_client()
-    seqid = client.call()
-    harness.run_until(lambda: worker.requests, "it runs")
+    client = harness.run_request(worker)
 
-    client.cancel(seqid)
+    client.cancel(1)
     harness.run_until(lambda: worker.received(worker_frames.CANCEL), "it is cancelled at the worker")
     worker.answer(worker.requests[0], body=b"late")
-    second = client.call()
+    second = client.send_request()
     harness.run_until(lambda: len(worker.requests) == 2, "the next one runs")
     worker.answer(worker.requests[1], body=b"in time")
     harness.run_until(lambda: client.answers, "the next one is answered")
 
     assert [answer[0] for answer in client.answers] == [second]
-    assert not harness.process.table.pending
+    assert not harness.table.pending
 
 
 def test_second_answer_of_a_worker_is_dropped(start_router):
     worker = FakeWorker()
     harness = start_router(worker)
-    client = harness.connect_client()
-    client.call()
-    harness.run_until(lambda: worker.requests, "it runs")
+    client = harness.run_request(worker)
 
     worker.answer(worker.requests[0], body=b"one")
     worker.answer(worker.requests[0], body=b"two")
@@ -87,16 +83,13 @@
 def test_closed_client_connection_cancels_its_pending_requests(start_router):
     worker = FakeWorker()
     harness = start_router(worker)
-    client = harness.connect_client()
-    client.call()
-    harness.run_until(lambda: worker.requests, "it runs")
+    client = harness.run_request(worker)
 
-    client.sock.close()
-    client.ended = True
+    client.close()
     harness.run_until(lambda: worker.received(worker_frames.CANCEL), "it is cancelled at the worker")
 
-    assert not harness.process.table.pending
-    assert not harness.process.listener.connections
+    assert not harness.table.pending
+    assert not harness.router_process.listener.connections
 
 
 def test_exception_in_the_decisions_still_leaves_each_request_one_answer(start_router):
@@ -104,13 +97,13 @@
     harness = start_router(worker)
     client = harness.connect_client()
 
-    with mock.patch.object(harness.process.router, "handle", side_effect=KeyError("boom")):
-        seqid = client.call(ttl="60")
+    with mock.patch.object(harness.router_process.router, "handle", side_effect=KeyError("boom")):
+        seqid = client.send_request(ttl="60")
         harness.run_until(lambda: client.answers, "the deadline timer answers")
 
     assert client.answer_kinds() == {seqid: "broken"}
     assert "boom" in "".join(harness.log_lines)
-    client.call()
+    client.send_request()
     harness.run_until(lambda: worker.requests, "the next one runs")
 
 
@@ -118,12 +111,12 @@
     harness = start_router(FakeWorker())
     client = harness.connect_client()
 
-    with mock.patch.object(harness.process.router, "handle", return_value=[]) as handle:
-        client.call(call=CLIENT_REQUEST_ID, ttl="60")
+    with mock.patch.object(harness.router_process.router, "handle", return_value=[]) as handle:
+        client.send_request(call=CLIENT_REQUEST_ID, ttl="60")
         harness.run_until(lambda: client.answers, "the deadline timer answers")
         harness.round_trip(client)
 
-    events = [event for call in handle.call_args_list for event in call.args[1]]
+    events = [event for batch in handle.call_args_list for event in batch.args[1]]
     assert [event for event in events if isinstance(event, RequestCancelled)] == [
         RequestCancelled("r1", CLIENT_REQUEST_ID)
     ]
@@ -131,14 +124,14 @@
 
 def test_time_unread_in_the_socket_counts_towards_the_timeout(start_router):
     harness = start_router(FakeWorker(instances=None))
-    harness.connect_client().call(ttl="8000")
+    harness.connect_client().send_request(ttl="8000")
 
     with mock.patch.object(event_loop, "unix_ms", side_effect=lambda: clock.unix_ms() + 3000.0):
-        harness.run_until(lambda: harness.process.table.pending, "it is read")
+        harness.run_until(lambda: harness.table.pending, "it is read")
 
-    [request] = harness.process.table.pending.values()
-    assert 0 <= request.deadline_ms - harness.process.loop.turn_started_ms <= 5000.0
-    [decided] = harness.process.router.requests.values()
+    [request] = harness.table.pending.values()
+    assert 0 <= request.deadline_ms - harness.router_process.loop.turn_started_ms <= 5000.0
+    [decided] = harness.router_process.router.requests.values()
     assert 0 <= decided.deadline_ms - decided.arrived_ms <= 5000.0
 
 
@@ -148,7 +141,7 @@
     client = harness.connect_client()
 
     with mock.patch.object(request_table, "MAX_TOTAL_BODY_BYTES", 10):
-        seqid = client.call(body=b"x" * 11)
+        seqid = client.send_request(body=b"x" * 11)
         harness.run_until(lambda: client.answers, "it is rejected")
 
     expected = {1: {"pushback": str(int(request_table.FULL_TABLE_RETRY_AFTER_MS)).encode()}}
@@ -161,10 +154,10 @@
 
     with mock.patch.object(request_table, "MAX_TOTAL_BODY_BYTES", 10):
         for _ in range(2):
-            seqid = client.call(body=b"x" * 10)
-            harness.run_until(lambda: harness.process.table.pending, "it is admitted")
+            seqid = client.send_request(body=b"x" * 10)
+            harness.run_until(lambda: harness.table.pending, "it is admitted")
             client.cancel(seqid)
-            harness.run_until(lambda: not harness.process.table.pending, "it is cancelled")
+            harness.run_until(lambda: not harness.table.pending, "it is cancelled")
 
     assert client.answers == []
 
@@ -180,12 +173,11 @@
     workers = FakeWorker("s-1"), FakeWorker("s-2")
     harness = start_router(*workers)
     client = harness.connect_client()
-    client.call(class_name)
+    client.send_request(class_name)
     harness.run_until(lambda: any(worker.requests for worker in workers), "it runs")
     first = next(worker for worker in workers if worker.requests)
     for worker_connection in first.connections:
-        worker_connection.sock.close()
-        worker_connection.ended = True
+        worker_connection.close()
     other = next(worker for worker in workers if worker is not first)
     return harness, client, first, other
 
@@ -219,12 +211,12 @@
     harness = start_router(worker)
     client = harness.connect_client()
 
-    client.call(call=CLIENT_REQUEST_ID, ttl="80")
+    client.send_request(call=CLIENT_REQUEST_ID, ttl="80")
     harness.run_until(lambda: client.answers, "it is rejected")
 
     [line] = [line for line in harness.log_lines if CLIENT_REQUEST_ID in line]
-    worker_id = endpoint_registry.worker_id_of(worker.id)
-    assert f"view of {ROW} rejected after" in line
+    worker_id = worker.worker_id
+    assert f"view of {FUNCTION} rejected after" in line
     assert f"ensure 0 instances at {worker_id}" in line
 
 
@@ -232,15 +224,15 @@
     worker = FakeWorker()
     harness = start_router(worker, settings={"classes": [TIGHT_OBJECTIVE_CLASS]})
     client = harness.connect_client()
-    client.call(call=CLIENT_REQUEST_ID)
+    client.send_request(call=CLIENT_REQUEST_ID)
     harness.run_until(lambda: worker.requests, "it runs")
 
     worker.answer(worker.requests[0])
     harness.run_until(lambda: client.answers, "it is answered")
 
     [line] = [line for line in harness.log_lines if CLIENT_REQUEST_ID in line]
-    worker_id = endpoint_registry.worker_id_of(worker.id)
-    assert f"view of {ROW} served after" in line
+    worker_id = worker.worker_id
+    assert f"view of {FUNCTION} served after" in line
     assert f"sent to {worker_id}; " in line
     assert f"{worker_id}: OK WARM in flight 0 connection wait " in line
 
@@ -248,24 +240,21 @@
 def test_request_served_in_time_is_not_logged(start_router):
     worker = FakeWorker()
     harness = start_router(worker)
-    client = harness.connect_client()
-    client.call()
-    harness.run_until(lambda: worker.requests, "it runs")
+    client = harness.run_request(worker)
 
     worker.answer(worker.requests[0])
     harness.run_until(lambda: client.answers, "it is answered")
 
-    assert not [line for line in harness.log_lines if ROW in line]
+    assert not [line for line in harness.log_lines if FUNCTION in line]
 
 
 def test_counters_of_what_was_sent_are_logged_once(start_router):
     worker = FakeWorker()
     harness = start_router(worker)
-    harness.connect_client().call()
-    harness.run_until(lambda: worker.requests, "it runs")
+    harness.run_request(worker)
 
     for _ in range(2):
-        harness.process._log_counters()
+        harness.router_process._log_counters()
 
     lines = [line for line in harness.log_lines if line.startswith("sent: ")]
     assert lines == ["sent: connects 2, probes 1, requests 1"]
--- a/tests/test_router_process.py
+++ b/tests/test_router_process.py
@@ -4,17 +4,14 @@
 
 import msgspec
 import pytest
-from fakes import FakeEndpointLog, FakeWorker, ready
+from fakes import FakeEndpointLog, FakeWorker, wait_readable
+from router_harness import endpoint_event
 
 from function_router.config import ConfigurationError
 from function_router.decisions.actions import SendRequest
 from function_router.net import clock, endpoint_registry, router_process
 
 
-def address_of(peer):
-    return "127.0.0.1", int(peer.host_port.split(":")[1])
-
-
 @pytest.fixture
 def worker():
     """The one worker of the router; closed with it."""
@@ -41,28 +38,30 @@
 
 def drain_past_late_arrivals(harness):
     """Drain the router, and make the check that follows the time for late arrivals."""
-    harness.process.drain()
-    harness.process._drain_started_ms -= router_process.LATE_ARRIVALS_MS + 1
-    harness.process._stop_when_drained()
+    harness.router_process.drain()
+    harness.router_process._drain_started_ms -= router_process.LATE_ARRIVALS_MS + 1
+    harness.router_process._stop_when_drained()
 
 
 def expect_answered(harness, worker, client):
     """The request reaches the worker, its answer the client, and the loop stops only then."""
-    assert harness.process.loop.running
+    assert harness.router_process.loop.running
     harness.run_until(lambda: worker.requests, "the request runs")
     worker.answer(worker.requests[0], body=b"late")
-    is_done = lambda: client.answers and not harness.process.loop.running  # noqa: E731
-    harness.run_until(is_done, "the request is answered, and the loop stops")
+    harness.run_until(
+        lambda: client.answers and not harness.router_process.loop.running,
+        "the request is answered, and the loop stops",
+    )
     assert client.answers[-1][1:] == ("answer", {1: b"late", 2: {}, 3: True})
 
 
-# --- drain: what has come by the end of the late arrivals is served, however late the process looks.
+# --- drain: requests that arrive in the time for late arrivals are served, however late they are read
 
 
 def test_unread_request_is_served_in_a_drain(harness, worker, client):
-    [served] = harness.process.listener.connections
-    client.call()
-    assert ready(served.connection._sock)
+    [served] = harness.router_process.listener.connections
+    client.send_request()
+    assert wait_readable(served.connection._sock)
 
     drain_past_late_arrivals(harness)
 
@@ -70,10 +69,13 @@
 
 
 @pytest.mark.usefixtures("client")
-def test_request_on_a_connection_not_accepted_yet_is_served_in_a_drain(harness, worker):
+@pytest.mark.parametrize("is_paused", [False, True], ids=["accepting", "accepting paused"])
+def test_request_on_a_connection_not_accepted_yet_is_served_in_a_drain(harness, worker, is_paused):
     late_client = harness.connect_client()
-    late_client.call()
-    assert ready(harness.process.listener._listener)
+    late_client.send_request()
+    assert wait_readable(harness.router_process.listener._listener)
+    if is_paused:
+        harness.router_process.listener._pause()
 
     drain_past_late_arrivals(harness)
 
@@ -81,54 +83,42 @@
 
 
 def test_half_read_request_is_served_in_a_drain(harness, worker, client):
-    [served] = harness.process.listener.connections
-    client.call(withhold=9)
+    [served] = harness.router_process.listener.connections
+    client.send_request(withhold=9)
     harness.run_until(lambda: served._reader.has_partial_frame, "half of the request is read")
 
     drain_past_late_arrivals(harness)
-    client.send_rest()
+    client.send_withheld()
 
     expect_answered(harness, worker, client)
 
 
-@pytest.mark.usefixtures("client")
-def test_connection_that_waits_while_accepting_is_paused_is_served_in_a_drain(harness, worker):
-    late_client = harness.connect_client()
-    late_client.call()
-    assert ready(harness.process.listener._listener)
-    harness.process.listener._pause()
-
-    drain_past_late_arrivals(harness)
-
-    expect_answered(harness, worker, late_client)
-
-
 @pytest.mark.usefixtures("client")
 def test_connection_without_a_request_does_not_hold_up_a_drain(harness):
     harness.connect_client()
 
     drain_past_late_arrivals(harness)
 
-    assert not harness.process.loop.running
+    assert not harness.router_process.loop.running
 
 
 def test_requests_that_would_be_pending_when_the_process_is_killed_are_answered_before(
     harness, worker, client
 ):
-    for seqid, op in enumerate(("view", "settle"), 1):
-        client.call(op, seqid=seqid, row=f"{seqid:016x}")
+    for seqid, class_name in enumerate(("view", "settle"), 1):
+        client.send_request(class_name, seqid=seqid, row=f"{seqid:016x}")
         harness.run_until(lambda count=seqid: len(worker.requests) == count, "the request runs")
     started_ms = clock.monotonic_ms()
 
     with mock.patch.object(router_process, "MAX_KILL_TIMEOUT_MS", 0.0):  # 0.5 s are left instead of 9 s
-        harness.process.drain()
-    client.call("view", seqid=3, row="ff" * 8)
+        harness.router_process.drain()
+    client.send_request("view", seqid=3, row="ff" * 8)
     harness.run_until(lambda: len(client.answer_kinds()) == 4, "all requests are answered")
 
     assert clock.monotonic_ms() - started_ms < 4000.0  # their clients would wait for twice that
     kinds = {seqid: kind for seqid, kind in client.answer_kinds().items() if seqid < 10}
     assert kinds == {1: "throttled", 2: "broken", 3: "throttled"}
-    harness.run_until(lambda: not harness.process.loop.running, "the loop stops")
+    harness.run_until(lambda: not harness.router_process.loop.running, "the loop stops")
 
 
 # --- reload
@@ -138,54 +128,54 @@
     return [line for line in harness.log_lines if line.startswith("configuration ")]
 
 
-def test_reload_in_a_drain_moves_the_endpoint_log_and_draining_workers_get_nothing(cleanups, start_router):
+def test_reload_in_a_drain_moves_the_endpoint_log_and_draining_workers_get_nothing(start_router):
     worker = FakeWorker("s-1", instances=None)
     other = FakeWorker("s-2", instances=None)
     moved = FakeEndpointLog()
-    cleanups.callback(moved.close)
     harness = start_router(worker, other)
     client = connected_client(harness)
-    config = harness.process.config
-    harness.process._reread = lambda: msgspec.structs.replace(config, endpoint_log=address_of(moved))
-    harness.workers.append(moved)
-    client.call()
-    harness.run_until(lambda: harness.process.table.pending, "the request is admitted")
+    config = harness.router_process.config
+    harness.router_process._reread = lambda: msgspec.structs.replace(config, endpoint_log=moved.address)
+    harness.add_listener(moved)
+    client.send_request()
+    harness.run_until(lambda: harness.table.pending, "the request is admitted")
 
     drain_past_late_arrivals(harness)
-    harness.process.reload()
-    harness.run_until(moved.queries, "the new log has a request")
+    harness.router_process.reload()
+    harness.run_until(moved.requests, "the new log has a request")
     members = [peer.record("terminating") for peer in (worker, other)]
-    moved.send_line({"seq": 2, "fleet": {"members": members}})
-    harness.run_until(lambda: harness.process.endpoint_watch.last_sequence == 2, "the event is applied")
-    [key] = harness.process.table.pending
-    harness.process.table.send(SendRequest(key, endpoint_registry.worker_id_of("s-1")))
+    moved.send_line(endpoint_event(2, *members))
+    watch = harness.router_process.endpoint_watch
+    harness.run_until(lambda: watch.last_sequence == 2, "the event is applied")
+    [key] = harness.table.pending
+    harness.table.send(SendRequest(key, endpoint_registry.worker_id_of("s-1")))
     harness.round_trip(client)
 
     assert worker.requests + other.requests == []
-    assert harness.process.loop.running
+    assert harness.router_process.loop.running
     client.cancel(1)
-    harness.run_until(lambda: not harness.process.loop.running, "the loop stops")
+    harness.run_until(lambda: not harness.router_process.loop.running, "the loop stops")
 
 
 def test_reload_logs_the_changed_keys_that_it_leaves_as_they_are(harness):
-    config = harness.process.config
-    harness.process._reread = lambda: msgspec.structs.replace(config, name="other", memory_mb=1)
+    config = harness.router_process.config
+    harness.router_process._reread = lambda: msgspec.structs.replace(config, name="other", memory_mb=1)
 
-    harness.process.reload()
+    harness.router_process.reload()
 
     host, port = config.endpoint_log
     assert configuration_lines(harness) == [
         f"configuration read again: endpoint log at {host}:{port}; "
         "changed, but read only at the start: name, memory_mb"
     ]
-    assert harness.process.config is config
+    assert harness.router_process.config is config
 
 
 def test_reload_of_a_faulty_configuration_changes_nothing(harness):
-    connection = harness.process.endpoint_watch._connection
-    harness.process._reread = mock.Mock(side_effect=ConfigurationError("listen: missing"))
+    connection = harness.router_process.endpoint_watch._connection
+    harness.router_process._reread = mock.Mock(side_effect=ConfigurationError("listen: missing"))
 
-    harness.process.reload()
+    harness.router_process.reload()
 
     assert configuration_lines(harness) == ["configuration not taken over: listen: missing"]
-    assert harness.process.endpoint_watch._connection is connection
+    assert harness.router_process.endpoint_watch._connection is connection
--- a/tests/test_simulator_adapter.py
+++ b/tests/test_simulator_adapter.py
@@ -104,7 +104,7 @@
     return [end["steps"] for reply in replies for end in reply["ends"] if end["who"] == instance]
 
 
-def test_empty_batch_has_an_empty_reply_and_the_end_of_the_input_is_no_fault():
+def test_empty_batch_has_an_empty_reply_and_the_end_of_the_input_is_no_error():
     replies, _ = run_adapter(batch(1.0))
 
     assert replies == [{"ends": []}]
@@ -144,7 +144,7 @@
     assert messages_of(alone, 1) == messages_of(shared, 1)
 
 
-def test_unusual_but_legal_input_is_no_fault():
+def test_unusual_but_legal_input_is_no_error():
     unusual = [
         {"TARGETS": {"kind": 3, "serial": 0, "entries": None}},
         {"TARGETS": {"kind": 1, "serial": 2, "entries": []}},
@@ -197,7 +197,7 @@
     assert len(errors.splitlines()) == 1
 
 
-def test_fault_of_the_decisions_is_reported_with_type_and_place():
+def test_exception_in_the_decisions_is_reported_with_type_and_place():
     faulty = {"NEW_REQUEST": {"tid": "t/x", "service": "score", "fn": "fn:a", "time_budget": "soon"}}
 
     replies, _ = run_adapter(batch(1.0, (0, [*start_instance(), faulty])))
--- a/tests/test_statistics.py
+++ b/tests/test_statistics.py
@@ -49,7 +49,7 @@
     assert samples.median(50.0) == 5.0
 
 
-def test_cleared_median_starts_anew_at_once():
+def test_cleared_median_starts_over_at_once():
     samples = SlidingMedian(window_ms=1000.0, max_samples=10, refresh_ms=50.0)
     samples.add(0.0, 1.0)
     samples.median(0.0)
--- a/tests/test_thrift.py
+++ b/tests/test_thrift.py
@@ -3,12 +3,10 @@
 import struct
 
 import pytest
-from fakes import ROW, handle_frame, reply_from
+from fakes import REQUEST_FIELDS, decode_answer, encode_request, feed_in_chunks
 
 from function_router.net.codecs import thrift
 
-FIELDS = {"op": "view", "call": "9b1f03aa5c7e2d41", "ttl": "1500", "org": "acme", "row": ROW}
-
 
 def frame(message):
     return struct.pack(">I", len(message)) + message
@@ -18,25 +16,18 @@
     return struct.pack(">Ii", version | kind, len(name)) + name + struct.pack(">i", seqid)
 
 
-def feed_in_chunks(reader, data, size):
-    messages = []
-    for start in range(0, len(data), size):
-        messages += reader.feed(data[start : start + size])
-    return messages
-
-
 @pytest.mark.parametrize("chunk_size", [1, 3, 7, 64, 10_000])
 def test_messages_are_read_whatever_chunks_they_come_in(chunk_size):
     body = b"\0\xff" * 10
     unknown_list = struct.pack(">bhbi", thrift.LIST, 9, thrift.I32, 2) + b"\0" * 8
-    plain = handle_frame(1, FIELDS, body)
+    plain = encode_request(1, REQUEST_FIELDS, body)
     with_unknown_list = frame(plain[4:-1] + unknown_list + b"\0")
     withdraw = frame(head(b"withdraw", 3, thrift.ONEWAY) + struct.pack(">bhib", thrift.I32, 1, 1, 0))
     status = frame(head(b"status", 4) + struct.pack(">bhbb", thrift.BOOL, 1, 1, 0))
 
     messages = feed_in_chunks(thrift.FrameReader(), plain + with_unknown_list + withdraw + status, chunk_size)
 
-    handle = thrift.Handle(1, FIELDS, body)
+    handle = thrift.Handle(1, REQUEST_FIELDS, body)
     assert messages == [handle, handle, thrift.Withdraw(1), thrift.Status(4)]
 
 
@@ -44,7 +35,7 @@
 ENDLESS_MAP = struct.pack(">bhbbi", thrift.MAP, 1, thrift.STRING, thrift.STRING, 2**31 - 1)
 NESTED_STRUCTS = struct.pack(">bh", thrift.STRUCT, 5) * 100
 ENDLESS_NAME = struct.pack(">Ii", thrift.VERSION | thrift.CALL, 2**30) + b"x" * 20
-NOT_UTF_8 = handle_frame(7, FIELDS)[4:].replace(b"view", b"\xff\xfe\xfd\xfc")
+NOT_UTF_8 = encode_request(7, REQUEST_FIELDS)[4:].replace(b"view", b"\xff\xfe\xfd\xfc")
 
 
 @pytest.mark.parametrize("in_single_bytes", [True, False], ids=["single bytes", "at once"])
@@ -65,10 +56,10 @@
         pytest.param(frame(head() + ENDLESS_MAP), 7, id="endless map"),
         pytest.param(frame(head() + NESTED_STRUCTS), 7, id="nested too deep"),
         pytest.param(frame(head() + b"\x63\0\1\0"), 7, id="unknown field type"),
-        pytest.param(frame(handle_frame(7, FIELDS)[4:] + b"x"), 7, id="trailing bytes"),
+        pytest.param(frame(encode_request(7, REQUEST_FIELDS)[4:] + b"x"), 7, id="trailing bytes"),
         pytest.param(frame(NOT_UTF_8), 7, id="not UTF-8"),
-        pytest.param(handle_frame(7, FIELDS, b"x" * (16 * 1024 + 1)), 7, id="body too large"),
-        pytest.param(handle_frame(7, FIELDS, b"x" * 200_000), 7, id="frame too large"),
+        pytest.param(encode_request(7, REQUEST_FIELDS, b"x" * (16 * 1024 + 1)), 7, id="body too large"),
+        pytest.param(encode_request(7, REQUEST_FIELDS, b"x" * 200_000), 7, id="frame too large"),
     ],
 )
 def test_malformed_frame_has_its_sequence_number_where_it_can_be_read(data, seqid, in_single_bytes):
@@ -82,13 +73,13 @@
 
 def test_oversized_frame_is_skipped_without_being_buffered():
     reader = thrift.FrameReader()
-    oversized = handle_frame(7, FIELDS, b"x" * 3_000_000)
+    oversized = encode_request(7, REQUEST_FIELDS, b"x" * 3_000_000)
 
     messages = []
     for start in range(0, len(oversized), 65536):
         messages += reader.feed(oversized[start : start + 65536])
         assert len(reader._buffer) < thrift.MAX_FRAME_BYTES
-    messages += reader.feed(handle_frame(8, FIELDS))
+    messages += reader.feed(encode_request(8, REQUEST_FIELDS))
 
     assert [message.seqid for message in messages] == [7, 8]
     assert isinstance(messages[1], thrift.Handle)
@@ -111,6 +102,6 @@
     ],
 )
 def test_encoded_answer_reads_back(data, expected):
-    answer = reply_from(data[4:])
+    answer = decode_answer(data[4:])
 
     assert answer == expected
--- a/tests/test_timer_wheel.py
+++ b/tests/test_timer_wheel.py
@@ -1,6 +1,7 @@
 """Tests of `timer_wheel`."""
 
 import pytest
+from fakes import FakeMonotonicClock
 
 from function_router.net.timer_wheel import SLOTS, TICK_MS, TimerWheel
 
@@ -9,24 +10,9 @@
 STEP_MS = 1.0
 
 
-class FakeMonotonicClock:
-    """A clock that the test advances."""
-
-    def __init__(self):
-        self.now_ms = STARTED_AT_MS
-
-    def read_ms(self):
-        """The time now."""
-        return self.now_ms
-
-    def advance(self, elapsed_ms):
-        """Let time pass."""
-        self.now_ms += elapsed_ms
-
-
 @pytest.fixture
 def clock():
-    return FakeMonotonicClock()
+    return FakeMonotonicClock(STARTED_AT_MS)
 
 
 @pytest.fixture
@@ -37,7 +23,7 @@
 @pytest.fixture(scope="module")
 def elapsed_ms_by_delay():
     """When the timers of one wheel fired, one for each delay."""
-    clock = FakeMonotonicClock()
+    clock = FakeMonotonicClock(STARTED_AT_MS)
     wheel = TimerWheel(clock.read_ms)
     fired = {}
     for delay_ms in DELAYS_MS:
--- a/tests/test_worker_connection.py
+++ b/tests/test_worker_connection.py
@@ -3,13 +3,13 @@
 import socket
 from unittest import mock
 
-from fakes import FakeWorker, attempt, ready, start_order
+from fakes import FakeWorker, wait_readable
+from router_harness import attempt, start_order
 
 from function_router.decisions.types import Outcome
 from function_router.net import pooled_worker, worker_connection
 from function_router.net.close_reason import CloseReason
 from function_router.net.codecs import worker_frames
-from function_router.net.endpoint_registry import worker_id_of
 
 # The codes of answers, as documented.
 NOT_LOADED = 2
@@ -25,11 +25,11 @@
     first, second = FakeWorker("s-1"), FakeWorker("s-2")
     harness = start_router(first, second)
     first_results, second_results = [], []
-    harness.process.pool.send(attempt(worker_id_of(first.id), first_results))
-    harness.process.pool.send(attempt(worker_id_of(second.id), second_results))
+    harness.pool.send(attempt(first.worker_id, first_results))
+    harness.pool.send(attempt(second.worker_id, second_results))
     harness.run_until(lambda: first.requests and second.requests, "both run")
 
-    first.requests[0][0].sock.sendall(NO_FRAME)
+    first.requests[0].connection.sock.sendall(NO_FRAME)
     harness.run_until(lambda: first_results, "the first attempt ends")
     second.answer(second.requests[0])
     harness.run_until(lambda: second_results, "the second attempt ends")
@@ -40,8 +40,8 @@
 def test_invalid_frame_leaves_requests_on_other_connections_to_the_worker_alone(start_router):
     worker = FakeWorker(instances=None)
     harness = start_router(worker)
-    pool = harness.process.pool
-    worker_id = worker_id_of(worker.id)
+    pool = harness.pool
+    worker_id = worker.worker_id
     results = []
     for number in range(3):
         pool.send(attempt(worker_id, results, exchange_id=b"%08d" % number))
@@ -54,7 +54,7 @@
         )
         harness.run_until(lambda number=number: len(worker.requests) > number, "it runs")
 
-    worker.requests[1][0].sock.sendall(NO_FRAME)
+    worker.requests[1].connection.sock.sendall(NO_FRAME)
     harness.run_until(lambda: results, "one attempt ends")
     for request in (worker.requests[0], worker.requests[2]):
         worker.answer(request)
@@ -67,8 +67,7 @@
     worker = FakeWorker(instances=None)
     harness = start_router(worker)
     results = []
-    harness.process.pool.send(attempt(worker_id_of(worker.id), results))
-    harness.run_until(lambda: worker.requests, "it runs")
+    harness.run_attempt(worker, results)
     peer, request = worker.requests[0]
     answer = worker_frames.encode(0, request.exchange_id, body=b"x" * 50, direction=worker_frames.FROM_WORKER)
 
@@ -81,12 +80,11 @@
 def test_duplicate_answer_does_not_end_a_retry(start_router):
     worker = FakeWorker(instances=None)
     harness = start_router(worker)
-    pool = harness.process.pool
-    worker_id = worker_id_of(worker.id)
+    pool = harness.pool
+    worker_id = worker.worker_id
     results = []
     with mock.patch.object(pooled_worker, "CONNECTIONS_BEFORE_SHARING", 1):
-        pool.send(attempt(worker_id, results))
-        harness.run_until(lambda: worker.requests, "it runs")
+        harness.run_attempt(worker, results)
         worker.answer(worker.requests[0], QUEUE_FULL, "")
         harness.run_until(lambda: results, "the worker's queue is full")
         pool.send(attempt(worker_id, results))
@@ -105,12 +103,12 @@
 def test_connection_carries_limited_exchanges_and_no_id_twice(start_router):
     worker = FakeWorker(instances=None)
     harness = start_router(worker)
-    worker_id = worker_id_of(worker.id)
+    worker_id = worker.worker_id
     results = []
 
     for number in range(33):
-        harness.process.pool.send(attempt(worker_id, results, exchange_id=b"%08d" % number))
-    harness.process.pool.send(attempt(worker_id, results, exchange_id=b"%08d" % 0))
+        harness.pool.send(attempt(worker_id, results, exchange_id=b"%08d" % number))
+    harness.pool.send(attempt(worker_id, results, exchange_id=b"%08d" % 0))
     harness.run_until(lambda: len(worker.requests) == 34, "all run")
 
     for connection in worker.connections:
@@ -122,8 +120,8 @@
 def test_id_of_a_cancelled_attempt_is_not_reused_on_its_connection(start_router):
     worker = FakeWorker()
     harness = start_router(worker)
-    pool = harness.process.pool
-    worker_id = worker_id_of(worker.id)
+    pool = harness.pool
+    worker_id = worker.worker_id
     first_results, second_results = [], []
     first_attempt = attempt(worker_id, first_results)
     pool.send(first_attempt)
@@ -134,7 +132,7 @@
     harness.run_until(lambda: len(worker.requests) == 2, "the second runs")
     worker.answer(worker.requests[0], body=b"of the first")
 
-    assert worker.requests[0][0] is not worker.requests[1][0]
+    assert worker.requests[0].connection is not worker.requests[1].connection
 
     worker.answer(worker.requests[1], NOT_LOADED, "")
     harness.run_until(lambda: second_results, "the second ends")
@@ -145,18 +143,24 @@
     )
 
 
-def test_connection_that_the_worker_just_closed_is_not_used(start_router):
+def start_with_two_idle_connections(start_router):
+    """A router that has sent a start order, its worker, and the results, first the one of that order."""
     worker = FakeWorker()
     harness = start_router(worker)
-    pool = harness.process.pool
-    worker_id = worker_id_of(worker.id)
     results = []
-    pool.ensure_instances(start_order(worker_id, results))
+    harness.pool.ensure_instances(start_order(worker.worker_id, results))
     harness.run_until(lambda: results and len(worker.connections) == 2, "two connections are idle")
+    return harness, worker, results
+
+
+def test_connection_that_the_worker_just_closed_is_not_used(start_router):
+    harness, worker, results = start_with_two_idle_connections(start_router)
+    pool = harness.pool
+    worker_id = worker.worker_id
     connections = list(pool.workers[worker_id].connections)
     for peer, connection in zip(worker.connections, connections, strict=True):
         peer.sock.shutdown(socket.SHUT_WR)
-        assert ready(connection.connection._sock)
+        assert wait_readable(connection.connection._sock)
 
     pool.send(attempt(worker_id, results))  # before the loop has read that they are closed
     for connection in pool.workers[worker_id].connections:
@@ -167,20 +171,16 @@
 
 
 def test_connection_that_went_stale_while_idle_keeps_others_as_idle_from_use(start_router):
-    worker = FakeWorker()
-    harness = start_router(worker)
-    pool = harness.process.pool
-    worker_id = worker_id_of(worker.id)
-    results = []
-    pool.ensure_instances(start_order(worker_id, results))
-    harness.run_until(lambda: results and len(worker.connections) == 2, "two connections are idle")
+    harness, worker, results = start_with_two_idle_connections(start_router)
+    pool = harness.pool
+    worker_id = worker.worker_id
     used, spare = pool.workers[worker_id].connections
     harness.run_until(lambda: min(used.idle_ms(), spare.idle_ms()) > 100.0, "both are idle for long")
     worker.instances = None
     pool.ensure_instances(start_order(worker_id, results))
     with mock.patch.object(worker_connection, "STALE_RESET_MS", 60_000.0):
         harness.run_until(lambda: len(worker.frames) == 2, "one is used again")
-        peer_socket = worker.frames[1][0].sock
+        peer_socket = worker.frames[1].connection.sock
         peer_socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_ON_FOR_0_S)
         peer_socket.close()
         harness.run_until(lambda: len(results) == 2, "it is reset")
@@ -189,19 +189,16 @@
     pool.send(attempt(worker_id, results))
     harness.run_until(lambda: worker.requests, "a request runs")
 
-    assert worker.requests[0][0] not in worker.connections[:2]
+    assert worker.requests[0].connection not in worker.connections[:2]
 
 
 def test_unresponsive_connection_gets_nothing_new(start_router):
     worker = FakeWorker(instances=None)
     harness = start_router(worker)
-    worker_id = worker_id_of(worker.id)
     results = []
-    harness.process.pool.send(attempt(worker_id, results))
-    harness.run_until(lambda: worker.requests, "it runs")
+    harness.run_attempt(worker, results)
 
     with mock.patch.object(worker_connection, "UNRESPONSIVE_AFTER_MS", -1.0):
-        harness.process.pool.send(attempt(worker_id, results, exchange_id=b"abcdefgh"))
-        harness.run_until(lambda: len(worker.requests) == 2, "the second runs")
+        harness.run_attempt(worker, results, exchange_id=b"abcdefgh")
 
-    assert worker.requests[0][0] is not worker.requests[1][0]
+    assert worker.requests[0].connection is not worker.requests[1].connection
--- a/tests/test_worker_frames.py
+++ b/tests/test_worker_frames.py
@@ -4,7 +4,7 @@
 import zlib
 
 import pytest
-from fakes import ROW
+from fakes import FUNCTION, feed_in_chunks
 
 from function_router.net.codecs import worker_frames
 from function_router.net.codecs.worker_frames import FrameReader
@@ -19,24 +19,17 @@
     return bytes(flipped)
 
 
-def feed_in_pieces(reader, data, size):
-    frames = []
-    for start in range(0, len(data), size):
-        frames += reader.feed(data[start : start + size])
-    return frames
-
-
 def test_request_frame_has_the_documented_layout():
-    data = worker_frames.encode_run(bytes(range(8)), "view", ROW, 1499.9, "tok", b"hi")
+    data = worker_frames.encode_run(bytes(range(8)), "view", FUNCTION, 1499.9, "tok", b"hi")
 
-    fields = f"kind=view,obj={ROW},ms=1499,token=tok".encode()
+    fields = f"kind=view,obj={FUNCTION},ms=1499,token=tok".encode()
     assert data[:16] == b"\x80\x01" + struct.pack(">HI", len(fields), 2) + bytes(range(8))
     assert data[16:-4] == fields + b"hi"
     assert data[-4:] == struct.pack(">I", zlib.crc32(fields + b"hi"))
 
 
-@pytest.mark.parametrize("size", [1, 5, 17, 1000])
-def test_frames_are_read_whole_and_in_pieces(size):
+@pytest.mark.parametrize("chunk_size", [1, 5, 17, 1000])
+def test_frames_are_read_whole_and_in_chunks(chunk_size):
     reader = FrameReader()
     data = b"".join(
         worker_frames.encode(
@@ -45,7 +38,7 @@
         for code in range(6)
     )
 
-    frames = feed_in_pieces(reader, data, size)
+    frames = feed_in_chunks(reader, data, chunk_size)
 
     contents = [(frame.code, frame.fields["company"], len(frame.body)) for frame in frames]
     assert contents == [(code, str(code), code) for code in range(6)]
--- a/tests/test_worker_pool.py
+++ b/tests/test_worker_pool.py
@@ -2,20 +2,12 @@
 
 import msgspec
 import pytest
-from fakes import FakeWorker, attempt, start_order
+from fakes import FakeWorker
+from router_harness import UNLISTED_WORKER_ID, attempt, endpoint_event, start_order
 
 from function_router.decisions.types import Outcome, WorkerState
 from function_router.net import pooled_worker, router_process
 from function_router.net.close_reason import CloseReason
-from function_router.net.endpoint_registry import worker_id_of
-
-UNLISTED_ID = 9  # of a worker that the decisions don't know, so that the test alone sends to it
-
-
-def address_of(worker):
-    host, port = worker.host_port.split(":")
-    return host, int(port)
-
 
 # --- workers that drain, are removed, move or restart
 
@@ -25,8 +17,8 @@
 def test_unsent_exchanges_of_a_worker_that_goes_are_returned(start_router, state, is_connected):
     worker = FakeWorker(instances=None)
     harness = start_router(worker)
-    pool = harness.process.pool
-    worker_id = worker_id_of(worker.id)
+    pool = harness.pool
+    worker_id = worker.worker_id
     if is_connected:
         pool.ensure_instances(start_order(worker_id, []))
         harness.run_until(lambda: worker.frames, "a connection is established")
@@ -45,8 +37,8 @@
 def test_draining_worker_gets_probes_but_no_new_work(start_router):
     worker = FakeWorker()
     harness = start_router(worker)
-    pool = harness.process.pool
-    worker_id = worker_id_of(worker.id)
+    pool = harness.pool
+    worker_id = worker.worker_id
     results = []
     pool.update_endpoint(worker_id, None, WorkerState.DRAINING, 0.0)
 
@@ -64,14 +56,10 @@
 def test_drain_in_the_endpoint_log_leaves_running_requests_alone(start_router):
     worker = FakeWorker()
     harness = start_router(worker)
-    client = harness.connect_client()
-    client.call()
-    harness.run_until(lambda: worker.requests, "it runs")
+    client = harness.run_request(worker)
 
-    harness.endpoint_log.send_line(
-        {"seq": 2, "fleet": {"complete": False, "members": [worker.record("terminating")]}}
-    )
-    harness.run_until(lambda: harness.process.endpoint_watch.last_sequence == 2, "the drain is read")
+    harness.endpoint_log.send_line(endpoint_event(2, worker.record("terminating")))
+    harness.run_until(lambda: harness.router_process.endpoint_watch.last_sequence == 2, "the drain is read")
     worker.answer(worker.requests[0], body=b"done")
     harness.run_until(lambda: client.answers, "it is answered")
 
@@ -81,11 +69,10 @@
 def test_new_worker_at_the_address_of_a_removed_one_gets_its_own_connections(start_router):
     worker = FakeWorker(instances=None)
     harness = start_router(worker)
-    pool = harness.process.pool
-    worker_id = worker_id_of(worker.id)
+    pool = harness.pool
+    worker_id = worker.worker_id
     results = []
-    pool.send(attempt(worker_id, results))
-    harness.run_until(lambda: worker.requests, "the old one runs it")
+    harness.run_attempt(worker, results)
     address = pool.workers[worker_id].address
 
     pool.update_endpoint(worker_id, None, WorkerState.REMOVED, 0.0)
@@ -93,15 +80,15 @@
     pool.send(attempt(77, results, exchange_id=b"abcdefgh"))
     harness.run_until(lambda: len(worker.requests) == 2, "the new one runs it")
 
-    assert worker.requests[0][0] is not worker.requests[1][0]
+    assert worker.requests[0].connection is not worker.requests[1].connection
     assert results == []
 
 
 def test_connection_established_after_its_worker_is_removed_is_closed(start_router):
     worker = FakeWorker()
     harness = start_router(worker)
-    pool = harness.process.pool
-    worker_id = worker_id_of(worker.id)
+    pool = harness.pool
+    worker_id = worker.worker_id
     pool.send(attempt(worker_id, []))
     [connection] = pool.workers[worker_id].connections
 
@@ -115,35 +102,32 @@
 def test_restart_retires_the_connections_to_the_process_before(start_router):
     worker = FakeWorker()
     harness = start_router(worker)
-    pool = harness.process.pool
-    worker_id = worker_id_of(worker.id)
+    pool = harness.pool
+    worker_id = worker.worker_id
     results = []
-    pool.send(attempt(worker_id, results))
-    harness.run_until(lambda: worker.requests, "it runs")
+    harness.run_attempt(worker, results)
 
     pool.update_endpoint(worker_id, None, WorkerState.READY, 5.0)
-    pool.send(attempt(worker_id, results, exchange_id=b"abcdefgh"))
-    harness.run_until(lambda: len(worker.requests) == 2, "the next one runs")
+    harness.run_attempt(worker, results, exchange_id=b"abcdefgh")
 
-    assert worker.requests[0][0] is not worker.requests[1][0]
+    assert worker.requests[0].connection is not worker.requests[1].connection
 
 
 @pytest.mark.parametrize("has_moved", [True, False], ids=["moved", "restarted"])
 def test_exchange_that_waits_for_a_connection_to_the_old_process_goes_to_the_new_one(
-    cleanups, start_router, unreachable_address, has_moved
+    start_router, unreachable_address, has_moved
 ):
     worker = FakeWorker("s-9", instances=None)
     harness = start_router()
-    harness.workers.append(worker)
-    cleanups.callback(worker.close)
-    pool = harness.process.pool
-    old_address = unreachable_address() if has_moved else address_of(worker)
+    harness.add_listener(worker)
+    pool = harness.pool
+    old_address = unreachable_address() if has_moved else worker.address
     results = []
-    pool.update_endpoint(UNLISTED_ID, old_address, WorkerState.READY, 0.0)
-    pool.send(attempt(UNLISTED_ID, results))
-    [old_connection] = pool.workers[UNLISTED_ID].connections
+    pool.update_endpoint(UNLISTED_WORKER_ID, old_address, WorkerState.READY, 0.0)
+    pool.send(attempt(UNLISTED_WORKER_ID, results))
+    [old_connection] = pool.workers[UNLISTED_WORKER_ID].connections
 
-    pool.update_endpoint(UNLISTED_ID, address_of(worker), WorkerState.READY, 5.0)
+    pool.update_endpoint(UNLISTED_WORKER_ID, worker.address, WorkerState.READY, 5.0)
     old_connection.connection.close(CloseReason.CONNECT_TIMEOUT)
     harness.run_until(lambda: worker.requests, "it runs")
 
@@ -153,13 +137,13 @@
 def test_connection_to_the_process_before_carries_nothing_new_once_established(start_router):
     worker = FakeWorker("s-9", instances=None)
     harness = start_router(worker)
-    pool = harness.process.pool
+    pool = harness.pool
     results = []
-    pool.update_endpoint(UNLISTED_ID, address_of(worker), WorkerState.READY, 0.0)
-    pool.send(attempt(UNLISTED_ID, results))
-    [old_connection] = pool.workers[UNLISTED_ID].connections
+    pool.update_endpoint(UNLISTED_WORKER_ID, worker.address, WorkerState.READY, 0.0)
+    pool.send(attempt(UNLISTED_WORKER_ID, results))
+    [old_connection] = pool.workers[UNLISTED_WORKER_ID].connections
 
-    pool.update_endpoint(UNLISTED_ID, None, WorkerState.READY, 5.0)
+    pool.update_endpoint(UNLISTED_WORKER_ID, None, WorkerState.READY, 5.0)
     harness.run_until(lambda: worker.requests, "it runs")
 
     assert old_connection.connection.is_closed
@@ -169,15 +153,15 @@
 def test_exchanges_on_retired_connections_do_not_use_up_the_limit_of_the_new_process(start_router):
     worker = FakeWorker("s-9", instances=None)
     harness = start_router(worker, settings={"bounds": {"streams_per_conn": 1}})
-    pool = harness.process.pool
+    pool = harness.pool
     results = []
-    pool.update_endpoint(UNLISTED_ID, address_of(worker), WorkerState.READY, 0.0)
+    pool.update_endpoint(UNLISTED_WORKER_ID, worker.address, WorkerState.READY, 0.0)
     for number in range(pooled_worker.MAX_CONNECTIONS):
-        pool.send(attempt(UNLISTED_ID, results, exchange_id=b"%08d" % number))
+        pool.send(attempt(UNLISTED_WORKER_ID, results, exchange_id=b"%08d" % number))
         harness.run_until(lambda number=number: len(worker.requests) > number, "it runs")
 
-    pool.update_endpoint(UNLISTED_ID, None, WorkerState.READY, 5.0)
-    pool.send(attempt(UNLISTED_ID, results, exchange_id=b"abcdefgh"))
+    pool.update_endpoint(UNLISTED_WORKER_ID, None, WorkerState.READY, 5.0)
+    pool.send(attempt(UNLISTED_WORKER_ID, results, exchange_id=b"abcdefgh"))
     harness.run_until(
         lambda: len(worker.requests) > pooled_worker.MAX_CONNECTIONS or results, "the next one runs"
     )
@@ -191,19 +175,19 @@
 def test_attempts_start_orders_and_connects_time_out(start_router, unreachable_address):
     worker = FakeWorker(instances=None)
     harness = start_router(worker)
-    pool = harness.process.pool
-    worker_id = worker_id_of(worker.id)
+    pool = harness.pool
+    worker_id = worker.worker_id
     results = []
     pool.ensure_instances(start_order(worker_id, [], instances=0))
     harness.run_until(lambda: worker.frames, "a connection is established")
     pool.wire = msgspec.structs.replace(pool.wire, start_order_timeout_ms=500.0, connect_timeout_ms=60.0)
-    pool.update_endpoint(UNLISTED_ID, unreachable_address(), WorkerState.READY, 0.0)
+    pool.update_endpoint(UNLISTED_WORKER_ID, unreachable_address(), WorkerState.READY, 0.0)
 
     pool.send(attempt(worker_id, results, within_ms=500.0))
     harness.run_until(lambda: results, "the attempt ends")
     pool.ensure_instances(start_order(worker_id, results))
     harness.run_until(lambda: len(results) == 2, "the order ends")
-    pool.send(attempt(UNLISTED_ID, results))
+    pool.send(attempt(UNLISTED_WORKER_ID, results))
     harness.run_until(lambda: len(results) == 3, "the connect ends")
 
     assert results == [(CloseReason.DEADLINE_EXCEEDED, True)] * 2 + [(CloseReason.CONNECT_TIMEOUT, False)]
@@ -214,12 +198,12 @@
     harness = start_router(busy, idle, settings={"bounds": {"keepalive": 0.0}})
     results = []
     for worker in (busy, idle):
-        harness.process.pool.ensure_instances(start_order(worker_id_of(worker.id), results))
+        harness.pool.ensure_instances(start_order(worker.worker_id, results))
     harness.run_until(lambda: results and busy.frames, "one is answered")
 
-    harness.run_until(lambda: idle.connections[0].ended, "the idle one is closed")
+    harness.run_until(lambda: idle.connections[0].is_closed, "the idle one is closed")
 
-    assert not busy.connections[0].ended
+    assert not busy.connections[0].is_closed
 
 
 # --- how many connections there are
@@ -228,11 +212,11 @@
 def test_spare_connection_that_is_charged_for_is_opened_only_once_requests_share_one(start_router):
     worker = FakeWorker(instances=None)
     harness = start_router(worker, settings={"costs": {"handshake": 0.08}})
-    pool = harness.process.pool
+    pool = harness.pool
     connects = []
 
     for number in range(3):
-        pool.send(attempt(worker_id_of(worker.id), [], exchange_id=b"%08d" % number))
+        pool.send(attempt(worker.worker_id, [], exchange_id=b"%08d" % number))
         harness.run_until(lambda number=number: len(worker.requests) > number, "it runs")
         connects.append(pool.counters["connects"])
 
@@ -245,23 +229,21 @@
     results = []
 
     for number in range(40):
-        harness.process.pool.send(attempt(worker_id_of(worker.id), results, exchange_id=b"%08d" % number))
+        harness.pool.send(attempt(worker.worker_id, results, exchange_id=b"%08d" % number))
     harness.run_until(lambda: len(worker.requests) + len(results) == 40, "all run or end")
 
     assert set(results) == {(CloseReason.NO_FILE_DESCRIPTOR, False)}
     assert len(worker.connections) <= 32 * router_process.WORKER_SHARE
 
 
-def test_idle_connections_make_room_for_a_worker_that_is_sent_to(cleanups, start_router):
+def test_idle_connections_make_room_for_a_worker_that_is_sent_to(start_router):
     harness = start_router(limits={"sockets": 32})
-    pool = harness.process.pool
+    pool = harness.pool
     workers = [FakeWorker(f"s-{number}") for number in range(20)]
-    harness.workers += workers
     results = []
 
     for number, worker in enumerate(workers):
-        cleanups.callback(worker.close)
-        pool.update_endpoint(number, address_of(worker), WorkerState.READY, 0.0)
+        harness.add_unlisted_worker(worker, number)
         pool.ensure_instances(start_order(number, results, instances=0))
         harness.run_until(lambda number=number: len(results) > number, "it is reached")
 
