--- a/tests/test_repository.py
+++ b/tests/test_repository.py
@@ -13,6 +13,7 @@
 
 ROOT = Path(__file__).parent.parent
 TESTS = ROOT / "tests"
+PACKAGE = ROOT / "function_router"
 DEPLOYMENT = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())
 DECISION_FILES = DEPLOYMENT["policy"]
 GENERAL_MODULES = ["statistics", "limits", "hashing"]  # structures that the decisions use
@@ -39,6 +40,14 @@
     *(f"function_router.{name}" for name in GENERAL_MODULES),
 }
 
+# Names of earlier versions, put together here so that this file does not contain them.
+WITHDRAWN_NAMES = {
+    "package": re.compile("fawn" + "wharf", re.IGNORECASE),
+    "worker": re.compile("sco" + "rer", re.IGNORECASE),
+    "bound": re.compile(r"\w_(MOST|LEAST)\b"),
+    "notified": re.compile("(?<![a-z])to" + "ld(?![a-z])", re.IGNORECASE),
+}
+
 
 def read(path):
     return (ROOT / path).read_text()
@@ -90,7 +99,20 @@
     assert decision_source.count(call) == 1
 
 
-# --- the README
+# --- names and the README
+
+
+@pytest.mark.parametrize("pattern", WITHDRAWN_NAMES.values(), ids=WITHDRAWN_NAMES)
+def test_package_and_tests_use_no_withdrawn_name(pattern):
+    uses = [
+        f"{path.relative_to(ROOT)}:{number}: {line.strip()}"
+        for folder in (PACKAGE, TESTS)
+        for path in sorted(folder.rglob("*.py"))
+        for number, line in enumerate(path.read_text().splitlines(), 1)
+        if pattern.search(line)
+    ]
+
+    assert uses == []
 
 
 def test_readme_example_runs(capsys):
