--- a/function_router/decisions/state.py
+++ b/function_router/decisions/state.py
@@ -46,7 +46,7 @@
 
     count: int = 0
     seen_ms: float = -math.inf  # last sign that one stands
-    counted_ms: float = -math.inf  # when the worker last told how many stand
+    counted_ms: float = -math.inf  # when the worker last reported how many stand
     in_flight: int = 0  # own attempts
     probes: int = 0  # that are not answered yet
     probed_ms: float = -math.inf
--- a/function_router/net/worker_pool.py
+++ b/function_router/net/worker_pool.py
@@ -248,7 +248,7 @@
     # --- finishing ----------------------------------------------------------------------------
 
     def cancel(self, exchange: Exchange) -> None:
-        """Cancel an exchange, unless it is done; the worker is told where it may have got an attempt."""
+        """Cancel an exchange, unless it is done; the worker is notified if it may have got an attempt."""
         if not exchange.is_done:
             self._withdraw(exchange)
             self._finish(exchange, CloseReason.CANCELLED)
