--- a/function_router/decisions/router.py
+++ b/function_router/decisions/router.py
@@ -46,7 +46,6 @@
 YIELD_PART, HELD_PART = 0.35, 0.5  # of a limit, for late requests; of the time of one that is given up
 QUOTA_BURST_S = 1.0  # seconds of its quota that a tenant may use at once
 COLD_STARTS = (StartKind.COLD_START, StartKind.JOINED_COLD_START)  # of answers that found no free slot
-NEVER_RAN = (Outcome.QUEUE_FULL, Outcome.CONNECT_FAILED, Outcome.NOT_SENT, Outcome.NOT_LOADED)
 
 
 class Router:
@@ -163,7 +162,7 @@
             self.in_flight.remove(attempt)
         fn, worker = attempt.function, self.workers[attempt.worker_id]
         pool = fn.pools[worker.id]
-        attempt.in_flight, attempt.may_have_run = False, event.outcome not in NEVER_RAN
+        attempt.in_flight, attempt.may_have_run = False, event.outcome.may_have_run
         pool.in_flight, worker.in_flight = pool.in_flight - 1, worker.in_flight - 1
         self._learn(event, attempt, worker)
         request = self.requests.get(event.request_id)
--- a/function_router/decisions/types.py
+++ b/function_router/decisions/types.py
@@ -1,4 +1,4 @@
-"""Enumerations that events, actions and settings share. No logic lives here."""
+"""Enumerations that events, actions and settings share. Nothing is decided here."""
 
 from enum import Enum, IntEnum
 
@@ -40,6 +40,14 @@
     NOT_SENT = "NOP"
     NOT_LOADED = "MISS"
 
+    @property
+    def may_have_run(self) -> bool:
+        """Whether the worker may have run the request; False where the outcome proves that it did not."""
+        return self not in _NEVER_RAN
+
+
+_NEVER_RAN = (Outcome.QUEUE_FULL, Outcome.CONNECT_FAILED, Outcome.NOT_SENT, Outcome.NOT_LOADED)
+
 
 class StartKind(IntEnum):
     """What an answer tells of the instance that served it; UNKNOWN where it tells nothing.
--- a/function_router/net/request_table.py
+++ b/function_router/net/request_table.py
@@ -43,9 +43,6 @@
 IDEMPOTENCY_WINDOW_MARGIN_MS = 50.0  # a repeat must arrive inside the window, not just leave inside it
 LOG_SOURCE = "requests"  # these lines have a rate limit of their own
 
-# Outcomes that prove that the worker did not run the request.
-NEVER_RAN = (Outcome.QUEUE_FULL, Outcome.CONNECT_FAILED, Outcome.NOT_SENT, Outcome.NOT_LOADED)
-
 
 @dataclass(frozen=True, slots=True)
 class _AttemptReport:
@@ -268,7 +265,7 @@
         if request := self.pending.get(key):
             wait_ms = attempt.connection_wait_ms
             request.add_trace_step(f"{attempt.worker_id}: {report.description} connection wait {wait_ms:.0f}")
-            if attempt.is_started and report.outcome not in NEVER_RAN:
+            if attempt.is_started and report.outcome.may_have_run:
                 request.first_run_at_ms = min(request.first_run_at_ms, attempt.created_at_ms)
         if isinstance(result, Answer) and report.outcome is Outcome.OK:
             self._finish(key, Served(result.body))
