--- a/function_router/net/client_connection.py
+++ b/function_router/net/client_connection.py
@@ -9,13 +9,7 @@
 from function_router.net.close_reason import CloseReason
 from function_router.net.codecs import thrift
 from function_router.net.connection import Connection
-from function_router.net.request_table import (
-    ClientRequest,
-    Failed,
-    FinalAnswer,
-    Rejected,
-    Served,
-)
+from function_router.net.pending_request import ClientRequest, Failed, FinalAnswer, Rejected, Served
 
 if TYPE_CHECKING:
     from function_router.net.client_listener import ClientListener
--- a/function_router/net/request_table.py
+++ b/function_router/net/request_table.py
@@ -35,8 +35,6 @@
 from function_router.net.worker_messages import Answer, Attempt, Result
 from function_router.net.worker_pool import WorkerPool
 
-__all__ = ["ClientRequest", "Failed", "FinalAnswer", "Rejected", "RequestTable", "Served"]
-
 MAX_TOTAL_BODY_BYTES = 32 * 1024 * 1024  # bodies of all pending requests: part of the memory limit
 FULL_TABLE_RETRY_AFTER_MS = 250.0  # advice to a client whose request finds no room in the table
 MAX_REPORTED_IN_FLIGHT = 30  # a worker's figure beyond it is passed on as this
