--- a/function_router/hashing.py
+++ b/function_router/hashing.py
@@ -11,9 +11,14 @@
     return bits ^ (bits >> 31)
 
 
+def hash_name(name: str, size: int) -> int:
+    """A hash of a name in so many bytes, the same in every process (BLAKE2b)."""
+    return int.from_bytes(hashlib.blake2b(name.encode(), digest_size=size).digest(), "big")
+
+
 def hash64(name: str) -> int:
     """A 64-bit hash of a name, the same in every process."""
-    return int.from_bytes(hashlib.blake2b(name.encode(), digest_size=8).digest(), "big")
+    return hash_name(name, size=8)
 
 
 def rendezvous_rank(key: int, node: int, weight: float) -> float:
--- a/function_router/net/client_listener.py
+++ b/function_router/net/client_listener.py
@@ -8,6 +8,7 @@
 from function_router.net.client_connection import ClientConnection
 from function_router.net.clock import monotonic_ms
 from function_router.net.close_reason import CloseReason, reason_of_os_error
+from function_router.net.connection import address_family
 from function_router.net.event_loop import READ, EventLoop
 from function_router.net.log import RateLimitedLog
 from function_router.net.receive_timestamps import enable_receive_timestamps
@@ -50,7 +51,7 @@
         table: RequestTable,
         classes: dict[str, RequestClass],
         tenants: frozenset[str],
-        most: int,
+        max_connections: int,
         log: RateLimitedLog,
     ) -> None:
         """Start to listen.
@@ -61,7 +62,7 @@
             table: the request table.
             classes: the request classes by name.
             tenants: names of the tenants that may send requests; empty where any may.
-            most: limit on the client connections that are open at once.
+            max_connections: limit on the client connections that are open at once.
             log: the log.
 
         Raises:
@@ -74,7 +75,7 @@
         self.tenants = tenants
         self.is_ready = False
         self.connections: dict[ClientConnection, None] = {}
-        self._max_connections = most
+        self._max_connections = max_connections
         self._listener: socket.socket | None = _listen(address)
         self.address: Address = self._listener.getsockname()[:2]
         self._is_paused = False
@@ -152,7 +153,7 @@
 
     def has_unwritten(self) -> bool:
         """Whether an answer to any client waits to be written."""
-        return any(client.connection.pending_bytes for client in self.connections)
+        return self.unread_bytes() > 0
 
     def has_arriving(self) -> bool:
         """Whether anything of a client lies unread, also on connections that are yet to be accepted."""
@@ -186,8 +187,7 @@
 
 
 def _listen(address: Address) -> socket.socket:
-    family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
-    listener = socket.socket(family, socket.SOCK_STREAM)
+    listener = socket.socket(address_family(address), socket.SOCK_STREAM)
     listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     enable_receive_timestamps(listener)
     listener.bind(address)
--- a/function_router/net/codecs/worker_frames.py
+++ b/function_router/net/codecs/worker_frames.py
@@ -39,8 +39,6 @@
 # Far above any body that may be passed to a client: a frame that claims more is invalid.
 MAX_BODY_BYTES = 256 * 1024
 
-# The names until the modules and tests that use them have moved to those above.
-
 _HEADER = struct.Struct(">BBHI8s")
 _CHECKSUM = struct.Struct(">I")
 
--- a/function_router/net/connection.py
+++ b/function_router/net/connection.py
@@ -312,6 +312,11 @@
             self._sock.recv(MAX_READ_BYTES)
 
 
+def address_family(address: Address) -> socket.AddressFamily:
+    """The address family of a numeric address."""
+    return socket.AF_INET6 if ":" in address[0] else socket.AF_INET
+
+
 def _configure(sock: socket.socket) -> None:
     sock.setblocking(False)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)  # small messages must not wait for an ACK
@@ -319,8 +324,7 @@
 
 def _begin_connect(address: Address) -> socket.socket:
     """Make a socket that is connecting, or is connected already; raises OSError."""
-    family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
-    sock = socket.socket(family, socket.SOCK_STREAM)
+    sock = socket.socket(address_family(address), socket.SOCK_STREAM)
     try:
         _configure(sock)
         error_number = sock.connect_ex(address)
--- a/function_router/net/endpoint_registry.py
+++ b/function_router/net/endpoint_registry.py
@@ -1,6 +1,5 @@
 """The workers that the endpoint list names: their ids, addresses and states as last notified."""
 
-import hashlib
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -9,6 +8,7 @@
 from function_router.config import Address, EndpointList, EndpointRecord, parse_address
 from function_router.decisions.events import Endpoint, EndpointsChanged
 from function_router.decisions.types import WorkerState
+from function_router.hashing import hash_name
 from function_router.net.worker_pool import WorkerPool
 
 # Bytes of a worker id: enough for the workers of one list to have different ones.
@@ -25,7 +25,7 @@
 
 def worker_id_of(name: str) -> int:
     """The number of the worker that has this name; the same in every router, as the hash orders use it."""
-    return int.from_bytes(hashlib.blake2b(name.encode(), digest_size=WORKER_ID_BYTES).digest(), "big")
+    return hash_name(name, WORKER_ID_BYTES)
 
 
 @dataclass(frozen=True, slots=True)
--- a/function_router/net/worker_pool.py
+++ b/function_router/net/worker_pool.py
@@ -198,8 +198,7 @@
         """
         idle = [
             connection
-            for worker in self.workers.values()
-            for connection in worker.connections
+            for connection in self._all_connections()
             if connection.is_connected and not connection.exchanges
         ]
         longest = max(idle, key=WorkerConnection.idle_ms, default=None)
