Decide in one module whether an exchange may start, and check it at run time

Cause: whether a first byte may leave was decided in four places, none of which said why not, and nothing showed a broken rule. A rejection for want of room is returned by admit. The test of the counters' line expects one counter more.

--- a/function_router/net/client_connection.py
+++ b/function_router/net/client_connection.py
@@ -9,11 +9,15 @@
 from function_router.net.close_reason import CloseReason
 from function_router.net.codecs import thrift
 from function_router.net.connection import Connection
+from function_router.net.invariants import Invariant
 from function_router.net.pending_request import ClientRequest, Failed, FinalAnswer, Rejected, Served
 
 if TYPE_CHECKING:
     from function_router.net.client_listener import ClientListener
 
+# The client ended the connection, or does not read its answers: nobody is owed one.
+CLOSED_BY_CLIENT = (CloseReason.CLOSED_BY_PEER, CloseReason.RESET_BY_PEER, CloseReason.WRITE_BUFFER_FULL)
+
 LOG_SOURCE = "clients"  # all clients share one allowance of log lines
 
 MAX_PENDING_REQUESTS = 32  # on one connection
@@ -106,13 +110,18 @@
     def on_writable(self) -> None:
         """Do nothing: the connection itself goes on writing."""
 
-    def on_closed(self, _reason: CloseReason) -> None:
+    def on_closed(self, reason: CloseReason) -> None:
         """Cancel the pending requests; nobody waits for their answers."""
+        self.listener.telemetry.invariants.expect(
+            not self.pending or reason in CLOSED_BY_CLIENT,
+            Invariant.CLOSED_WITH_ANSWERS,
+            f"{reason.name} with {len(self.pending)} requests pending",
+        )
         keys = list(self.pending.values())
         self.pending = {}
         for key in keys:
             self.listener.table.cancel_request(key)
-        self.listener.on_client_closed(self)
+        self.listener.on_client_closed(self, reason)
 
     # --- timeouts and limits, as the listener checks them ---------------------------------------
 
@@ -185,7 +194,7 @@
             self._write(thrift.encode_reply(thrift.METHOD_STATUS, message.seqid, b"", is_ok=is_ready))
 
     def _on_malformed_message(self, error: thrift.MalformedMessageError) -> None:
-        self.listener.log(f"client: {error}", LOG_SOURCE)
+        self.listener.telemetry.log(f"client: {error}", LOG_SOURCE)
         # Under the sequence number of a pending request the exception would pass for that request's answer.
         if error.seqid is None or error.seqid in self.pending:
             self._finish(CloseReason.PROTOCOL_ERROR)
@@ -207,9 +216,11 @@
         # The check for another request of the same id may have found that this very client is gone.
         if self.connection.is_closed:
             return
-        key = self.listener.table.admit(self._client_request(message.seqid, parsed))
-        if key is not None:
-            self.pending[message.seqid] = key
+        admitted = self.listener.table.admit(self._client_request(message.seqid, parsed))
+        if isinstance(admitted, Rejected):
+            self._write_answer(message.seqid, admitted)
+        else:
+            self.pending[message.seqid] = admitted
 
     def _parse_request(self, message: thrift.Handle) -> ParsedRequest:
         """Parse a request and check it against the pending ones.
@@ -257,7 +268,13 @@
         return not self.connection.is_closed
 
     def _reply(self, seqid: int, answer: FinalAnswer) -> None:
-        self.pending.pop(seqid, None)
+        is_first = self.pending.pop(seqid, None) is not None
+        invariants = self.listener.telemetry.invariants
+        invariants.expect(is_first, Invariant.ONE_ANSWER, f"a second one under number {seqid}")
+        if is_first:
+            self._write_answer(seqid, answer)
+
+    def _write_answer(self, seqid: int, answer: FinalAnswer) -> None:
         if isinstance(answer, Served):
             self._write(thrift.encode_reply(thrift.METHOD_HANDLE, seqid, answer.body, is_ok=True))
         elif isinstance(answer, Rejected):
--- a/function_router/net/client_listener.py
+++ b/function_router/net/client_listener.py
@@ -10,9 +10,9 @@
 from function_router.net.close_reason import CloseReason, reason_of_os_error
 from function_router.net.connection import address_family
 from function_router.net.event_loop import READ, EventLoop
-from function_router.net.log import RateLimitedLog
 from function_router.net.receive_timestamps import enable_receive_timestamps
 from function_router.net.request_table import RequestTable
+from function_router.net.telemetry import ACCEPTED, CLIENTS_CLOSED, Telemetry
 
 BACKLOG = 1024  # connections that the system keeps until they are accepted
 
@@ -36,7 +36,7 @@
     Attributes:
         loop: the event loop that all connections share.
         table: the request table, which admits the clients' requests.
-        log: the log.
+        telemetry: the log, the counters and the run-time checks.
         classes: the request classes by name.
         tenants: names of the tenants that may send requests; empty where any may.
         is_ready: the answer to status requests.
@@ -52,7 +52,7 @@
         classes: dict[str, RequestClass],
         tenants: frozenset[str],
         max_connections: int,
-        log: RateLimitedLog,
+        telemetry: Telemetry,
     ) -> None:
         """Start to listen.
 
@@ -63,14 +63,14 @@
             classes: the request classes by name.
             tenants: names of the tenants that may send requests; empty where any may.
             max_connections: limit on the client connections that are open at once.
-            log: the log.
+            telemetry: the log, the counters and the run-time checks.
 
         Raises:
             OSError: where it can't listen on this address.
         """
         self.loop = loop
         self.table = table
-        self.log = log
+        self.telemetry = telemetry
         self.classes = classes
         self.tenants = tenants
         self.is_ready = False
@@ -103,10 +103,11 @@
             if error.errno in (errno.ECONNABORTED, errno.EINTR):
                 return True
             if reason_of_os_error(error) is not CloseReason.NO_FILE_DESCRIPTOR:
-                self.log(f"accept: {error}")
+                self.telemetry.log(f"accept: {error}")
             self._pause()
             return False
         self.connections[ClientConnection(self, sock)] = None
+        self.telemetry.count(ACCEPTED)
         return True
 
     def _make_room(self) -> bool:
@@ -161,8 +162,9 @@
             self._accept(READ)
         return self._is_paused or any(client.has_arriving() for client in self.connections)
 
-    def on_client_closed(self, client: ClientConnection) -> None:
+    def on_client_closed(self, client: ClientConnection, reason: CloseReason) -> None:
         """Forget a connection that has closed."""
+        self.telemetry.count(CLIENTS_CLOSED, reason.name)
         self.connections.pop(client, None)
 
     def check_timeouts(self) -> None:
--- a/function_router/net/endpoint_registry.py
+++ b/function_router/net/endpoint_registry.py
@@ -13,6 +13,7 @@
 
 # Bytes of a worker id: enough for the workers of one list to have different ones.
 WORKER_ID_BYTES = 4
+LOG_SOURCE = "endpoints"  # these lines have a rate limit of their own
 # The key of the address in an endpoint record, for the text of an error.
 ADDRESS_FIELD = "host_port"
 
@@ -62,8 +63,16 @@
 class EndpointRegistry:
     """Keeps the endpoint list, and passes its changes on to the worker pool and to the decisions."""
 
-    def __init__(self, pool: WorkerPool, on_changed: Callable[[EndpointsChanged], None]) -> None:
+    def __init__(
+        self,
+        pool: WorkerPool,
+        on_changed: Callable[[EndpointsChanged], None],
+        log: Callable[[str, str], None],
+    ) -> None:
+        """Keep the list for `pool`; `log` takes a text and its source."""
         self._pool = pool
+        self._log = log
+        self._has_list = False  # the first one is not logged
         self._on_changed = on_changed
         self._endpoints: dict[int, Endpoint] = {}  # by worker id, without the removed ones
 
@@ -84,6 +93,7 @@
             for worker_id, endpoint in self._endpoints.items()
             if endpoint.state is not WorkerState.REMOVED
         }
+        self._has_list = True
         self._on_changed(EndpointsChanged(changed, endpoint_list.complete))
 
     def _remove_all_except(self, worker_ids: set[int]) -> None:
@@ -107,12 +117,22 @@
         removed = [replace(other, state=WorkerState.REMOVED) for other in displaced]
         for other in removed:
             self._pool.update_endpoint(other.worker_id, None, other.state, 0.0)
-            self._endpoints[other.worker_id] = other
         started_at_ms = _started_at_ms(endpoint)
         self._pool.update_endpoint(endpoint.worker_id, item.address, endpoint.state, started_at_ms)
-        self._endpoints[endpoint.worker_id] = endpoint
+        for changed in [*removed, endpoint]:
+            self._store(changed)
         return [*removed, endpoint]
 
+    def _store(self, endpoint: Endpoint) -> None:
+        """Keep an endpoint, and log it where its state or its process has changed."""
+        known = self._endpoints.get(endpoint.worker_id)
+        self._endpoints[endpoint.worker_id] = endpoint
+        state = (endpoint.state, endpoint.started_at_ms)
+        is_same = known is not None and (known.state, known.started_at_ms) == state
+        if self._has_list and not is_same:
+            started = f", started at {endpoint.started_at_ms:.0f}" if endpoint.started_at_ms else ""
+            self._log(f"worker {endpoint.worker_id} is {endpoint.state.name}{started}", LOG_SOURCE)
+
     def _others_at_address(self, item: AddressedEndpoint) -> list[Endpoint]:
         """The other workers at the address of a ready one."""
         if item.endpoint.state is not WorkerState.READY or item.address is None:
--- a/function_router/net/pending_request.py
+++ b/function_router/net/pending_request.py
@@ -7,6 +7,7 @@
 import math
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from typing import ClassVar
 
 from function_router.net.clock import monotonic_ms
 from function_router.net.timer_wheel import Timer
@@ -19,6 +20,7 @@
     """A worker ran the request."""
 
     body: bytes
+    name: ClassVar[str] = "served"
 
 
 @dataclass(frozen=True, slots=True)
@@ -26,18 +28,19 @@
     """The request was not served, and the client may safely retry it."""
 
     retry_after_ms: float  # how long the client should wait before that; 0: no advice
+    name: ClassVar[str] = "rejected"
 
 
 @dataclass(frozen=True, slots=True)
 class Failed:
     """The request may or may not have run, so that a retry may run it twice."""
 
+    name: ClassVar[str] = "failed"
+
 
 FinalAnswer = Served | Rejected | Failed
 """The one answer that a client gets."""
 
-_ANSWER_NAMES: dict[type[FinalAnswer], str] = {Served: "served", Rejected: "rejected", Failed: "failed"}
-
 
 @dataclass(frozen=True, slots=True)
 class ClientRequest:
@@ -81,6 +84,6 @@
         request = self.client_request
         steps = "; ".join(self.trace) or "never sent"
         return (
-            f"{request.id.hex()} {request.class_name} of {request.function} {_ANSWER_NAMES[type(answer)]} "
+            f"{request.id.hex()} {request.class_name} of {request.function} {answer.name} "
             f"after {duration_ms:.0f} ms (timeout {request.timeout_ms:.0f} ms): {steps}"
         )
--- a/function_router/net/pooled_worker.py
+++ b/function_router/net/pooled_worker.py
@@ -26,12 +26,6 @@
     connections: list[WorkerConnection] = field(default_factory=list)
     waiting: deque[Exchange] = field(default_factory=deque)  # for a connection
 
-    def accepts(self, exchange: Exchange) -> bool:
-        """Whether it may be sent the exchange: a draining worker gets no new work, a removed one nothing."""
-        if self.state is WorkerState.REMOVED:
-            return False
-        return self.state is WorkerState.READY or not exchange.is_new_work
-
     def is_replaced_by(self, address: Address | None, started_at_ms: float) -> bool:
         """Whether an endpoint record shows a new process: a new address, or a later start."""
         has_moved = address is not None and address != self.address
--- a/function_router/net/request_table.py
+++ b/function_router/net/request_table.py
@@ -18,11 +18,11 @@
 )
 from function_router.decisions.events import AttemptEnded, DrainStarted, RequestArrived, RequestCancelled
 from function_router.decisions.settings import RequestClass
-from function_router.decisions.types import Outcome, RetrySafety, StartKind
+from function_router.decisions.types import Outcome, StartKind
 from function_router.net.clock import monotonic_ms
 from function_router.net.close_reason import outcome_of
 from function_router.net.event_loop import EventLoop
-from function_router.net.log import RateLimitedLog
+from function_router.net.invariants import MAX_LATENESS_MS, Invariant
 from function_router.net.pending_request import (
     ClientRequest,
     Failed,
@@ -32,13 +32,14 @@
     Served,
 )
 from function_router.net.start_orders import RecountStartOrder, StartOrderSender
+from function_router.net.start_rules import Refusal, request_refusal
+from function_router.net.telemetry import ANSWERS, Telemetry
 from function_router.net.worker_messages import Answer, Attempt, Result
 from function_router.net.worker_pool import WorkerPool
 
 MAX_TOTAL_BODY_BYTES = 32 * 1024 * 1024  # bodies of all pending requests: part of the memory limit
 FULL_TABLE_RETRY_AFTER_MS = 250.0  # advice to a client whose request finds no room in the table
 MAX_REPORTED_IN_FLIGHT = 30  # a worker's figure beyond it is passed on as this
-IDEMPOTENCY_WINDOW_MARGIN_MS = 50.0  # a repeat must arrive inside the window, not just leave inside it
 LOG_SOURCE = "requests"  # these lines have a rate limit of their own
 
 
@@ -62,14 +63,14 @@
         wire: TransportSettings,
         classes: Mapping[str, RequestClass],
         recount_start_order: RecountStartOrder,
-        log: RateLimitedLog,
+        telemetry: Telemetry,
     ) -> None:
         self.pending: dict[str, PendingRequest] = {}
         self._loop = loop
         self._pool = pool
         self._wire = wire
         self._classes = classes
-        self._log = log
+        self._telemetry = telemetry
         self._start_orders = StartOrderSender(loop, pool, recount_start_order, self._add_function_trace_step)
         self._batch_ms = 0.0  # when the batch whose actions are being carried out was handled
         self._pending_body_bytes = 0
@@ -84,11 +85,10 @@
 
     # --- from clients -------------------------------------------------------------------------
 
-    def admit(self, client_request: ClientRequest) -> str | None:
-        """Add a request and return its key; None if there is no room and it was rejected at once."""
+    def admit(self, client_request: ClientRequest) -> str | Rejected:
+        """Add a request and return its key, or a rejection to answer at once where there is no room."""
         if not self._has_room_for(client_request):
-            client_request.reply(Rejected(FULL_TABLE_RETRY_AFTER_MS))
-            return None
+            return Rejected(FULL_TABLE_RETRY_AFTER_MS)
         key = f"r{next(self._request_numbers)}"
         self._pending_body_bytes += len(client_request.body)
         self._keys_by_client_id[client_request.id] = key
@@ -191,8 +191,16 @@
     def _finish(self, key: str, answer: FinalAnswer) -> None:
         if request := self._close(key):
             request.client_request.reply(answer)
+            self._telemetry.count(ANSWERS, answer.name)
+            self._check_in_time(request)
             self._log_trace(request, answer)
 
+    def _check_in_time(self, request: PendingRequest) -> None:
+        late_ms = monotonic_ms() - request.deadline_ms
+        self._telemetry.invariants.expect(
+            late_ms <= MAX_LATENESS_MS, Invariant.ANSWERED_IN_TIME, f"{request.key}: {late_ms:.0f} ms late"
+        )
+
     def _close(self, key: str) -> PendingRequest | None:
         request = self.pending.pop(key, None)
         if request:
@@ -208,9 +216,8 @@
 
         The decision module's own cancellations do not cover these: the settings may forbid them.
         """
-        for number in range(request.attempt_count):
-            if attempt := self._attempts.get((request.key, number)):
-                self._pool.cancel_if_unsent(attempt)
+        for attempt in self._attempts_of(request):
+            self._pool.cancel_if_unsent(attempt)
 
     def _submit_cancelled(self, request: PendingRequest) -> None:
         self._loop.submit(RequestCancelled(request.key, request.client_request.id.hex()))
@@ -223,7 +230,7 @@
         return Attempt(
             worker_id=worker_id,
             on_done=lambda attempt, result: self._on_attempt_done(key, number, attempt, result),
-            may_start=lambda: self._may_start(key),
+            find_refusal=lambda: self._find_refusal(key),
             exchange_id=client_request.id,
             class_name=client_request.class_name,
             function=client_request.function,
@@ -232,30 +239,18 @@
             deadline_ms=request.deadline_ms,
         )
 
-    def _may_start(self, key: str) -> bool:
-        """Whether an attempt's first byte may leave now, which may be long after it was decided on."""
+    def _find_refusal(self, key: str) -> Refusal | None:
+        """Why an attempt's first byte may not leave now, which may be long after it was decided on."""
         request = self.pending.get(key)
-        return (
-            request is not None
-            and self._is_in_idempotency_window(request)
-            and request.client_request.is_client_connected()
-        )
-
-    def _is_in_idempotency_window(self, request: PendingRequest) -> bool:
-        """Whether workers would still recognize a repeat of the first attempt that may have run.
-
-        Always true of classes that need no idempotency key.
-        """
+        if request is None:
+            return Refusal.REQUEST_FINISHED
         request_class = self._classes.get(request.client_request.class_name)
-        if request_class is None or request_class.retry_safety is not RetrySafety.IDEMPOTENCY_KEY:
-            return True
-        first_run_at_ms = request.first_run_at_ms
-        for number in range(request.attempt_count):
-            attempt = self._attempts.get((request.key, number))
-            if attempt and attempt.is_started:
-                first_run_at_ms = min(first_run_at_ms, attempt.created_at_ms)
-        window_ms = request_class.idempotency_window_ms - IDEMPOTENCY_WINDOW_MARGIN_MS
-        return monotonic_ms() - first_run_at_ms < window_ms
+        return request_refusal(request, request_class, self._attempts_of(request), monotonic_ms())
+
+    def _attempts_of(self, request: PendingRequest) -> list[Attempt]:
+        """The attempts of a request that are in flight."""
+        keys = ((request.key, number) for number in range(request.attempt_count))
+        return [self._attempts[key] for key in keys if key in self._attempts]
 
     def _on_attempt_done(self, key: str, number: int, attempt: Attempt, result: Result) -> None:
         del self._attempts[key, number]
@@ -283,7 +278,8 @@
     def _report_of(self, attempt: Attempt, result: Result) -> _AttemptReport:
         if not isinstance(result, Answer):
             outcome = outcome_of(result, attempt.is_started)
-            return _AttemptReport(outcome, StartKind.UNKNOWN, None, result.name)
+            cause = f" ({attempt.refusal.name})" if attempt.refusal else ""
+            return _AttemptReport(outcome, StartKind.UNKNOWN, None, result.name + cause)
         in_flight = self._reported_in_flight(result)
         description = f"{result.outcome.name} {result.start_kind.name} in flight {in_flight}"
         return _AttemptReport(result.outcome, result.start_kind, in_flight, description)
@@ -312,4 +308,4 @@
             return
         if isinstance(answer, Served) and duration_ms <= request_class.latency_objective_ms:
             return
-        self._log(request.format_trace(answer, duration_ms), LOG_SOURCE)
+        self._telemetry.log(request.format_trace(answer, duration_ms), LOG_SOURCE)
--- a/function_router/net/router_process.py
+++ b/function_router/net/router_process.py
@@ -24,6 +24,7 @@
 from function_router.net.event_loop import EventLoop
 from function_router.net.log import RateLimitedLog
 from function_router.net.request_table import RequestTable
+from function_router.net.telemetry import Telemetry
 from function_router.net.worker_pool import WorkerPool
 
 DEFAULT_LOG_NAME = "function_router"
@@ -94,16 +95,17 @@
         self.loop = EventLoop(self._decide, self.log)
         self.router = Router(config.settings, config.seed)
         max_workers = _max_connections(config.max_sockets, WORKER_SHARE)
-        self.pool = WorkerPool(self.loop, wire, max_workers, config.seed, self.log)
+        self.telemetry = Telemetry(self.log)
+        self.pool = WorkerPool(self.loop, wire, max_workers, config.seed, self.telemetry)
         self.table = RequestTable(
-            self.loop, self.pool, wire, classes, self.router.recount_start_order, self.log
+            self.loop, self.pool, wire, classes, self.router.recount_start_order, self.telemetry
         )
-        self._registry = EndpointRegistry(self.pool, self.loop.submit)
+        self._registry = EndpointRegistry(self.pool, self.loop.submit, self.log)
         self.endpoint_watch = EndpointWatch(self.loop, config.endpoint_log, 0, self._registry.apply, self.log)
         self._apply_known_events()
         max_clients = _max_connections(config.max_sockets, CLIENT_SHARE)
         self.listener = ClientListener(
-            self.loop, config.listen, self.table, classes, wire.tenants, max_clients, self.log
+            self.loop, config.listen, self.table, classes, wire.tenants, max_clients, self.telemetry
         )
         self._action_handlers = self._make_action_handlers()
         self._reread = reread
@@ -219,10 +221,8 @@
         self.loop.timers.call_later(TIMEOUT_CHECK_INTERVAL_MS, self._check_timeouts)
 
     def _log_counters(self) -> None:
-        counters = self.pool.counters
-        if counters:
-            self.log("sent: " + ", ".join(f"{name} {count}" for name, count in sorted(counters.items())))
-            counters.clear()
+        if counters := self.telemetry.take_counters():
+            self.log(f"sent: {counters}")
         self.loop.timers.call_later(COUNTERS_INTERVAL_MS, self._log_counters)
 
     # --- decisions ------------------------------------------------------------------------------
--- a/function_router/net/start_orders.py
+++ b/function_router/net/start_orders.py
@@ -7,6 +7,7 @@
 from function_router.net.clock import monotonic_ms
 from function_router.net.close_reason import outcome_of
 from function_router.net.event_loop import EventLoop
+from function_router.net.start_rules import Refusal
 from function_router.net.worker_messages import Answer, Result, StartOrder
 from function_router.net.worker_pool import WorkerPool
 
@@ -39,18 +40,18 @@
         `decided_at_ms` is the time of the batch of events that led to it.
         """
         self._add_trace_step(action.function, f"ensure {action.instances} instances at {action.worker_id}")
-        may_start = self._budget_check(decided_at_ms) if action.instances else lambda: True
+        find_refusal = self._budget_check(decided_at_ms) if action.instances else lambda: None
         self._pool.ensure_instances(
             StartOrder(
                 worker_id=action.worker_id,
                 on_done=self._on_done,
                 function=action.function,
                 instances=action.instances,
-                may_start=may_start,
+                find_refusal=find_refusal,
             )
         )
 
-    def _budget_check(self, decided_at_ms: float) -> Callable[[], bool]:
+    def _budget_check(self, decided_at_ms: float) -> Callable[[], Refusal | None]:
         """Return a check for each time that the first byte of an order could leave.
 
         An order may wait long for its connection. It then counts against the budget of instance starts from
@@ -58,13 +59,13 @@
         """
         counted_ms: float | None = decided_at_ms
 
-        def may_start() -> bool:
+        def find_refusal() -> Refusal | None:
             nonlocal counted_ms
             if counted_ms is not None:
                 counted_ms = self._recount_start_order(counted_ms, self._loop.clock.now_ms())
-            return counted_ms is not None
+            return None if counted_ms is not None else Refusal.START_BUDGET_SPENT
 
-        return may_start
+        return find_refusal
 
     def _on_done(self, order: StartOrder, result: Result) -> None:
         if isinstance(result, Answer):
--- a/function_router/net/worker_connection.py
+++ b/function_router/net/worker_connection.py
@@ -9,7 +9,8 @@
 from function_router.net.codecs import worker_frames as frames
 from function_router.net.connection import Connection
 from function_router.net.event_loop import EventLoop
-from function_router.net.log import RateLimitedLog
+from function_router.net.start_rules import Refusal, start_refusal
+from function_router.net.telemetry import Telemetry
 from function_router.net.timer_wheel import Timer
 from function_router.net.worker_messages import Attempt, Exchange
 
@@ -50,8 +51,11 @@
     def on_answer(self, exchange: Exchange, frame: frames.Frame) -> None:
         """The worker answered an exchange, which is off the connection."""
 
-    def cancel_if_unsent(self, exchange: Exchange) -> None:
-        """An exchange may not start any more."""
+    def on_started(self, exchange: Exchange) -> None:
+        """The first byte of an exchange was written."""
+
+    def refuse(self, exchange: Exchange, refusal: Refusal) -> None:
+        """An exchange on the connection, of which nothing was written, may not start any more."""
 
 
 class WorkerConnection:
@@ -62,7 +66,7 @@
         worker: the worker to connect to, at its present address.
         owner: notified of what happens.
         wire: for the connect timeout and the most exchanges on one connection.
-        log: for what the worker did wrong.
+        telemetry: for what the worker did wrong.
 
     Raises:
         ConnectError: the connection could not even be tried.
@@ -72,12 +76,13 @@
         "_idle_before_use_ms",
         "_in_use_since_ms",
         "_last_withdrawn_ms",
-        "_log",
         "_loop",
         "_max_exchanges",
         "_owner",
         "_partial_frame_timer",
         "_reader",
+        "_telemetry",
+        "_unstarted",
         "_used_ids",
         "connection",
         "exchanges",
@@ -91,17 +96,18 @@
         worker: "PooledWorker",
         owner: WorkerConnectionOwner,
         wire: TransportSettings,
-        log: RateLimitedLog,
+        telemetry: Telemetry,
     ) -> None:
         self.worker = worker
         self.exchanges: dict[bytes, Exchange] = {}
         self.is_retired = False  # gets nothing new, and is closed once empty
         self._loop = loop
         self._owner = owner
-        self._log = log
+        self._telemetry = telemetry
         self._max_exchanges = wire.max_exchanges_per_connection
         self._reader = frames.FrameReader()
         self._used_ids: dict[bytes, None] = {}  # ids that may not be used again here, oldest first
+        self._unstarted: list[Exchange] = []  # of which no byte had been written when it was last looked
         self._partial_frame_timer: Timer | None = None
         self._in_use_since_ms = 0.0  # when it last went from idle to in use
         self._idle_before_use_ms = 0.0  # for how long it had been idle by then
@@ -176,6 +182,7 @@
         exchange.connection_wait_ms = monotonic_ms() - exchange.created_at_ms
         exchange.pending_write = self.connection.write(exchange.encode())
         exchange.connection = self
+        self._unstarted.append(exchange)
 
     def withdraw(self, exchange: Exchange) -> None:
         """Take an exchange off it, and cancel an attempt that the worker may have got."""
@@ -241,19 +248,23 @@
                 self._forbid_id(frame.exchange_id)
             self._owner.on_answer(exchange, frame)
         if self._reader.error is not None:
-            self._log(f"worker {self.worker.worker_id}: invalid frame: {self._reader.error}")
+            self._telemetry.log(f"worker {self.worker.worker_id}: invalid frame: {self._reader.error}")
             self.close(CloseReason.PROTOCOL_ERROR)
         elif self._reader.has_partial_frame and self._partial_frame_timer is None:
             self._check_partial_frame_after(PARTIAL_FRAME_TIMEOUT_MS)
 
     def on_flushed(self) -> None:
-        """Nothing to do: exchanges see in their pending writes what was written."""
+        """Notify the owner of the exchanges of which the first byte has just been written."""
+        for exchange in self._unstarted:
+            if exchange.is_started:
+                self._owner.on_started(exchange)
+        self._unstarted = self.unwritten()
 
     def on_writable(self) -> None:
         """The worker reads again: exchanges that waited for that may have become obsolete."""
         for exchange in self.unwritten():
-            if not exchange.may_start():
-                self._owner.cancel_if_unsent(exchange)
+            if refusal := start_refusal(exchange, self.worker.state):
+                self._owner.refuse(exchange, refusal)
 
     def on_closed(self, reason: CloseReason) -> None:
         """The connection is closed."""
@@ -270,5 +281,5 @@
         if left_ms > 0:
             self._check_partial_frame_after(left_ms)
         else:
-            self._log(f"worker {self.worker.worker_id}: incomplete frame")
+            self._telemetry.log(f"worker {self.worker.worker_id}: incomplete frame")
             self.close(CloseReason.READ_TIMEOUT)
--- a/function_router/net/worker_messages.py
+++ b/function_router/net/worker_messages.py
@@ -9,6 +9,7 @@
 from function_router.net.clock import monotonic_ms
 from function_router.net.close_reason import CloseReason
 from function_router.net.codecs import worker_frames as frames
+from function_router.net.start_rules import Refusal
 from function_router.net.timer_wheel import Timer
 from function_router.net.write_queue import PendingWrite
 
@@ -57,8 +58,8 @@
     return 0
 
 
-def _always() -> bool:
-    return True
+def _no_refusal() -> Refusal | None:
+    return None
 
 
 @dataclass(slots=True, eq=False, kw_only=True)
@@ -67,7 +68,9 @@
 
     worker_id: int
     exchange_id: bytes = b""  # eight bytes, under which the worker answers
-    may_start: Callable[[], bool] = _always  # called whenever its first byte could leave
+    # Why it may not start, apart from the worker's state; called whenever its first byte could leave.
+    find_refusal: Callable[[], Refusal | None] = _no_refusal
+    refusal: Refusal | None = field(default=None, init=False)  # why it was not started
     created_at_ms: float = field(default_factory=monotonic_ms, init=False)
     connection: "WorkerConnection | None" = field(default=None, init=False)
     pending_write: PendingWrite | None = field(default=None, init=False)
@@ -89,6 +92,10 @@
     def encode(self) -> bytes:
         """The frame to send, as of now."""
 
+    def timeout_excess_ms(self, _now_ms: float) -> float:
+        """How much more time its frame states than is left until its deadline."""
+        return 0.0
+
     @abstractmethod
     def outcome_of(self, code: int) -> Outcome:
         """What the code of the worker's answer means."""
@@ -119,6 +126,7 @@
     idempotency_key: str = ""
     body: bytes = b""
     deadline_ms: float  # of the monotonic clock
+    encoded_timeout_ms: float = field(default=0.0, init=False)  # the time left that its frame states
 
     @property
     def is_new_work(self) -> bool:
@@ -127,15 +135,20 @@
 
     def encode(self) -> bytes:
         """The request's frame, with the time that is left until its deadline."""
+        self.encoded_timeout_ms = self.deadline_ms - monotonic_ms()
         return frames.encode_run(
             self.exchange_id,
             self.class_name,
             self.function,
-            timeout_ms=self.deadline_ms - monotonic_ms(),
+            timeout_ms=self.encoded_timeout_ms,
             idempotency_key=self.idempotency_key,
             body=self.body,
         )
 
+    def timeout_excess_ms(self, now_ms: float) -> float:
+        """How much more time its frame states than is left until its deadline."""
+        return self.encoded_timeout_ms - (self.deadline_ms - now_ms)
+
     def outcome_of(self, code: int) -> Outcome:
         """What the code means; after an unknown one the request may have run."""
         return _ATTEMPT_OUTCOMES.get(code, Outcome.ERROR)
--- a/function_router/net/worker_pool.py
+++ b/function_router/net/worker_pool.py
@@ -3,7 +3,6 @@
 import contextlib
 import itertools
 import random
-from collections import Counter
 
 from function_router.config import Address, TransportSettings
 from function_router.decisions.types import WorkerState
@@ -12,8 +11,18 @@
 from function_router.net.codecs import worker_frames as frames
 from function_router.net.event_loop import EventLoop
 from function_router.net.idle_limit import IdleLimit
-from function_router.net.log import RateLimitedLog
+from function_router.net.invariants import MAX_TIMEOUT_EXCESS_MS, Invariant
 from function_router.net.pooled_worker import MAX_CONNECTIONS, PooledWorker
+from function_router.net.start_rules import Refusal, worker_refusal
+from function_router.net.telemetry import (
+    CLOSED,
+    CONNECTS,
+    NOT_STARTED,
+    PROBES,
+    REQUESTS,
+    START_ORDERS,
+    Telemetry,
+)
 from function_router.net.worker_connection import ConnectError, WorkerConnection
 from function_router.net.worker_messages import Attempt, Exchange, Result, StartOrder
 
@@ -23,13 +32,6 @@
 # The first id of start orders is random, so that routers don't use the same ones.
 FIRST_ORDER_ID_BITS = 62
 
-# The names of the counters.
-REQUESTS = "requests"
-START_ORDERS = "start orders"
-PROBES = "probes"
-CONNECTS = "connects"
-CLOSED = "closed"  # followed by the close reason's name
-
 
 class WorkerPool:
     """Owns the workers and the connections to them.
@@ -39,17 +41,16 @@
         wire: timeouts and limits of the transport.
         max_connections: to all workers together.
         seed: for the ids of start orders.
-        log: for what workers did wrong.
+        telemetry: for what was sent, how connections closed, and what workers did wrong.
     """
 
     def __init__(
-        self, loop: EventLoop, wire: TransportSettings, max_connections: int, seed: int, log: RateLimitedLog
+        self, loop: EventLoop, wire: TransportSettings, max_connections: int, seed: int, telemetry: Telemetry
     ) -> None:
         self.loop = loop
         self.wire = wire
-        self.log = log
+        self.telemetry = telemetry
         self.workers: dict[int, PooledWorker] = {}
-        self.counters: Counter[str] = Counter()  # what was sent and how connections closed, for the log
         self._max_connections = max_connections
         self._connection_count = 0
         self._idle_limit = IdleLimit(wire.keepalive_ms)
@@ -104,7 +105,7 @@
     def _return_unsent(self, worker: PooledWorker) -> None:
         """Finish what was not sent to a worker yet and may not be sent to it any more."""
         for exchange in [*worker.waiting, *worker.unwritten_exchanges()]:
-            if not worker.accepts(exchange):
+            if worker_refusal(exchange, worker.state):
                 self._withdraw(exchange)
                 self._finish(exchange, CloseReason.DRAINING)
 
@@ -118,15 +119,15 @@
         """Send an attempt; it finishes at its deadline at the latest."""
         left_ms = attempt.deadline_ms - monotonic_ms()
         if left_ms <= 0:
-            self._finish(attempt, CloseReason.NOT_SENT)
+            self.refuse(attempt, Refusal.DEADLINE_PASSED)
             return
-        self.counters[REQUESTS] += 1
+        self.telemetry.count(REQUESTS)
         attempt.timer = self.loop.timers.call_later(left_ms, lambda: self._on_timeout(attempt))
         self._dispatch(attempt)
 
     def ensure_instances(self, order: StartOrder) -> None:
         """Send a start order or a probe, under an id that is given here."""
-        self.counters[START_ORDERS if order.instances else PROBES] += 1
+        self.telemetry.count(START_ORDERS if order.instances else PROBES)
         order.exchange_id = next(self._order_ids).to_bytes(EXCHANGE_ID_BYTES, "big")
         timeout_ms = self.wire.start_order_timeout_ms
         order.timer = self.loop.timers.call_later(timeout_ms, lambda: self._on_timeout(order))
@@ -137,17 +138,20 @@
         if exchange.is_done:  # cancelled as a consequence of dispatching the one before
             return
         worker = self.workers.get(exchange.worker_id)
-        if worker is None or not worker.accepts(exchange):
-            self._finish(exchange, CloseReason.NOT_SENT)
+        if worker is None:
+            self.refuse(exchange, Refusal.WORKER_UNKNOWN)
+            return
+        if refusal := worker_refusal(exchange, worker.state):
+            self.refuse(exchange, refusal)
             return
         connection = worker.choose_connection(exchange.exchange_id, self._idle_limit.limit_ms)
         if connection is None:
             worker.waiting.append(exchange)
             self._connect_for_waiting(worker)
-        elif exchange.may_start():
-            self._start(exchange, connection)
+        elif refusal := exchange.find_refusal():
+            self.refuse(exchange, refusal)
         else:
-            self._finish(exchange, CloseReason.NOT_SENT)
+            self._start(exchange, connection)
 
     def _start(self, exchange: Exchange, connection: WorkerConnection) -> None:
         """Put an exchange on a connection, and open a spare one for the next where that is wanted."""
@@ -186,10 +190,10 @@
         self._connect(worker)
 
     def _connect(self, worker: PooledWorker) -> None:
-        connection = WorkerConnection(self.loop, worker, owner=self, wire=self.wire, log=self.log)
+        connection = WorkerConnection(self.loop, worker, owner=self, wire=self.wire, telemetry=self.telemetry)
         worker.connections.append(connection)
         self._connection_count += 1
-        self.counters[CONNECTS] += 1
+        self.telemetry.count(CONNECTS)
 
     def _close_longest_idle(self) -> bool:
         """Close the connection that has been idle for longest; False where none is idle.
@@ -226,7 +230,7 @@
         worker = connection.worker
         worker.connections.remove(connection)
         self._connection_count -= 1
-        self.counters[f"{CLOSED} {reason.name}"] += 1
+        self.telemetry.count(CLOSED, reason.name)
         if connection.was_stale(reason):
             self._idle_limit.on_stale_connection(connection.idle_before_use_ms)
         for exchange in connection.take_all_exchanges():
@@ -240,6 +244,16 @@
             self._fail_waiting(worker, reason)
         self._forget_if_unused(worker)
 
+    def on_started(self, exchange: Exchange) -> None:
+        """Check at run time that the exchange was allowed to start when its first byte was written."""
+        what = f"{exchange.exchange_id.hex()} at worker {exchange.worker_id}"
+        expect = self.telemetry.invariants.expect
+        worker = self.workers.get(exchange.worker_id)
+        refusal = worker_refusal(exchange, worker.state) if worker else Refusal.WORKER_UNKNOWN
+        expect(not refusal and not exchange.is_done, Invariant.STARTED_BY_THE_RULES, f"{what}: {refusal}")
+        excess_ms = exchange.timeout_excess_ms(monotonic_ms())
+        expect(excess_ms <= MAX_TIMEOUT_EXCESS_MS, Invariant.TIMEOUT_PASSED_ON, f"{what}: {excess_ms:.0f} ms")
+
     def on_answer(self, exchange: Exchange, frame: frames.Frame) -> None:
         """Finish an exchange with the worker's answer."""
         self._finish(exchange, exchange.parse_answer(frame))
@@ -252,12 +266,19 @@
             self._withdraw(exchange)
             self._finish(exchange, CloseReason.CANCELLED)
 
-    def cancel_if_unsent(self, exchange: Exchange) -> None:
-        """Cancel an exchange whose request is over, unless the worker may have got some of it."""
-        if not exchange.is_done and not exchange.is_started:
+    def refuse(self, exchange: Exchange, refusal: Refusal) -> None:
+        """Finish an exchange that was not sent and may not be."""
+        if not exchange.is_done:
+            exchange.refusal = refusal
+            self.telemetry.count(NOT_STARTED, refusal.name)
             self._withdraw(exchange)
             self._finish(exchange, CloseReason.NOT_SENT)
 
+    def cancel_if_unsent(self, exchange: Exchange) -> None:
+        """Cancel an exchange whose request is over, unless the worker may have got some of it."""
+        if not exchange.is_started:
+            self.refuse(exchange, Refusal.REQUEST_FINISHED)
+
     def _on_timeout(self, exchange: Exchange) -> None:
         is_started = exchange.is_started
         self._withdraw(exchange)
--- a/tests/test_endpoint_registry.py
+++ b/tests/test_endpoint_registry.py
@@ -44,7 +44,11 @@
     def __init__(self):
         self.pool = FakePool()
         self.changes = []
-        self.registry = EndpointRegistry(self.pool, self.changes.append)
+        self.log_lines = []
+        self.registry = EndpointRegistry(self.pool, self.changes.append, self._log)
+
+    def _log(self, text, _source):
+        self.log_lines.append(text)
 
     def apply(self, *records, complete=False):
         """Apply a list; the workers of the change and their states, in order."""
@@ -183,3 +187,17 @@
     ready_ids = [ready.id for ready in harness.router_process.router.ready]
     assert ready_ids == [worker_id_of("s-2")]
     assert list(harness.pool.workers) == ready_ids
+
+
+def test_changes_of_state_and_process_are_logged_after_the_first_list(harness):
+    worker_id = worker_id_of("s-1")
+    harness.apply(record("s-1"), complete=True)
+    harness.apply(record("s-1"))
+
+    harness.apply(record("s-1", up_since_ms=2.0))
+    harness.apply(record("s-1", "terminating", up_since_ms=2.0))
+
+    assert harness.log_lines == [
+        f"worker {worker_id} is READY, started at 2",
+        f"worker {worker_id} is DRAINING, started at 2",
+    ]
--- /dev/null
+++ b/tests/test_invariants.py
@@ -0,0 +1,90 @@
+"""Tests of the run-time checks: each one counts what was broken on purpose."""
+
+import pytest
+from fakes import FakeWorker
+from router_harness import UNLISTED_WORKER_ID, attempt
+
+from function_router.decisions.types import WorkerState
+from function_router.net.close_reason import CloseReason
+from function_router.net.invariants import Invariant
+from function_router.net.pending_request import Failed
+
+
+@pytest.fixture
+def worker():
+    """A worker that leaves requests to the test."""
+    return FakeWorker("s-9")
+
+
+@pytest.fixture
+def harness(start_router, worker):
+    """A router of whose workers the decision module knows none."""
+    harness = start_router()
+    harness.add_unlisted_worker(worker)
+    harness.probe()
+    harness.run_until(lambda: worker.frames, "the worker is connected")
+    return harness
+
+
+def violations(harness):
+    """The violations counted so far."""
+    return dict(harness.router_process.telemetry.invariants.violations)
+
+
+def test_attempt_and_answer_by_the_rules_violate_nothing(harness, worker):
+    results = []
+    harness.pool.send(attempt(UNLISTED_WORKER_ID, results))
+    harness.run_until(lambda: worker.requests, "it runs")
+    worker.answer(worker.requests[0])
+    harness.run_until(lambda: results, "it is answered")
+
+    assert violations(harness) == {}
+
+
+def test_first_byte_to_a_draining_worker_is_counted(harness, worker):
+    harness.pool.send(attempt(UNLISTED_WORKER_ID, []))
+    harness.pool.workers[UNLISTED_WORKER_ID].state = WorkerState.DRAINING  # as if nothing was returned
+    harness.run_until(lambda: worker.requests, "it runs")
+
+    assert violations(harness) == {Invariant.STARTED_BY_THE_RULES: 1}
+    assert any("WORKER_DRAINING" in line for line in harness.log_lines)
+
+
+def test_more_time_than_the_client_has_left_is_counted(harness, worker):
+    late = attempt(UNLISTED_WORKER_ID, [])
+    harness.pool.send(late)
+    late.encoded_timeout_ms += 1_000.0
+    harness.run_until(lambda: worker.requests, "it runs")
+
+    assert violations(harness) == {Invariant.TIMEOUT_PASSED_ON: 1}
+
+
+def test_late_or_second_answer_and_a_close_without_answers_are_counted(harness):
+    client = harness.connect_client()
+    client.send_request()
+    harness.run_until(lambda: harness.table.pending, "it is admitted")
+    [request] = harness.table.pending.values()
+    served = harness.only_client_connection()
+
+    request.deadline_ms -= 60_000.0
+    harness.table._finish(request.key, Failed())
+    request.client_request.reply(Failed())
+    harness.run_until(lambda: client.answers, "it is answered")
+    client.send_request()
+    harness.run_until(lambda: harness.table.pending, "another one is admitted")
+    served.connection.close(CloseReason.IDLE)
+
+    assert violations(harness) == {
+        Invariant.ANSWERED_IN_TIME: 1,
+        Invariant.ONE_ANSWER: 1,
+        Invariant.CLOSED_WITH_ANSWERS: 1,
+    }
+    assert client.answer_kinds() == {1: "broken"}
+
+
+def test_violations_are_in_the_line_of_the_counters(harness):
+    telemetry = harness.router_process.telemetry
+    telemetry.invariants.expect(False, Invariant.ONE_ANSWER, "by the test")
+
+    assert "invariants violated 1" in telemetry.take_counters()
+    assert "invariants violated 1" in telemetry.take_counters()
--- a/tests/test_request_table.py
+++ b/tests/test_request_table.py
@@ -257,4 +257,4 @@
         harness.router_process._log_counters()
 
     lines = [line for line in harness.log_lines if line.startswith("sent: ")]
-    assert lines == ["sent: connects 2, probes 1, requests 1"]
+    assert lines == ["sent: clients accepted 1, connects 2, probes 1, requests 1"]
--- a/tests/test_worker_pool.py
+++ b/tests/test_worker_pool.py
@@ -218,7 +218,7 @@
     for number in range(3):
         pool.send(attempt(worker.worker_id, [], exchange_id=b"%08d" % number))
         harness.run_until(lambda number=number: len(worker.requests) > number, "it runs")
-        connects.append(pool.counters["connects"])
+        connects.append(pool.telemetry.counters["connects"])
 
     assert connects == [1, 2, 2]
 
