--- /dev/null
+++ b/soak/records.py
@@ -0,0 +1,120 @@
+"""What the processes of a run record, as JSON lines; times are seconds of the machine's monotonic clock."""
+
+from collections.abc import Iterator
+from pathlib import Path
+from typing import IO
+
+import msgspec
+from msgspec import Struct
+
+
+class RequestSent(Struct, tag=True, frozen=True):
+    """A client has written the last byte of a request to an accepted connection."""
+
+    request_id: str
+    router: int
+    class_name: str
+    at: float
+    timeout_s: float
+
+
+class RequestAnswered(Struct, tag=True, frozen=True):
+    """An answer has come; `is_genuine` is False for a served body that no worker made."""
+
+    request_id: str
+    at: float
+    kind: str
+    is_genuine: bool = True
+
+
+class ClientGone(Struct, tag=True, frozen=True):
+    """A client has withdrawn a request or closed its connection, so that no answer is owed."""
+
+    request_id: str
+    at: float
+
+
+class ConnectionLost(Struct, tag=True, frozen=True):
+    """The connection of a request ended without its answer; `is_repeated` where the client sent it again."""
+
+    request_id: str
+    at: float
+    cause: str
+    is_repeated: bool
+
+
+class AttemptSeen(Struct, tag=True, frozen=True):
+    """A request has arrived whole at the proxy before a worker."""
+
+    router: int
+    worker: int
+    request_id: str
+    began_at: float
+    at: float
+    timeout_ms: float
+    class_name: str
+
+
+class AnswerSeen(Struct, tag=True, frozen=True):
+    """A worker has answered an attempt; `code` is that of the frame."""
+
+    router: int
+    worker: int
+    request_id: str
+    at: float
+    code: int
+
+
+class OrderSeen(Struct, tag=True, frozen=True):
+    """A start order, or with 0 instances a probe, has arrived whole at the proxy before a worker."""
+
+    router: int
+    worker: int
+    began_at: float
+    at: float
+    instances: int
+
+
+class BadClientSeen(Struct, tag=True, frozen=True):
+    """What became of a client that does not keep to the protocol."""
+
+    router: int
+    kind: str
+    at: float
+    took_s: float
+    is_settled: bool  # it got a refusal, an error or a close
+
+
+Record = (
+    RequestSent
+    | RequestAnswered
+    | ClientGone
+    | ConnectionLost
+    | AttemptSeen
+    | AnswerSeen
+    | OrderSeen
+    | BadClientSeen
+)
+_ENCODER = msgspec.json.Encoder()
+_DECODER = msgspec.json.Decoder(Record)
+
+
+class Recorder:
+    """Appends records to a file."""
+
+    def __init__(self, path: Path) -> None:
+        self._file: IO[bytes] = path.open("ab")
+
+    def add(self, record: Record) -> None:
+        """Write a record."""
+        self._file.write(_ENCODER.encode(record) + b"\n")
+
+    def close(self) -> None:
+        """Write out what is buffered."""
+        self._file.close()
+
+
+def read_records(path: Path) -> Iterator[Record]:
+    """The records of a file; an incomplete last line is left out."""
+    for line in path.read_bytes().split(b"\n")[:-1]:
+        yield _DECODER.decode(line)
--- /dev/null
+++ b/soak/run.py
@@ -0,0 +1,430 @@
+"""One run: starts all processes, carries out the troubles of the plan, ends all, and collects the records."""
+
+import asyncio
+import contextlib
+import random
+import signal
+import socket
+import time
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from functools import partial
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from soak import site
+from soak.clients import ClientsCommand
+from soak.endpoint_log import EndpointLogServer
+from soak.plan import Plan, Trouble, TroubleKind
+from soak.processes import ModuleProcess, RouterProcessHandle
+from soak.proxy import ProxyCommand
+from soak.shim import ShimControl, build
+
+SOCKETS = 256  # the descriptors of a router
+MEMORY_MB = 96
+FINISH_S = 8.0
+CLOCK_STEPS_S = (5.0, -5.0, 3600.0, -3600.0, 60.0)
+LATE_CONNECTIONS_S = 0.3  # after SIGTERM, new connections come for so long
+ROUTER_DOWN_S = 0.3
+CLIENTS_NOTICE_S = 0.8  # until clients keep away from a router that was killed
+SETTLE_S = 0.2  # for pipes and tasks to end
+BURST_FACTOR = 2.5
+BAD_CLIENTS_PER_S = 20.0
+
+RouterTrouble = Callable[[RouterProcessHandle, Trouble], Awaitable[None]]
+WorkerTrouble = Callable[[int, Trouble], Awaitable[None]]
+
+
+@dataclass
+class WorkerLife:
+    """One process of a worker's place; times are monotonic seconds."""
+
+    worker: int
+    name: str
+    started_at: float
+    is_cold: bool
+    ready_notified_at: dict[int, float] = field(default_factory=dict)  # by router: as READY, at the latest
+    drain_notified_at: dict[int, float] = field(default_factory=dict)  # by router: as draining or removed
+    process: ModuleProcess | None = None
+    port: int = 0
+    up_since_ms: float = 0.0
+
+
+@dataclass
+class RunRecord:
+    """What the run itself knows, for the judge."""
+
+    plan: Plan
+    routers: list[RouterProcessHandle]
+    worker_lives: list[WorkerLife]
+    folder: Path
+
+
+class Run:
+    """The processes of one run, and the troubles that hit them."""
+
+    def __init__(self, plan: Plan, folder: Path, *, uses_shim: bool) -> None:
+        self._plan = plan
+        self._folder = folder
+        self._chance = random.Random(plan.seed + 1)
+        self._shim = build(folder) if uses_shim else None
+        self._events: list[dict[str, Any]] = []
+        self._logs = [
+            EndpointLogServer(self._events, partial(self._translate, router=number))
+            for number in range(plan.router_count)
+        ]
+        self._routers: list[RouterProcessHandle] = []
+        self._workers: list[WorkerLife] = []  # the present life of each place
+        self._worker_lives: list[WorkerLife] = []
+        self._proxy_ports: list[list[int]] = []
+        self._clients_command = ClientsCommand([0] * plan.router_count, 0.0)
+        self._proxy: ModuleProcess
+        self._clients: ModuleProcess
+        self._troubled_workers: set[int] = set()
+        self._troubled_routers: set[int] = set()
+
+    async def play(self) -> RunRecord:
+        """Play the plan from start to end."""
+        try:
+            await self._start()
+            await self._play_troubles()
+            await self._end()
+        finally:
+            await self._kill_all()
+        return RunRecord(self._plan, self._routers, self._worker_lives, self._folder)
+
+    # --- start and end ----------------------------------------------------------------------------
+
+    async def _start(self) -> None:
+        plan = self._plan
+        counts = (str(plan.router_count), str(plan.worker_count))
+        self._proxy = await ModuleProcess.start("soak.proxy", *counts, str(self._folder / "proxy.jsonl"))
+        self._proxy_ports = msgspec.json.decode(await self._proxy.read_line())
+        self._workers = [
+            await self._start_worker(place, f"s-{place}", is_cold=False) for place in range(plan.worker_count)
+        ]
+        self._add_event([self._record(life, "in_service") for life in self._workers], is_complete=True)
+        for log in self._logs:
+            await log.start()
+        self._routers = [self._make_router(number) for number in range(plan.router_count)]
+        await asyncio.gather(*(self._start_router(router) for router in self._routers))
+        self._clients = await ModuleProcess.start(
+            "soak.clients", str(plan.function_count), str(plan.seed), str(self._folder / "clients.jsonl")
+        )
+        ports = [router.port if router.life.ready_at else 0 for router in self._routers]
+        await self._command_clients(ports=ports, requests_per_s=plan.requests_per_s)
+
+    def _make_router(self, number: int) -> RouterProcessHandle:
+        with socket.socket() as free:
+            free.bind(("127.0.0.1", 0))
+            port = free.getsockname()[1]
+        config = {
+            "name": f"n{number}",
+            "listen": f"127.0.0.1:{port}",
+            "seed": f"{self._chance.getrandbits(64):016x}",
+            "limits": {"cores": 1.0, "memory_mb": MEMORY_MB, "sockets": SOCKETS},
+            "settings": site.settings(self._plan.router_count, self._plan.worker_count),
+        }
+        return RouterProcessHandle(number, self._folder, port, config, self._shim)
+
+    async def _start_router(self, router: RouterProcessHandle) -> None:
+        number = router.router
+        events = [self._translate(event, router=number) for event in self._events]
+        router.config["changelog"] = f"127.0.0.1:{self._logs[number].port}"
+        router.config["known"] = {"seq": events[-1]["seq"], "results": events}
+        if self._shim:  # whatever fails for a moment at the start must not end it
+            router.control.socket_failures = router.control.open_failures = 0.3
+        starting = asyncio.create_task(router.start())
+        await asyncio.sleep(1.0)
+        router.control.socket_failures = router.control.open_failures = 0.0
+        router.write_control()
+        await starting
+
+    async def _end(self) -> None:
+        await self._command_clients(requests_per_s=0.0, bad_clients_per_s=0.0)
+        await self._clients.finish(FINISH_S)
+        for router in self._routers:
+            router.note_unplanned_exit()
+        await asyncio.gather(
+            *(router.terminate() for router in self._routers if router.life.exited_at is None)
+        )
+        await self._proxy.finish(FINISH_S)
+
+    async def _kill_all(self) -> None:
+        """End all processes of this run, and wait until they have ended."""
+        children: list[asyncio.subprocess.Process] = []
+        for router in self._routers:
+            router.reads_log = True
+            router.signal(signal.SIGKILL)
+            children += [router.process] if router.process else []
+        for life in self._worker_lives:
+            if life.process:
+                life.process.kill()
+                children.append(life.process.process)
+        for name in ("_proxy", "_clients"):
+            if process := getattr(self, name, None):
+                process.kill()
+                children.append(process.process)
+        await asyncio.gather(*(child.wait() for child in children))
+        for log in self._logs:
+            await log.close()
+        await asyncio.sleep(SETTLE_S)
+
+    # --- workers and their events -------------------------------------------------------------------
+
+    async def _start_worker(self, place: int, name: str, *, is_cold: bool) -> WorkerLife:
+        process = await ModuleProcess.start("soak.worker")
+        port = int(await process.read_line())
+        now = time.monotonic()
+        life = WorkerLife(place, name, now, is_cold, process=process, port=port)
+        life.up_since_ms = time.time() * 1000 if is_cold else 0.0
+        self._worker_lives.append(life)
+        await self._proxy.command(ProxyCommand(place, port))
+        return life
+
+    def _record(self, life: WorkerLife, phase: str) -> dict[str, Any]:
+        return {"id": life.name, "place": life.worker, "phase": phase, "up_since_ms": life.up_since_ms}
+
+    def _translate(self, event: dict[str, Any], *, router: int) -> dict[str, Any]:
+        """The event as one router gets it: with the addresses that are its own."""
+        members = [
+            {**member, "host_port": f"127.0.0.1:{self._proxy_ports[router][member['place']]}", "size": 1}
+            for member in event["fleet"]["members"]
+        ]
+        return {"seq": event["seq"], "fleet": {**event["fleet"], "members": members}}
+
+    def _add_event(self, members: list[dict[str, Any]], *, is_complete: bool = False) -> None:
+        sequence = len(self._events) + 1
+        self._events.append({"seq": sequence, "fleet": {"complete": is_complete, "members": members}})
+
+    async def _publish(self, members: list[dict[str, Any]]) -> dict[int, float]:
+        """Publish an event; by router, from when on it counts as notified."""
+        self._add_event(members)
+        now = time.monotonic()
+        for log in self._logs:
+            await log.publish()
+        return {number: max(now, log.troubled_until) for number, log in enumerate(self._logs)}
+
+    # --- clients ------------------------------------------------------------------------------------
+
+    async def _command_clients(self, **changes: float | list[int]) -> None:
+        """Change some fields of the command that the clients follow."""
+        self._clients_command = msgspec.structs.replace(self._clients_command, **changes)
+        await self._clients.command(self._clients_command)
+
+    async def _set_port(self, router: int, port: int) -> None:
+        ports = list(self._clients_command.ports)
+        ports[router] = port
+        await self._command_clients(ports=ports)
+
+    # --- troubles -----------------------------------------------------------------------------------
+
+    async def _play_troubles(self) -> None:
+        started = time.monotonic()
+        tasks: list[asyncio.Task[None]] = []
+        for trouble in self._plan.troubles:
+            await asyncio.sleep(max(0.0, started + trouble.start_s - time.monotonic()))
+            tasks.append(asyncio.create_task(self._play(trouble)))
+        await asyncio.sleep(max(0.0, started + self._plan.duration_s - time.monotonic()))
+        await asyncio.gather(*tasks)
+
+    async def _play(self, trouble: Trouble) -> None:
+        """Play a trouble, but not on routers and workers that have one which excludes it."""
+        if trouble.kind in self._router_troubles():
+            await self._with_routers(trouble)
+        elif trouble.kind in self._worker_troubles():
+            await self._with_workers(trouble)
+        elif trouble.kind is TroubleKind.BURST:
+            await self._burst(trouble)
+        elif trouble.kind is TroubleKind.BAD_CLIENTS:
+            await self._bad_clients(trouble)
+        else:
+            play = self._shared_troubles()[trouble.kind]
+            await asyncio.gather(*(play(self._routers[number], trouble) for number in trouble.routers))
+
+    def _router_troubles(self) -> dict[TroubleKind, RouterTrouble]:
+        """Those that exclude each other on a router."""
+        return {
+            TroubleKind.ROUTER_ROLL: self._roll_router,
+            TroubleKind.ROUTER_KILL: self._kill_router,
+            TroubleKind.ROUTER_PAUSE: self._pause,
+            TroubleKind.RELOAD: self._reload,
+            TroubleKind.LOG_READER_STALLS: self._stall_log,
+            TroubleKind.ENDPOINT_LOG_BREAKS: self._break_log,
+        }
+
+    def _shared_troubles(self) -> dict[TroubleKind, RouterTrouble]:
+        """Those that may come on top of any other one of a router."""
+        return {
+            TroubleKind.CLOCK_STEP: self._step_clock,
+            TroubleKind.CALLS_FAIL: self._fail_calls,
+            TroubleKind.ENDPOINT_LOG_SILENT: self._silence_log,
+        }
+
+    def _worker_troubles(self) -> dict[TroubleKind, WorkerTrouble]:
+        """Those that exclude each other on a worker."""
+        return {
+            TroubleKind.WORKER_RESTART: self._restart_worker,
+            TroubleKind.WORKER_REPLACE: self._replace_worker,
+            TroubleKind.WORKER_HANG: self._hang_worker,
+            TroubleKind.CONNECTIONS_RESET: self._reset_connections,
+            TroubleKind.ANSWERS_SPOILED: self._spoil_answers,
+            TroubleKind.WORKER_REFUSES: self._refuse_connections,
+        }
+
+    async def _with_routers(self, trouble: Trouble) -> None:
+        routers = [number for number in trouble.routers if number not in self._troubled_routers]
+        self._troubled_routers.update(routers)
+        play = self._router_troubles()[trouble.kind]
+        await asyncio.gather(*(play(self._routers[number], trouble) for number in routers))
+        self._troubled_routers.difference_update(routers)
+
+    async def _with_workers(self, trouble: Trouble) -> None:
+        workers = [place for place in trouble.workers if place not in self._troubled_workers]
+        self._troubled_workers.update(workers)
+        play = self._worker_troubles()[trouble.kind]
+        await asyncio.gather(*(play(place, trouble) for place in workers))
+        self._troubled_workers.difference_update(workers)
+
+    async def _burst(self, trouble: Trouble) -> None:
+        rate = self._plan.requests_per_s
+        await self._command_clients(requests_per_s=rate * BURST_FACTOR)
+        await asyncio.sleep(trouble.length_s)
+        await self._command_clients(requests_per_s=rate)
+
+    async def _bad_clients(self, trouble: Trouble) -> None:
+        await self._command_clients(bad_clients_per_s=BAD_CLIENTS_PER_S)
+        await asyncio.sleep(trouble.length_s)
+        await self._command_clients(bad_clients_per_s=0.0)
+
+    async def _roll_router(self, router: RouterProcessHandle, _trouble: Trouble) -> None:
+        """SIGTERM; clients go on coming for a while; then a start from nothing."""
+        ending = asyncio.create_task(router.terminate())
+        await asyncio.sleep(LATE_CONNECTIONS_S)
+        await self._set_port(router.router, 0)
+        await ending
+        await self._start_again(router)
+
+    async def _kill_router(self, router: RouterProcessHandle, _trouble: Trouble) -> None:
+        """SIGKILL; clients notice later."""
+        killing = asyncio.create_task(router.kill())
+        await asyncio.sleep(CLIENTS_NOTICE_S)
+        await self._set_port(router.router, 0)
+        await killing
+        await self._start_again(router)
+
+    async def _start_again(self, router: RouterProcessHandle) -> None:
+        await asyncio.sleep(ROUTER_DOWN_S)
+        await self._start_router(router)
+        if router.life.ready_at:
+            await self._set_port(router.router, router.port)
+
+    async def _pause(self, router: RouterProcessHandle, trouble: Trouble) -> None:
+        end = time.monotonic() + trouble.length_s
+        while time.monotonic() < end:
+            router.signal(signal.SIGSTOP)
+            await asyncio.sleep(0.1 + 0.15 * trouble.size)
+            router.signal(signal.SIGCONT)
+            await asyncio.sleep(0.4)
+
+    async def _reload(self, router: RouterProcessHandle, _trouble: Trouble) -> None:
+        log = self._logs[router.router]
+        await log.move()
+        router.config["changelog"] = f"127.0.0.1:{log.port}"
+        router.write_config()
+        router.signal(signal.SIGHUP)
+
+    async def _stall_log(self, router: RouterProcessHandle, trouble: Trouble) -> None:
+        router.reads_log = False
+        await asyncio.sleep(trouble.length_s)
+        router.reads_log = True
+
+    async def _break_log(self, router: RouterProcessHandle, trouble: Trouble) -> None:
+        await self._logs[router.router].be_broken(trouble.length_s)
+
+    async def _silence_log(self, router: RouterProcessHandle, trouble: Trouble) -> None:
+        await self._logs[router.router].be_silent(trouble.length_s)
+
+    async def _step_clock(self, router: RouterProcessHandle, trouble: Trouble) -> None:
+        control = router.control
+        step_s = CLOCK_STEPS_S[int(trouble.size * len(CLOCK_STEPS_S))]
+        control.offset_before_s = control.offset_after_s
+        control.step_at_unix_s = time.time()
+        control.offset_after_s += step_s
+        router.write_control()
+
+    async def _fail_calls(self, router: RouterProcessHandle, trouble: Trouble) -> None:
+        control = router.control
+        for name, share in CALL_FAILURES.items():
+            setattr(control, name, share * trouble.size)
+        router.write_control()
+        await asyncio.sleep(trouble.length_s)
+        for name in CALL_FAILURES:
+            setattr(control, name, 0.0)
+        router.write_control()
+
+    async def _restart_worker(self, place: int, _trouble: Trouble) -> None:
+        """Kill a worker and start it again under its name; the list says so a moment later."""
+        old = self._workers[place]
+        assert old.process
+        old.process.kill()
+        await self._proxy.command(ProxyCommand(place, None))
+        await asyncio.sleep(self._chance.uniform(0.1, 0.8))
+        life = await self._start_worker(place, old.name, is_cold=True)
+        self._workers[place] = life
+        await asyncio.sleep(self._chance.uniform(0.0, 0.5))
+        life.ready_notified_at = await self._publish([self._record(life, "in_service")])
+
+    async def _replace_worker(self, place: int, _trouble: Trouble) -> None:
+        """Drain a worker, then put another one, under another name, at its address."""
+        old = self._workers[place]
+        assert old.process
+        old.drain_notified_at = await self._publish([self._record(old, "terminating")])
+        await asyncio.sleep(1.5)
+        old.process.kill()
+        await self._proxy.command(ProxyCommand(place, None))
+        await self._publish([self._record(old, "terminated")])
+        life = await self._start_worker(place, f"{old.name}x", is_cold=True)
+        self._workers[place] = life
+        life.ready_notified_at = await self._publish([self._record(life, "in_service")])
+
+    async def _hang_worker(self, place: int, trouble: Trouble) -> None:
+        life = self._workers[place]
+        assert life.process
+        life.process.process.send_signal(signal.SIGSTOP)
+        await asyncio.sleep(trouble.length_s)
+        with contextlib.suppress(ProcessLookupError):
+            life.process.process.send_signal(signal.SIGCONT)
+
+    async def _reset_connections(self, place: int, _trouble: Trouble) -> None:
+        for _ in range(3):
+            await self._proxy.command(ProxyCommand(place, self._workers[place].port, reset_connections=True))
+            await asyncio.sleep(0.3)
+
+    async def _spoil_answers(self, place: int, trouble: Trouble) -> None:
+        port = self._workers[place].port
+        await self._proxy.command(ProxyCommand(place, port, spoiled_share=0.05 + 0.1 * trouble.size))
+        await asyncio.sleep(trouble.length_s)
+        await self._proxy.command(ProxyCommand(place, port))
+
+    async def _refuse_connections(self, place: int, trouble: Trouble) -> None:
+        await self._proxy.command(ProxyCommand(place, None))
+        await asyncio.sleep(trouble.length_s)
+        await self._proxy.command(ProxyCommand(place, self._workers[place].port))
+
+
+CALL_FAILURES = {
+    "accept_failures": 0.3,
+    "socket_failures": 0.4,
+    "connect_failures": 0.4,
+    "interrupted_calls": 0.2,
+    "short_transfers": 0.4,
+    "buffer_failures": 0.05,
+    "broken_connections": 0.01,
+    "register_failures": 0.1,
+    "open_failures": 0.5,
+}
+"""The shares of calls that fail at the largest size of the trouble; fields of `ShimControl`."""
+assert set(CALL_FAILURES) <= set(ShimControl.__dataclass_fields__)
--- /dev/null
+++ b/soak/shim.py
@@ -0,0 +1,49 @@
+"""Builds `shim.c` and writes its control file: failing system calls, and a stepped wall clock."""
+
+import subprocess
+from dataclasses import astuple, dataclass
+from pathlib import Path
+from struct import Struct
+
+SOURCE = Path(__file__).with_name("shim.c")
+CONTROL_VARIABLE = "SOAK_SHIM_CONTROL"
+
+
+@dataclass
+class ShimControl:
+    """What the shim does; the fields are those of `struct control` in shim.c, in their order."""
+
+    offset_before_s: float = 0.0
+    offset_after_s: float = 0.0
+    step_at_unix_s: float = 0.0
+    accept_failures: float = 0.0
+    socket_failures: float = 0.0
+    connect_failures: float = 0.0
+    interrupted_calls: float = 0.0
+    short_transfers: float = 0.0
+    buffer_failures: float = 0.0
+    broken_connections: float = 0.0
+    register_failures: float = 0.0
+    open_failures: float = 0.0
+
+    def write(self, path: Path) -> None:
+        """Write the control file in place: the shim has it mapped."""
+        values = astuple(self)
+        data = Struct(f"@{len(values)}d").pack(*values)
+        with path.open("r+b" if path.exists() else "wb") as file:
+            file.write(data)
+
+
+def build(folder: Path) -> Path:
+    """Compile the shim with the machine's C compiler; returns the library's path.
+
+    Raises:
+        subprocess.CalledProcessError: The compiler failed.
+    """
+    library = folder / "shim.so"
+    subprocess.run(
+        ["cc", "-shared", "-fPIC", "-O2", "-o", str(library), str(SOURCE), "-ldl"],
+        check=True,
+        capture_output=True,
+    )
+    return library
--- /dev/null
+++ b/soak/worker.py
@@ -0,0 +1,135 @@
+"""A worker process: instances with cold starts, a bounded queue, and the routers' binary frames.
+
+It prints its port on standard output once it listens, and runs until it is killed.
+"""
+
+import asyncio
+import random
+import sys
+from collections.abc import Mapping
+
+from function_router.net.codecs import worker_frames as frames
+from soak import site
+
+READ_BYTES = 65_536
+MAX_QUEUE = 24  # requests of one function that wait for a slot; more are turned away
+
+
+class FunctionInstances:
+    """The instances of one function on this worker."""
+
+    def __init__(self) -> None:
+        self.count = 0
+        self.starting: asyncio.Task[None] | None = None
+        self.running = 0
+        self.waiting = 0
+        self.changed = asyncio.Condition()
+
+    async def ensure(self, count: int) -> None:
+        """Start instances until so many stand."""
+        while self.count < count:
+            if self.starting is None or self.starting.done():
+                self.starting = asyncio.create_task(self._start_one())
+            await asyncio.shield(self.starting)
+
+    async def _start_one(self) -> None:
+        await asyncio.sleep(site.START_S * random.uniform(0.8, 1.2))
+        async with self.changed:
+            self.count += 1
+            self.changed.notify_all()
+
+    async def run(self) -> None:
+        """Wait for a free slot, then run for a while."""
+        self.waiting += 1
+        try:
+            async with self.changed:
+                await self.changed.wait_for(lambda: self.running < self.count * site.WORKER_CONCURRENCY)
+                self.running += 1
+        finally:
+            self.waiting -= 1
+        try:
+            await asyncio.sleep(random.expovariate(1 / site.MEAN_RUN_S))
+        finally:
+            async with self.changed:
+                self.running -= 1
+                self.changed.notify_all()
+
+
+class WorkerServer:
+    """Serves the frames of any number of connections."""
+
+    def __init__(self) -> None:
+        self._functions: dict[str, FunctionInstances] = {}
+
+    async def serve_connection(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Answer the frames of one connection until it ends, which gives up all that is open on it."""
+        frame_reader = frames.FrameReader(frames.FROM_ROUTER)
+        tasks: dict[bytes, asyncio.Task[None]] = {}
+        try:
+            while data := await reader.read(READ_BYTES):
+                for frame in frame_reader.feed(data):
+                    self._take(frame, writer, tasks)
+                if frame_reader.error:
+                    break
+        except OSError:
+            pass
+        finally:
+            for task in tasks.values():
+                task.cancel()
+            writer.close()
+
+    def _take(
+        self, frame: frames.Frame, writer: asyncio.StreamWriter, tasks: dict[bytes, asyncio.Task[None]]
+    ) -> None:
+        if frame.code == frames.CANCEL:
+            if task := tasks.pop(frame.exchange_id, None):
+                task.cancel()
+            return
+        serve = self._run if frame.code == frames.RUN else self._ensure
+        tasks[frame.exchange_id] = asyncio.create_task(serve(frame, writer))
+
+    async def _run(self, frame: frames.Frame, writer: asyncio.StreamWriter) -> None:
+        function = self._functions.setdefault(frame.fields[frames.FUNCTION_FIELD], FunctionInstances())
+        in_flight = function.running + function.waiting
+        if function.waiting >= MAX_QUEUE:
+            self._answer(frame, writer, frames.QUEUE_FULL, {frames.IN_FLIGHT_FIELD: in_flight})
+            return
+        kind = "reused" if function.count else ("shared_init" if function.starting else "init")
+        if not function.count:
+            await function.ensure(1)
+        await function.run()
+        fields: dict[str, int | str] = {frames.IN_FLIGHT_FIELD: in_flight, frames.START_KIND_FIELD: kind}
+        self._answer(frame, writer, frames.OK, fields, served_body(frame.exchange_id))
+
+    async def _ensure(self, frame: frames.Frame, writer: asyncio.StreamWriter) -> None:
+        function = self._functions.setdefault(frame.fields[frames.FUNCTION_FIELD], FunctionInstances())
+        await function.ensure(int(frame.fields[frames.INSTANCES_FIELD]))
+        self._answer(frame, writer, frames.OK, {frames.INSTANCES_FIELD: function.count})
+
+    def _answer(
+        self,
+        frame: frames.Frame,
+        writer: asyncio.StreamWriter,
+        code: int,
+        fields: Mapping[str, int | str],
+        body: bytes = b"",
+    ) -> None:
+        if not writer.is_closing():
+            text = ",".join(f"{name}={value}" for name, value in fields.items())
+            writer.write(frames.encode(code, frame.exchange_id, text, body, frames.FROM_WORKER))
+
+
+def served_body(exchange_id: bytes) -> bytes:
+    """The body of the answer to a request, which the clients check."""
+    return b"served " + exchange_id.hex().encode()
+
+
+async def main() -> None:
+    """Listen on a free port of the loopback interface."""
+    server = await asyncio.start_server(WorkerServer().serve_connection, "127.0.0.1", 0, backlog=512)
+    print(server.sockets[0].getsockname()[1], flush=True)
+    await server.serve_forever()
+
+
+if __name__ == "__main__":
+    sys.exit(asyncio.run(main()))
