--- a/tests/test_client_listener.py
+++ b/tests/test_client_listener.py
@@ -1,5 +1,6 @@
 """Tests of accepting clients, of the limit on their connections and of their idle timeout."""
 
+import errno
 from unittest import mock
 
 from fakes import FakeWorker, wait_readable
@@ -73,3 +74,24 @@
         harness.run_until(lambda: harness.table.pending, "the request is admitted")
 
     assert not served.connection.is_closed
+
+
+def test_connection_and_listener_that_cannot_be_watched_at_once_are_served_later(start_router):
+    harness = start_router(FakeWorker(instances=None))
+    loop = harness.router_process.loop
+    register = loop.register
+    failures = [errno.ENOMEM, errno.ENOMEM, errno.ENOSPC]
+
+    def register_later(*arguments):
+        if failures:
+            raise OSError(failures.pop(), "epoll_ctl")
+        register(*arguments)
+
+    with mock.patch.object(loop, "register", register_later):
+        client = harness.connect_client()
+        client.send_request()
+        harness.run_until(lambda: harness.table.pending, "the request is admitted")
+        connect_and_request_status(harness, "another client is served")
+
+    assert failures == []
+    assert not client.is_closed
--- a/tests/test_connection.py
+++ b/tests/test_connection.py
@@ -53,6 +53,31 @@
         raise KeyError(data)
 
 
+class FailingAtFirstSocket:
+    """A socket whose reads and writes fail at first, once with each of some errors."""
+
+    def __init__(self, sock, *error_numbers):
+        self.left = {"recvmsg": list(error_numbers), "sendmsg": list(error_numbers)}
+        self._sock = sock
+
+    def __getattr__(self, name):
+        return getattr(self._sock, name)
+
+    def recvmsg(self, *arguments):
+        """Read, once all failures have been."""
+        self._fail("recvmsg")
+        return self._sock.recvmsg(*arguments)
+
+    def sendmsg(self, *arguments):
+        """Write, once all failures have been."""
+        self._fail("sendmsg")
+        return self._sock.sendmsg(*arguments)
+
+    def _fail(self, name):
+        if self.left[name]:
+            raise OSError(self.left[name].pop(), name)
+
+
 class Peer:
     """The other end of a connection, driven from the test."""
 
@@ -316,3 +341,17 @@
 
     assert result is CloseReason.NO_FILE_DESCRIPTOR
     assert handler.close_reasons == []
+
+
+def test_read_and_write_that_fail_for_a_moment_are_tried_again(accept, run_until):
+    handler = RecordingHandler()
+    connection, peer = accept(handler)
+    failing = FailingAtFirstSocket(connection._sock, errno.ENOBUFS, errno.ENOMEM, errno.EINTR)
+    connection._sock = failing
+    connection.write(b"reply")
+    peer.sock.send(b"request")
+
+    run_until(lambda: handler.close_reasons or (peer.data and handler.data), peer)
+
+    assert (handler.data, bytes(peer.data), handler.close_reasons) == (b"request", b"reply", [])
+    assert failing.left == {"recvmsg": [], "sendmsg": []}
--- /dev/null
+++ b/tests/test_server.py
@@ -0,0 +1,51 @@
+"""Tests of `server`: what fails for a moment at the start does not end the program."""
+
+import errno
+import socket
+from pathlib import Path
+from unittest import mock
+
+import msgspec
+import pytest
+from fakes import FakeEndpointLog
+from router_harness import router_config
+
+from function_router import server
+
+
+class FailingAtFirst:
+    """Calls a function after some failures, each with its error number."""
+
+    def __init__(self, function, *error_numbers):
+        self._function = function
+        self._left = list(error_numbers)
+
+    def __call__(self, *arguments, **options):
+        """Fail while there is a failure left."""
+        if self._left:
+            raise OSError(self._left.pop(0), "for a moment")
+        return self._function(*arguments, **options)
+
+
+@pytest.fixture
+def config_path(cleanups, tmp_path):
+    """A valid configuration file."""
+    endpoint_log = FakeEndpointLog()
+    cleanups.callback(endpoint_log.close)
+    path = tmp_path / "config.json"
+    path.write_bytes(msgspec.json.encode(router_config(endpoint_log)))
+    return path
+
+
+def test_start_goes_on_where_system_calls_fail_for_a_moment(config_path, cleanups):
+    fail_sockets = FailingAtFirst(socket.socket, errno.ENOBUFS, errno.ENFILE, errno.ENOMEM)
+    fail_reads = FailingAtFirst(Path.read_bytes, errno.ENFILE, errno.EMFILE)
+
+    with (
+        mock.patch("socket.socket", fail_sockets),
+        mock.patch.object(Path, "read_bytes", lambda path: fail_reads(path)),
+    ):
+        router = server._create_router(str(config_path))
+    cleanups.callback(router.close)
+
+    assert router.address[0] == "127.0.0.1"
