Go on with the start, and with a reload, where a system call fails for a moment

Cause: socket, bind, epoll_create, socketpair and open may fail for want of descriptors or memory, or as the address is not free yet; any such failure ended the process with status 2, or dropped the reload for good. Other errors are reported at once as before.

--- a/function_router/config/__init__.py
+++ b/function_router/config/__init__.py
@@ -16,7 +16,13 @@
     parse_settings,
 )
 from function_router.config.schema import EndpointList, EndpointRecord
-from function_router.config.types import Address, ConfigurationError, RouterConfig, TransportSettings
+from function_router.config.types import (
+    Address,
+    ConfigurationError,
+    RouterConfig,
+    TransportSettings,
+    UnreadableFileError,
+)
 
 __all__ = [
     "Address",
@@ -25,6 +31,7 @@
     "EndpointRecord",
     "RouterConfig",
     "TransportSettings",
+    "UnreadableFileError",
     "load",
     "parse_address",
     "parse_config",
--- a/function_router/config/loader.py
+++ b/function_router/config/loader.py
@@ -16,7 +16,13 @@
     EndpointList,
     SettingsSection,
 )
-from function_router.config.types import Address, ConfigurationError, RouterConfig, TransportSettings
+from function_router.config.types import (
+    Address,
+    ConfigurationError,
+    RouterConfig,
+    TransportSettings,
+    UnreadableFileError,
+)
 from function_router.decisions.settings import RequestClass, Settings
 
 # Environment variables; the last two take precedence over the keys of the file.
@@ -49,6 +55,7 @@
     """The configuration in the file at `path`, or where ROUTER_CONFIG says.
 
     Raises:
+        UnreadableFileError: The file could not be read.
         ConfigurationError: There is no such file, it is not JSON, or a key in it is invalid.
     """
     place = path or environment.get(CONFIG_VARIABLE)
@@ -57,7 +64,8 @@
     try:
         data = msgspec.json.decode(Path(place).read_bytes())
     except OSError as error:
-        raise ConfigurationError.at(CONFIG_VARIABLE, f"{error.strerror}: {place}") from None
+        text = f"{CONFIG_VARIABLE}: {error.strerror}: {place}"
+        raise UnreadableFileError(text, error.errno) from error
     except (msgspec.DecodeError, RecursionError) as error:
         raise ConfigurationError.at(CONFIG_VARIABLE, f"not JSON: {error}") from None
     return parse_config(data, environment)
--- a/function_router/config/types.py
+++ b/function_router/config/types.py
@@ -20,6 +20,15 @@
         return cls(f"{key}: {problem}")
 
 
+class UnreadableFileError(ConfigurationError):
+    """The file could not be read: the system call failed, which may pass."""
+
+    def __init__(self, text: str, error_number: int | None) -> None:
+        """Keep the error number of the call, under the name that it has in an OSError."""
+        super().__init__(text)
+        self.errno = error_number
+
+
 class TransportSettings(Struct, frozen=True):
     """The settings that sockets need and decisions do not."""
 
--- a/function_router/net/router_process.py
+++ b/function_router/net/router_process.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from function_router.config import Address, ConfigurationError, RouterConfig
+from function_router.config import Address, ConfigurationError, RouterConfig, UnreadableFileError
 from function_router.decisions.actions import (
     Action,
     CancelAttempt,
@@ -25,6 +25,7 @@
 from function_router.net.log import RateLimitedLog
 from function_router.net.request_table import RequestTable
 from function_router.net.telemetry import Telemetry
+from function_router.net.transient_errors import is_transient, retry_at_start
 from function_router.net.worker_pool import WorkerPool
 
 DEFAULT_LOG_NAME = "function_router"
@@ -47,6 +48,11 @@
 # The last answers are to be sent this long before that.
 KILL_MARGIN_MS = 200.0
 
+# A file that can't be read for want of descriptors or memory is tried again: what the endpoint log has to say
+# counts as notified 4 s after SIGHUP.
+RELOAD_RETRY_MS = 3_000.0
+RELOAD_RETRY_INTERVAL_MS = 50.0
+
 # Share of the file descriptors for connections of clients, which hold a third of them at most.
 CLIENT_SHARE = 0.4
 # Share of the file descriptors for connections to workers.
@@ -110,6 +116,7 @@
         self._action_handlers = self._make_action_handlers()
         self._reread = reread
         self._drain_started_ms: float | None = None
+        self._reload_give_up_ms: float | None = None  # while the file can't be read for want of descriptors
 
     def _make_action_handlers(self) -> dict[type[Action], Callable[[Any], None]]:
         return {
@@ -151,7 +158,7 @@
             signal.SIGINT: self.drain,
             signal.SIGHUP: self.reload,
         }
-        self.loop.handle_signals(handlers)
+        retry_at_start(lambda: self.loop.handle_signals(handlers))
         self.start()
         self.log(f"serving on {self.address[0]}:{self.address[1]}")
         try:
@@ -172,15 +179,30 @@
             return
         try:
             config = self._reread()
+        except UnreadableFileError as error:
+            self._reload_again_after(error)
+            return
         except ConfigurationError as error:
             self.log(f"configuration not taken over: {error}")
             return
+        self._reload_give_up_ms = None
         host, port = config.endpoint_log
         changed = [key for key in RESTART_ONLY_KEYS if getattr(config, key) != getattr(self.config, key)]
         ignored = f"; changed, but read only at the start: {', '.join(changed)}" if changed else ""
         self.log(f"configuration read again: endpoint log at {host}:{port}{ignored}")
         self.endpoint_watch.move_to(config.endpoint_log)
 
+    def _reload_again_after(self, error: UnreadableFileError) -> None:
+        """Read the file once more a moment later, unless it has been unreadable for too long."""
+        now_ms = monotonic_ms()
+        if self._reload_give_up_ms is None:
+            self._reload_give_up_ms = now_ms + RELOAD_RETRY_MS
+        if is_transient(error) and now_ms < self._reload_give_up_ms:
+            self.loop.timers.call_later(RELOAD_RETRY_INTERVAL_MS, self.reload)
+            return
+        self._reload_give_up_ms = None
+        self.log(f"configuration not taken over: {error}")
+
     # --- drain ----------------------------------------------------------------------------------
 
     def drain(self) -> None:
