Try a read or write again that found no memory, in place of closing the connection

Change: transient errors count as nothing read or written; the socket stays watched and is tried in the next turn.

--- a/function_router/net/connection.py
+++ b/function_router/net/connection.py
@@ -16,6 +16,7 @@
     receive_delay_ms,
 )
 from function_router.net.timer_wheel import Timer
+from function_router.net.transient_errors import is_transient
 from function_router.net.write_queue import PendingWrite, WriteQueue
 
 MAX_READ_BYTES = 64 * 1024  # of one read
@@ -172,11 +173,11 @@
     def _write_queued(self) -> None:
         try:
             count = self._sock.sendmsg(self._write_queue.next_buffers())
-        except BlockingIOError:
-            count = 0
         except OSError as error:
-            self.close(reason_of_os_error(error))
-            return
+            if not is_transient(error):
+                self.close(reason_of_os_error(error))
+                return
+            count = 0
         self.last_used_ms = monotonic_ms()
         self._write_queue.advance(count)
         self._blocked = bool(self._write_queue)
@@ -266,10 +267,9 @@
         """Receive up to MAX_READ_BYTES; how many there were."""
         try:
             data, ancillary, _, _ = self._sock.recvmsg(MAX_READ_BYTES, ANCILLARY_BYTES)
-        except BlockingIOError:
-            return 0
         except OSError as error:
-            self.close(reason_of_os_error(error))
+            if not is_transient(error):  # else it stays readable, and is read in the next turn
+                self.close(reason_of_os_error(error))
             return 0
         if not data:
             self.close(CloseReason.CLOSED_BY_PEER)
