Keep an accepted connection, and the listener, that epoll does not take at once

Cause: epoll_ctl may fail for a moment (ENOMEM, ENOSPC). A connection just accepted was then dropped with its request unread, and a listener after a pause was never watched again, so that the router was deaf for good. Change: the socket is kept and adopted after the pause; the listener is registered again until that succeeds; TCP_NODELAY may fail.

--- a/function_router/net/client_listener.py
+++ b/function_router/net/client_listener.py
@@ -79,6 +79,7 @@
         self._listener: socket.socket | None = _listen(address)
         self.address: Address = self._listener.getsockname()[:2]
         self._is_paused = False
+        self._not_adopted: list[socket.socket] = []  # accepted, and to be adopted after the pause
         loop.register(self._listener, READ, self._accept)
 
     # --- accepting ------------------------------------------------------------------------------
@@ -87,12 +88,15 @@
         for _ in range(min(MAX_ACCEPTS_PER_TURN, max(1, self._max_connections // 2))):
             if self._listener is None:
                 return
-            if len(self.connections) >= self._max_connections and not self._make_room():
+            if self._has_no_room() and not self._make_room():
                 self._pause()
                 return
             if not self._accept_one(self._listener):
                 return
 
+    def _has_no_room(self) -> bool:
+        return len(self.connections) + len(self._not_adopted) >= self._max_connections
+
     def _accept_one(self, listener: socket.socket) -> bool:
         """Accept a connection; False where no other one can be accepted in this turn."""
         try:
@@ -106,8 +110,21 @@
                 self.telemetry.log(f"accept: {error}")
             self._pause()
             return False
-        self.connections[ClientConnection(self, sock)] = None
         self.telemetry.count(ACCEPTED)
+        return self._adopt(sock)
+
+    def _adopt(self, sock: socket.socket) -> bool:
+        """Make a client connection of an accepted socket; False where that can't be done now.
+
+        Its client may have sent a request by now, which a close would lose: it is adopted later.
+        """
+        try:
+            self.connections[ClientConnection(self, sock)] = None
+        except OSError as error:
+            self.telemetry.log(f"accepted connection: {error}")
+            self._not_adopted.append(sock)
+            self._pause()
+            return False
         return True
 
     def _make_room(self) -> bool:
@@ -142,9 +159,20 @@
             self.loop.timers.call_later(ACCEPT_PAUSE_MS, self._resume)
 
     def _resume(self) -> None:
-        self._is_paused = False
-        if self._listener is not None:
+        """Watch the listener again, and adopt what could not be; both may fail once more."""
+        if self._listener is None:
+            return
+        try:
             self.loop.register(self._listener, READ, self._accept)
+        except OSError as error:
+            self.telemetry.log(f"listener: {error}")
+            self.loop.timers.call_later(ACCEPT_PAUSE_MS, self._resume)
+            return
+        self._is_paused = False
+        not_adopted = self._not_adopted
+        self._not_adopted = []
+        for sock in not_adopted:
+            self._adopt(sock)
 
     # --- the connections ------------------------------------------------------------------------
 
@@ -186,6 +214,8 @@
             self._listener = None
         for client in list(self.connections):
             client.connection.close(CloseReason.SHUTDOWN)
+        for sock in self._not_adopted:
+            sock.close()
 
 
 def _listen(address: Address) -> socket.socket:
--- a/function_router/net/connection.py
+++ b/function_router/net/connection.py
@@ -319,7 +319,8 @@
 
 def _configure(sock: socket.socket) -> None:
     sock.setblocking(False)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)  # small messages must not wait for an ACK
+    with contextlib.suppress(OSError):  # small messages should not wait for an ACK, but may
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
 
 def _begin_connect(address: Address) -> socket.socket:
