--- a/tests/test_connection.py
+++ b/tests/test_connection.py
@@ -1,5 +1,6 @@
 """Tests of `connection`, on loopback."""
 
+import contextlib
 import errno
 import socket
 import time
@@ -355,3 +356,25 @@
 
     assert (handler.data, bytes(peer.data), handler.close_reasons) == (b"request", b"reply", [])
     assert failing.left == {"recvmsg": [], "sendmsg": []}
+
+
+def test_connect_that_cannot_be_watched_or_is_interrupted_harms_nobody(loop, listener, run_until):
+    handler = RecordingHandler()
+    register = loop.register
+
+    with mock.patch.object(loop, "register", side_effect=OSError(errno.ENOMEM, "epoll_ctl")):
+        not_watched = Connection.connect(loop, listener.getsockname(), handler, 5000.0)
+    with mock.patch.object(connection_module.socket.socket, "connect_ex", connect_interrupted):
+        Connection.connect(loop, listener.getsockname(), handler, 5000.0)
+    run_until(lambda: handler.is_connected)
+
+    assert register == loop.register
+    assert not_watched is CloseReason.LOCAL_FAILURE
+    assert handler.close_reasons == []
+
+
+def connect_interrupted(sock, address):
+    """Connect as connect(2) does where a signal comes in between: the connection comes up all the same."""
+    with contextlib.suppress(BlockingIOError):
+        sock.connect(address)
+    return errno.EINTR
--- a/tests/test_router_process.py
+++ b/tests/test_router_process.py
@@ -8,7 +8,8 @@
 from router_harness import endpoint_event
 
 from function_router.config import ConfigurationError
-from function_router.decisions.actions import SendRequest
+from function_router.decisions.actions import LogMessage, SendRequest
+from function_router.decisions.events import TimerFired
 from function_router.net import clock, endpoint_registry, router_process
 
 
@@ -179,3 +180,22 @@
 
     assert configuration_lines(harness) == ["configuration not taken over: listen: missing"]
     assert harness.router_process.endpoint_watch._connection is connection
+
+
+def test_action_that_raises_leaves_the_others_and_the_process_alone(harness, worker, client):
+    process = harness.router_process
+    done = []
+
+    def fail(_action):
+        raise OSError
+
+    process._action_handlers[SendRequest] = fail
+    process._action_handlers[LogMessage] = done.append
+    actions = [SendRequest("r1", worker.worker_id), LogMessage("after")]
+    with mock.patch.object(process.router, "handle", return_value=actions):
+        process.loop.submit(TimerFired(1))
+        process.loop.run_once(0)
+    harness.round_trip(client)
+
+    assert done == [LogMessage("after")]
+    assert any("unhandled exception" in line for line in harness.log_lines)
--- a/tests/test_worker_pool.py
+++ b/tests/test_worker_pool.py
@@ -1,5 +1,9 @@
 """Tests of `worker_pool`."""
 
+import errno
+import socket
+from unittest import mock
+
 import msgspec
 import pytest
 from fakes import FakeWorker
@@ -249,3 +253,26 @@
 
     assert {result for result, _ in results} == {Outcome.OK}
     assert pool._connection_count <= 32 * router_process.WORKER_SHARE
+
+
+LOCAL_ERRORS = [errno.ENOBUFS, errno.EADDRNOTAVAIL, errno.ENETUNREACH, errno.EAGAIN, errno.ENFILE]
+
+
+def test_connect_that_fails_on_this_machine_for_a_moment_is_tried_again_while_the_exchange_waits(
+    start_router,
+):
+    worker = FakeWorker("s-9", instances=None)
+    harness = start_router()
+    harness.add_unlisted_worker(worker)
+    results = []
+    failures = list(LOCAL_ERRORS)
+    connect = socket.socket.connect_ex
+
+    def fail_at_first(sock, address):
+        return failures.pop() if failures else connect(sock, address)
+
+    with mock.patch.object(socket.socket, "connect_ex", fail_at_first):
+        harness.pool.send(attempt(UNLISTED_WORKER_ID, results))
+        harness.run_until(lambda: results or worker.requests, "it runs")
+
+    assert (failures, results, len(worker.requests)) == ([], [], 1)
