Keep an exception of one action from ending the process

Cause: Router.handle was guarded, the actions that it returned were not; the exception left EventLoop.run. Change: each action, and the batch as a whole, is guarded like any other callback: logged, and the next one is carried out.

--- a/function_router/net/event_loop.py
+++ b/function_router/net/event_loop.py
@@ -103,20 +103,21 @@
             # A socket that an earlier callback of this turn closed is no longer registered under its key;
             # one that it modified is reported again in the next turn.
             if self._selector.get_map().get(key.fd) is key:
-                self._call(key.data, mask)
+                self.guard(key.data, mask)
         self.timers.advance(self.turn_started_ms)
         if self._pending_events:
             events = self._pending_events
             self._pending_events = []
-            self._decide(now_ms, events)
+            self.guard(self._decide, now_ms, events)
         to_flush = self._to_flush
         self._to_flush = {}
         for part in to_flush:
-            self._call(part.flush)
+            self.guard(part.flush)
 
     # --- exceptions ---------------------------------------------------------------------------
 
-    def _call(self, callback: Callable[..., None], *arguments: object) -> None:
+    def guard(self, callback: Callable[..., None], *arguments: object) -> None:
+        """Call a callback; an exception of it is logged and goes no further."""
         try:
             callback(*arguments)
         except Exception:  # noqa: BLE001 - an error in one callback must not end all other connections
--- a/function_router/net/router_process.py
+++ b/function_router/net/router_process.py
@@ -259,7 +259,7 @@
             self.loop.timers.call_later(RECOVERY_TIMER_MS, self._fire_recovery_timer)
             return
         for action in actions:
-            self._action_handlers[type(action)](action)
+            self.loop.guard(self._action_handlers[type(action)], action)
 
     def _fire_recovery_timer(self) -> None:
         self.loop.submit(TimerFired(RECOVERY_TIMER_TOKEN))
