Tell trouble of this machine at a connect from trouble of the worker, and try again

Cause: one mapping served connects and established connections. ENETUNREACH, EADDRNOTAVAIL, EAGAIN and EINTR of a connect were the worker's fault (UNREACHABLE, which ejects it); a registration that failed raised; ENFILE and ENOBUFS were reported at once, so that four attempts of a request were used up in four turns; ETIMEDOUT and EHOSTUNREACH of an established connection were no reset. Change: three mappings, by where the call fails. EINTR goes on connecting. What fails on this machine is tried every 20 ms for 200 ms while the exchanges wait, then reported as not sent. The test of the one mapping is replaced by three, each error by the place where it comes from.

--- a/function_router/net/client_listener.py
+++ b/function_router/net/client_listener.py
@@ -7,12 +7,13 @@
 from function_router.decisions.settings import RequestClass
 from function_router.net.client_connection import ClientConnection
 from function_router.net.clock import monotonic_ms
-from function_router.net.close_reason import CloseReason, reason_of_os_error
+from function_router.net.close_reason import CloseReason
 from function_router.net.connection import address_family
 from function_router.net.event_loop import READ, EventLoop
 from function_router.net.receive_timestamps import enable_receive_timestamps
 from function_router.net.request_table import RequestTable
 from function_router.net.telemetry import ACCEPTED, CLIENTS_CLOSED, Telemetry
+from function_router.net.transient_errors import is_transient
 
 BACKLOG = 1024  # connections that the system keeps until they are accepted
 
@@ -106,7 +107,7 @@
         except OSError as error:
             if error.errno in (errno.ECONNABORTED, errno.EINTR):
                 return True
-            if reason_of_os_error(error) is not CloseReason.NO_FILE_DESCRIPTOR:
+            if not is_transient(error):
                 self.telemetry.log(f"accept: {error}")
             self._pause()
             return False
--- a/function_router/net/close_reason.py
+++ b/function_router/net/close_reason.py
@@ -14,6 +14,7 @@
     UNREACHABLE = auto()  # connecting failed in some other way
     CONNECT_TIMEOUT = auto()  # connecting took too long
     NO_FILE_DESCRIPTOR = auto()  # this process has no room for another connection
+    LOCAL_FAILURE = auto()  # a system call failed for a reason that tells nothing about the peer
     CLOSED_BY_PEER = auto()  # the peer closed the connection
     RESET_BY_PEER = auto()  # the connection broke
     PROTOCOL_ERROR = auto()  # the peer sent what its protocol does not allow
@@ -44,6 +45,7 @@
     CloseReason.UNREACHABLE: _FAILED_AT_PEER,
     CloseReason.CONNECT_TIMEOUT: _FAILED_AT_PEER,
     CloseReason.NO_FILE_DESCRIPTOR: _CLOSED_HERE,
+    CloseReason.LOCAL_FAILURE: _CLOSED_HERE,
     CloseReason.CLOSED_BY_PEER: _FAILED_AT_PEER,
     CloseReason.RESET_BY_PEER: _FAILED_AT_PEER,
     CloseReason.PROTOCOL_ERROR: _FAILED_AT_PEER,
@@ -58,8 +60,34 @@
     CloseReason.SHUTDOWN: _CLOSED_HERE,
 }
 
-_NO_RESOURCES = frozenset({errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM})
-_CONNECTION_BROKEN = frozenset({errno.ECONNRESET, errno.EPIPE, errno.ECONNABORTED})
+_NO_DESCRIPTORS = frozenset({errno.EMFILE, errno.ENFILE})
+# Of connect(2) and epoll_ctl(2), where they fail at once: memory, ports, routes and rules of this machine.
+_LOCAL_ERRORS = frozenset(
+    {
+        errno.EACCES,
+        errno.EADDRINUSE,
+        errno.EADDRNOTAVAIL,
+        errno.EAGAIN,
+        errno.EINTR,
+        errno.ENETDOWN,
+        errno.ENETUNREACH,
+        errno.ENOBUFS,
+        errno.ENOMEM,
+        errno.ENOSPC,
+        errno.EPERM,
+    }
+)
+# The ways in which a connection that was established shows that it is broken.
+_CONNECTION_BROKEN = frozenset(
+    {
+        errno.ECONNABORTED,
+        errno.ECONNRESET,
+        errno.EHOSTUNREACH,
+        errno.ENETUNREACH,
+        errno.EPIPE,
+        errno.ETIMEDOUT,
+    }
+)
 
 
 def outcome_of(end: CloseReason, begun: bool) -> Outcome:
@@ -68,12 +96,26 @@
     return outcomes.if_begun if begun else outcomes.if_unwritten
 
 
-def reason_of_os_error(error: OSError) -> CloseReason:
-    """The close reason that an error of a socket call stands for."""
+def reason_of_local_error(error: OSError) -> CloseReason:
+    """The close reason of a connection that could not be made, as a call on this machine failed at once."""
+    if error.errno in _NO_DESCRIPTORS:
+        return CloseReason.NO_FILE_DESCRIPTOR
+    if error.errno in _LOCAL_ERRORS:
+        return CloseReason.LOCAL_FAILURE
+    return reason_of_connect_error(error)
+
+
+def reason_of_connect_error(error: OSError) -> CloseReason:
+    """The close reason of a connect that failed on its way to the peer."""
     if error.errno == errno.ECONNREFUSED:
         return CloseReason.CONNECTION_REFUSED
-    if error.errno in _NO_RESOURCES:
-        return CloseReason.NO_FILE_DESCRIPTOR
-    if error.errno in _CONNECTION_BROKEN:
+    if error.errno in (errno.ECONNRESET, errno.ECONNABORTED):
         return CloseReason.RESET_BY_PEER
     return CloseReason.UNREACHABLE
+
+
+def reason_of_broken_connection(error: OSError) -> CloseReason:
+    """The close reason of an established connection on which a read or a write failed."""
+    if error.errno in _CONNECTION_BROKEN:
+        return CloseReason.RESET_BY_PEER
+    return CloseReason.LOCAL_FAILURE
--- a/function_router/net/connection.py
+++ b/function_router/net/connection.py
@@ -8,7 +8,12 @@
 
 from function_router.config import Address
 from function_router.net.clock import monotonic_ms
-from function_router.net.close_reason import CloseReason, reason_of_os_error
+from function_router.net.close_reason import (
+    CloseReason,
+    reason_of_broken_connection,
+    reason_of_connect_error,
+    reason_of_local_error,
+)
 from function_router.net.event_loop import READ, WRITE, EventLoop
 from function_router.net.receive_timestamps import (
     ANCILLARY_BYTES,
@@ -134,8 +139,12 @@
         try:
             sock = _begin_connect(address)
         except OSError as error:
-            return reason_of_os_error(error)
-        connection = cls(loop, sock, handler, is_connected=False)
+            return reason_of_local_error(error)
+        try:
+            connection = cls(loop, sock, handler, is_connected=False)
+        except OSError as error:  # it can't be watched
+            sock.close()
+            return reason_of_local_error(error)
         connection._connect_timer = loop.timers.call_later(
             within_ms, lambda: connection.close(CloseReason.CONNECT_TIMEOUT)
         )
@@ -175,7 +184,7 @@
             count = self._sock.sendmsg(self._write_queue.next_buffers())
         except OSError as error:
             if not is_transient(error):
-                self.close(reason_of_os_error(error))
+                self.close(reason_of_broken_connection(error))
                 return
             count = 0
         self.last_used_ms = monotonic_ms()
@@ -247,7 +256,7 @@
     def _finish_connect(self) -> None:
         error_number = self._sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
         if error_number:
-            self.close(reason_of_os_error(OSError(error_number, "connect")))
+            self.close(reason_of_connect_error(OSError(error_number, "connect")))
             return
         self.is_connected = True
         self._mask = READ
@@ -269,7 +278,7 @@
             data, ancillary, _, _ = self._sock.recvmsg(MAX_READ_BYTES, ANCILLARY_BYTES)
         except OSError as error:
             if not is_transient(error):  # else it stays readable, and is read in the next turn
-                self.close(reason_of_os_error(error))
+                self.close(reason_of_broken_connection(error))
             return 0
         if not data:
             self.close(CloseReason.CLOSED_BY_PEER)
@@ -332,7 +341,7 @@
     except OSError:
         sock.close()
         raise
-    if error_number not in (0, errno.EINPROGRESS):
+    if error_number not in (0, errno.EINPROGRESS, errno.EINTR):  # interrupted, it goes on coming up
         sock.close()
         raise OSError(error_number, "connect")
     return sock
--- a/function_router/net/pooled_worker.py
+++ b/function_router/net/pooled_worker.py
@@ -6,6 +6,7 @@
 from function_router.config import Address
 from function_router.decisions.types import WorkerState
 from function_router.net.close_reason import CloseReason
+from function_router.net.timer_wheel import Timer
 from function_router.net.worker_connection import WorkerConnection
 from function_router.net.worker_messages import Exchange
 
@@ -25,6 +26,8 @@
     started_at_ms: float
     connections: list[WorkerConnection] = field(default_factory=list)
     waiting: deque[Exchange] = field(default_factory=deque)  # for a connection
+    connect_failing_since_ms: float | None = None  # connects fail on this machine since then
+    reconnect_timer: Timer | None = None  # set while those that wait are to be tried for again
 
     def is_replaced_by(self, address: Address | None, started_at_ms: float) -> bool:
         """Whether an endpoint record shows a new process: a new address, or a later start."""
--- a/function_router/net/worker_pool.py
+++ b/function_router/net/worker_pool.py
@@ -29,6 +29,12 @@
 # Of the most connections, those that spare ones may be among: the rest is kept for exchanges that find none.
 SPARE_CONNECTIONS_PART = 0.7
 EXCHANGE_ID_BYTES = 8
+# A connect that fails on this machine is tried again at this interval, and for so long ...
+LOCAL_RETRY_INTERVAL_MS = 20.0
+# ... before what waits for it is reported as not sent: the decisions may send it elsewhere.
+LOCAL_RETRY_MS = 200.0
+# Reasons that tell nothing about the worker.
+FAILED_ON_THIS_MACHINE = (CloseReason.LOCAL_FAILURE, CloseReason.NO_FILE_DESCRIPTOR)
 # The first id of start orders is random, so that routers don't use the same ones.
 FIRST_ORDER_ID_BITS = 62
 
@@ -170,6 +176,8 @@
 
     def _connect_for_waiting(self, worker: PooledWorker) -> None:
         """Open as many connections as the waiting exchanges need; they wait for a connect at the most."""
+        if worker.reconnect_timer is not None:  # connects fail on this machine: not more often than that
+            return
         max_exchanges = self.wire.max_exchanges_per_connection
         while worker.connecting_count() * max_exchanges < len(worker.waiting):
             try:
@@ -180,12 +188,40 @@
         else:
             return
         if not worker.connecting_count():
+            self._on_connect_failed(worker, reason)
+
+    def _on_connect_failed(self, worker: PooledWorker, reason: CloseReason) -> None:
+        """Fail what waits, or try again a moment later where the failure tells nothing about the worker."""
+        now_ms = monotonic_ms()
+        if reason not in FAILED_ON_THIS_MACHINE:
             self._fail_waiting(worker, reason)
+        elif worker.connect_failing_since_ms is None:
+            worker.connect_failing_since_ms = now_ms
+            self._connect_later(worker)
+        elif now_ms - worker.connect_failing_since_ms < LOCAL_RETRY_MS:
+            self._connect_later(worker)
+        else:
+            worker.connect_failing_since_ms = None
+            self._fail_waiting(worker, reason)
+
+    def _connect_later(self, worker: PooledWorker) -> None:
+        """Try again for what waits, with one timer however often this is asked for."""
+        if worker.reconnect_timer is None:
+            worker.reconnect_timer = self.loop.timers.call_later(
+                LOCAL_RETRY_INTERVAL_MS, lambda: self._connect_again(worker)
+            )
+
+    def _connect_again(self, worker: PooledWorker) -> None:
+        """Dispatch what still waits: a connection may have become free, or another connect may succeed."""
+        worker.reconnect_timer = None
+        for exchange in worker.take_waiting():
+            self._dispatch(exchange)
 
     def _connect_within_limits(self, worker: PooledWorker) -> None:
         """Open a connection, closing an idle one to another worker where there are too many."""
-        has_room = self._connection_count < self._max_connections or self._close_longest_idle()
-        if not has_room or len(worker.current_connections()) >= MAX_CONNECTIONS:
+        if len(worker.current_connections()) >= MAX_CONNECTIONS:
+            raise ConnectError(worker, CloseReason.NO_FILE_DESCRIPTOR)
+        if self._connection_count >= self._max_connections and not self._close_longest_idle():
             raise ConnectError(worker, CloseReason.NO_FILE_DESCRIPTOR)
         self._connect(worker)
 
@@ -222,6 +258,7 @@
         if connection.is_retired:  # its worker was removed, moved or restarted in the meantime
             connection.close(CloseReason.ENDPOINT_REPLACED)
             return
+        connection.worker.connect_failing_since_ms = None
         for exchange in connection.worker.take_waiting():
             self._dispatch(exchange)
 
@@ -241,7 +278,7 @@
                 exchange.pending_write = None
                 self._dispatch(exchange)
         if not connection.was_established and not worker.connecting_count():
-            self._fail_waiting(worker, reason)
+            self._on_connect_failed(worker, reason)
         self._forget_if_unused(worker)
 
     def on_started(self, exchange: Exchange) -> None:
--- a/tests/test_close_reason.py
+++ b/tests/test_close_reason.py
@@ -5,7 +5,13 @@
 import pytest
 
 from function_router.decisions.types import Outcome
-from function_router.net.close_reason import CloseReason, outcome_of, reason_of_os_error
+from function_router.net.close_reason import (
+    CloseReason,
+    outcome_of,
+    reason_of_broken_connection,
+    reason_of_connect_error,
+    reason_of_local_error,
+)
 from function_router.net.endpoint_registry import worker_id_of
 
 PROOF_OF_NOT_RUN = {Outcome.NOT_SENT, Outcome.CONNECT_FAILED}
@@ -32,17 +38,47 @@
         (errno.ECONNREFUSED, CloseReason.CONNECTION_REFUSED),
         (errno.EMFILE, CloseReason.NO_FILE_DESCRIPTOR),
         (errno.ENFILE, CloseReason.NO_FILE_DESCRIPTOR),
-        (errno.ENOBUFS, CloseReason.NO_FILE_DESCRIPTOR),
-        (errno.ENOMEM, CloseReason.NO_FILE_DESCRIPTOR),
+        (errno.ENOBUFS, CloseReason.LOCAL_FAILURE),
+        (errno.ENOMEM, CloseReason.LOCAL_FAILURE),
+        (errno.EADDRNOTAVAIL, CloseReason.LOCAL_FAILURE),
+        (errno.ENETUNREACH, CloseReason.LOCAL_FAILURE),
+        (errno.EAGAIN, CloseReason.LOCAL_FAILURE),
+        (errno.EHOSTUNREACH, CloseReason.UNREACHABLE),
+    ],
+)
+def test_connect_that_fails_at_once_has_a_close_reason(error_number, reason):
+    assert reason_of_local_error(OSError(error_number, "connect")) is reason
+
+
+@pytest.mark.parametrize(
+    ("error_number", "reason"),
+    [
+        (errno.ECONNREFUSED, CloseReason.CONNECTION_REFUSED),
         (errno.ECONNRESET, CloseReason.RESET_BY_PEER),
-        (errno.EPIPE, CloseReason.RESET_BY_PEER),
         (errno.ECONNABORTED, CloseReason.RESET_BY_PEER),
         (errno.EHOSTUNREACH, CloseReason.UNREACHABLE),
         (errno.ENETUNREACH, CloseReason.UNREACHABLE),
+        (errno.ETIMEDOUT, CloseReason.UNREACHABLE),
+    ],
+)
+def test_connect_that_fails_on_its_way_has_a_close_reason(error_number, reason):
+    assert reason_of_connect_error(OSError(error_number, "connect")) is reason
+
+
+@pytest.mark.parametrize(
+    ("error_number", "reason"),
+    [
+        (errno.ECONNRESET, CloseReason.RESET_BY_PEER),
+        (errno.EPIPE, CloseReason.RESET_BY_PEER),
+        (errno.ECONNABORTED, CloseReason.RESET_BY_PEER),
+        (errno.ETIMEDOUT, CloseReason.RESET_BY_PEER),
+        (errno.EHOSTUNREACH, CloseReason.RESET_BY_PEER),
+        (errno.ENETUNREACH, CloseReason.RESET_BY_PEER),
+        (errno.EIO, CloseReason.LOCAL_FAILURE),
     ],
 )
-def test_socket_error_has_a_close_reason(error_number, reason):
-    assert reason_of_os_error(OSError(error_number, "connect")) is reason
+def test_broken_connection_has_a_close_reason(error_number, reason):
+    assert reason_of_broken_connection(OSError(error_number, "recv")) is reason
 
 
 def test_worker_id_is_the_same_in_every_router():
--- a/tests/test_worker_pool.py
+++ b/tests/test_worker_pool.py
@@ -11,7 +11,7 @@
 
 from function_router.decisions.types import Outcome, WorkerState
 from function_router.net import pooled_worker, router_process
-from function_router.net.close_reason import CloseReason
+from function_router.net.close_reason import CloseReason, outcome_of
 
 # --- workers that drain, are removed, move or restart
 
@@ -276,3 +276,18 @@
         harness.run_until(lambda: results or worker.requests, "it runs")
 
     assert (failures, results, len(worker.requests)) == ([], [], 1)
+
+
+def test_connect_that_goes_on_failing_on_this_machine_proves_that_nothing_ran(start_router):
+    worker = FakeWorker("s-9", instances=None)
+    harness = start_router()
+    harness.add_unlisted_worker(worker)
+    results = []
+
+    with mock.patch.object(socket.socket, "connect_ex", return_value=errno.ENETUNREACH) as connect:
+        harness.pool.send(attempt(UNLISTED_WORKER_ID, results))
+        harness.run_until(lambda: results, "it is given up")
+
+    assert results == [(CloseReason.LOCAL_FAILURE, False)]
+    assert outcome_of(CloseReason.LOCAL_FAILURE, begun=False) is Outcome.NOT_SENT
+    assert 2 <= connect.call_count <= 12
