Show what a stepped wall clock and a log that nobody reads do to a router

Cause: receive_delay_ms trusts the wall clock for up to 60 s, so that a step of 5 s ages all that is unread by 5 s; Clock slews towards the system's clock at 0.5 %; the log writes blocking to a pipe that may be full.

--- a/tests/test_clock.py
+++ b/tests/test_clock.py
@@ -46,3 +46,14 @@
         clock.now_ms()
 
     assert clock.now_ms() == pytest.approx(system.unix_ms, abs=0.01)
+
+
+def test_spans_are_real_time_long_after_a_step(system, clock):
+    system.unix_ms += 3_600_000.0
+    before_ms = clock.now_ms()
+
+    for _ in range(1000):
+        system.advance(1000.0)
+        clock.now_ms()
+
+    assert clock.now_ms() - before_ms == pytest.approx(1_000_000.0, abs=0.1)
--- a/tests/test_connection.py
+++ b/tests/test_connection.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from function_router.net import clock, event_loop
 from function_router.net import connection as connection_module
 from function_router.net.close_reason import CloseReason
 from function_router.net.connection import Connection
@@ -378,3 +379,19 @@
     with contextlib.suppress(BlockingIOError):
         sock.connect(address)
     return errno.EINTR
+
+
+def test_step_of_the_wall_clock_is_not_taken_for_a_delay(accept, loop):
+    step_ms = 5_000.0
+    handler = RecordingHandler()
+    connection, peer = accept(handler)
+    loop.run_once(0)
+    loop.run_once(0)
+    started_ms = clock.monotonic_ms()
+    peer.sock.send(b"request")
+
+    with mock.patch.object(event_loop, "unix_ms", side_effect=lambda: clock.unix_ms() + step_ms):
+        loop.run_once(1.0)
+
+    assert handler.data == b"request"
+    assert 0.0 <= connection.receive_delay_ms <= clock.monotonic_ms() - started_ms + 50.0
--- a/tests/test_log.py
+++ b/tests/test_log.py
@@ -1,12 +1,16 @@
 """Tests of `log`."""
 
 import io
+import os
+import threading
 
 import pytest
 from fakes import FakeMonotonicClock
 
 from function_router.net.log import MAX_LINE_LENGTH, MAX_LINES_PER_SECOND, RateLimitedLog
 
+MORE_LINES_THAN_A_PIPE_HOLDS = 400
+
 
 @pytest.fixture
 def clock():
@@ -58,3 +62,29 @@
     log = RateLimitedLog("n1", BrokenPipe(), clock.read_ms)
 
     log("a line")
+
+
+def test_log_that_nobody_reads_does_not_stop_the_process(clock, cleanups):
+    read_end, write_end = os.pipe()
+    cleanups.callback(os.close, read_end)
+    out = os.fdopen(write_end, "w")
+    cleanups.callback(out.close)
+    log = RateLimitedLog("n1", out, clock.read_ms)
+
+    def fill():
+        for second in range(MORE_LINES_THAN_A_PIPE_HOLDS):
+            clock.now_ms = 1000.0 * second
+            log("y" * MAX_LINE_LENGTH)
+
+    writer = threading.Thread(target=fill, daemon=True)
+    writer.start()
+    writer.join(5.0)
+    was_stopped = writer.is_alive()
+    first_line = os.read(read_end, 65536).split(b"\n")[0]
+    for _ in range(64):  # let the thread end
+        if writer.is_alive():
+            os.read(read_end, 65536)
+            writer.join(0.05)
+
+    assert not was_stopped
+    assert first_line == b"n1: " + b"y" * MAX_LINE_LENGTH
