Leave out log lines that would block, in place of standing still

Cause: standard error is a blocking pipe; once it is full and nobody reads it, the write of a line stops the process, and with it every request. Change: a line is written only where poll(2) says that the descriptor takes it, in one write of at most PIPE_BUF bytes; others are counted and the count is logged once there is room.

--- a/function_router/net/log.py
+++ b/function_router/net/log.py
@@ -1,6 +1,8 @@
 """Log lines on standard error, rate-limited."""
 
-import contextlib
+import io
+import os
+import select
 import sys
 from collections.abc import Callable
 from typing import TextIO
@@ -22,10 +24,10 @@
     ) -> None:
         """Write lines that begin with `name` to `out`, or else to standard error."""
         self._name = name
-        self._out = out or sys.stderr
+        self._output = _output_to(out or sys.stderr)
         self._read_monotonic_ms = read_monotonic_ms
         self._second = 0  # the one that is being counted, on the monotonic clock
-        self._left_out = 0  # lines in that second
+        self._left_out = 0  # lines since the last line that counts them
         self._lines_by_source: dict[str, int] = {}  # in that second
 
     def __call__(self, text: str, source: str = "") -> None:
@@ -35,21 +37,50 @@
             self._begin_second(second)
         lines = self._lines_by_source.get(source, 0) + 1
         self._lines_by_source[source] = lines
-        if lines > MAX_LINES_PER_SECOND:
+        if lines > MAX_LINES_PER_SECOND or not self._write(text):
             self._left_out += 1
-        else:
-            self._write(text)
 
     def _begin_second(self, second: int) -> None:
-        if self._left_out:
-            self._write(f"{self._left_out} lines left out")
+        if self._left_out and self._write(f"{self._left_out} lines left out"):
+            self._left_out = 0
         self._second = second
         self._lines_by_source = {}
-        self._left_out = 0
 
-    def _write(self, text: str) -> None:
-        """Write text as one line. Characters that could forge another line are replaced."""
+    def _write(self, text: str) -> bool:
+        """Write text as one line; False where it can't be written now.
+
+        Characters that could forge another line are replaced.
+        """
         line = "".join(char if char.isprintable() else "?" for char in text[:MAX_LINE_LENGTH])
-        with contextlib.suppress(OSError):  # a log that nobody reads is no reason to stop serving
-            self._out.write(f"{self._name}: {line}\n")
-            self._out.flush()
+        try:
+            return self._output(f"{self._name}: {line}\n")
+        except OSError:  # a log that nobody reads is no reason to stop serving
+            return False
+
+
+def _output_to(out: TextIO | None) -> Callable[[str], bool]:
+    """A function that writes a line, and tells whether it did; without a file, lines are dropped."""
+    if out is None:
+        return lambda _line: False
+    try:
+        descriptor = out.fileno()
+    except (OSError, io.UnsupportedOperation):  # a file in memory
+        return lambda line: bool(out.write(line))
+    return lambda line: _write_without_blocking(descriptor, line)
+
+
+def _write_without_blocking(descriptor: int, line: str) -> bool:
+    """Write a line unless that would block, as it does on a pipe that is full.
+
+    The descriptor itself may be shared with other processes, so that it is not set to non-blocking. A pipe
+    that can be written to takes PIPE_BUF bytes without blocking (pipe(7)).
+    """
+    poll = select.poll()
+    poll.register(descriptor, select.POLLOUT)
+    if not any(mask & select.POLLOUT for _, mask in poll.poll(0)):
+        return False
+    data = line.encode("utf-8", "replace")
+    if len(data) > select.PIPE_BUF:
+        data = data[: select.PIPE_BUF - 1] + b"\n"
+    os.write(descriptor, data)
+    return True
