Measure all spans on the monotonic clock alone

Cause: the decisions' clock followed the wall clock at 0.5 %: after a step of an hour, every deadline, window and wait was off by that for 200 hours. Change: the clock is the monotonic one, shifted once at the start.

--- a/function_router/net/clock.py
+++ b/function_router/net/clock.py
@@ -3,8 +3,6 @@
 import time
 from collections.abc import Callable
 
-MAX_SLEW = 0.005  # ms per ms: how much faster or slower than the monotonic clock `Clock` may run
-
 
 def monotonic_ms() -> float:
     """The monotonic clock in milliseconds: for delays and timeouts."""
@@ -17,11 +15,10 @@
 
 
 class Clock:
-    """The Unix time in milliseconds, without the steps of the system's clock.
+    """The monotonic clock, shifted to the Unix time at which the router started.
 
-    The decision module's deadlines and windows all live on this clock, so a system clock that is set
-    while requests are pending must not move them. It advances with the monotonic clock and converges to
-    the system's by slewing, as adjtime(3) does.
+    All that the decision module measures are spans of real time: deadlines, windows, waits. A wall clock that is
+    set, by seconds or by an hour, moves none of them.
     """
 
     def __init__(
@@ -31,15 +28,8 @@
     ) -> None:
         """Start at the system's time."""
         self._read_monotonic_ms = read_monotonic_ms
-        self._read_unix_ms = read_unix_ms
-        self._last_read_ms = read_monotonic_ms()
-        self._offset_ms = read_unix_ms() - self._last_read_ms  # from the monotonic time to the one shown
+        self._offset_ms = read_unix_ms() - read_monotonic_ms()
 
     def now_ms(self) -> float:
-        """Milliseconds since the Unix epoch; never goes back."""
-        monotonic = self._read_monotonic_ms()
-        max_correction = MAX_SLEW * (monotonic - self._last_read_ms)
-        error = self._read_unix_ms() - monotonic - self._offset_ms
-        self._offset_ms += max(-max_correction, min(max_correction, error))
-        self._last_read_ms = monotonic
-        return monotonic + self._offset_ms
+        """Milliseconds; never goes back."""
+        return self._read_monotonic_ms() + self._offset_ms
