Bound the age of unread bytes by the monotonic clock

Cause: the age of a request was the wall clock at the read less the kernel's timestamp, trusted up to 60 s. A step of the wall clock in between made all that was unread old, or new. Change: UnreadSince keeps the last look at which a socket had nothing unread; no age is longer than since then. A step of the wall clock between two looks is known from the monotonic clock and taken off. A callback whose socket was modified in the same turn is called at once, so that each report is seen in its turn.

--- a/function_router/net/client_connection.py
+++ b/function_router/net/client_connection.py
@@ -65,10 +65,10 @@
         "pending",
     )
 
-    def __init__(self, listener: "ClientListener", sock: socket.socket) -> None:
+    def __init__(self, listener: "ClientListener", sock: socket.socket, connected_since_ms: float) -> None:
         self.listener = listener
         self.pending: dict[int, str] = {}
-        self.connection = Connection.accepted(listener.loop, sock, self)
+        self.connection = Connection.accepted(listener.loop, sock, self, connected_since_ms)
         self._reader = thrift.FrameReader()
         self.has_received_message = False
         self._chunk_count = 0  # reads since the last one that completed a message
--- a/function_router/net/client_listener.py
+++ b/function_router/net/client_listener.py
@@ -14,6 +14,7 @@
 from function_router.net.request_table import RequestTable
 from function_router.net.telemetry import ACCEPTED, CLIENTS_CLOSED, Telemetry
 from function_router.net.transient_errors import is_transient
+from function_router.net.unread_since import UnreadSince
 
 BACKLOG = 1024  # connections that the system keeps until they are accepted
 
@@ -80,12 +81,17 @@
         self._listener: socket.socket | None = _listen(address)
         self.address: Address = self._listener.getsockname()[:2]
         self._is_paused = False
+        self._unread_since = UnreadSince(loop, monotonic_ms())  # clients that are not accepted yet
         self._not_adopted: list[socket.socket] = []  # accepted, and to be adopted after the pause
         loop.register(self._listener, READ, self._accept)
 
     # --- accepting ------------------------------------------------------------------------------
 
     def _accept(self, _mask: int) -> None:
+        self._unread_since.on_reported()
+        self._accept_waiting()
+
+    def _accept_waiting(self) -> None:
         for _ in range(min(MAX_ACCEPTS_PER_TURN, max(1, self._max_connections // 2))):
             if self._listener is None:
                 return
@@ -103,6 +109,7 @@
         try:
             sock, _ = listener.accept()
         except BlockingIOError:
+            self._unread_since.on_drained()
             return False
         except OSError as error:
             if error.errno in (errno.ECONNABORTED, errno.EINTR):
@@ -120,7 +127,7 @@
         Its client may have sent a request by now, which a close would lose: it is adopted later.
         """
         try:
-            self.connections[ClientConnection(self, sock)] = None
+            self.connections[ClientConnection(self, sock, self._unread_since.since_ms)] = None
         except OSError as error:
             self.telemetry.log(f"accepted connection: {error}")
             self._not_adopted.append(sock)
@@ -169,6 +176,7 @@
             self.telemetry.log(f"listener: {error}")
             self.loop.timers.call_later(ACCEPT_PAUSE_MS, self._resume)
             return
+        self._unread_since.on_watched_again()
         self._is_paused = False
         not_adopted = self._not_adopted
         self._not_adopted = []
@@ -188,7 +196,7 @@
     def has_arriving(self) -> bool:
         """Whether anything of a client lies unread, also on connections that are yet to be accepted."""
         if not self._is_paused:
-            self._accept(READ)
+            self._accept_waiting()
         return self._is_paused or any(client.has_arriving() for client in self.connections)
 
     def on_client_closed(self, client: ClientConnection, reason: CloseReason) -> None:
--- a/function_router/net/clock.py
+++ b/function_router/net/clock.py
@@ -17,8 +17,8 @@
 class Clock:
     """The monotonic clock, shifted to the Unix time at which the router started.
 
-    All that the decision module measures are spans of real time: deadlines, windows, waits. A wall clock that is
-    set, by seconds or by an hour, moves none of them.
+    All that the decision module measures are spans of real time: deadlines, windows, waits. A wall clock
+    that is set, by seconds or by an hour, moves none of them.
     """
 
     def __init__(
--- a/function_router/net/connection.py
+++ b/function_router/net/connection.py
@@ -22,6 +22,7 @@
 )
 from function_router.net.timer_wheel import Timer
 from function_router.net.transient_errors import is_transient
+from function_router.net.unread_since import UnreadSince
 from function_router.net.write_queue import PendingWrite, WriteQueue
 
 MAX_READ_BYTES = 64 * 1024  # of one read
@@ -80,7 +81,8 @@
         is_closed: Whether the connection was closed, or could not be established.
         last_received_ms: When bytes were last received, on the monotonic clock.
         last_used_ms: When bytes were last received or written, on the monotonic clock.
-        receive_delay_ms: How long the bytes read last had waited when the turn began.
+        receive_delay_ms: How long the last of the bytes read had waited when the turn began.
+        max_receive_delay_ms: How long the first of them can have waited at the most.
     """
 
     __slots__ = (
@@ -91,6 +93,7 @@
         "_mask",
         "_reading",
         "_sock",
+        "_unread_since",
         "_write_queue",
         "handler",
         "is_closed",
@@ -98,13 +101,22 @@
         "last_received_ms",
         "last_used_ms",
         "loop",
+        "max_receive_delay_ms",
         "receive_delay_ms",
     )
 
     def __init__(
-        self, loop: EventLoop, sock: socket.socket, handler: ConnectionHandler, is_connected: bool = True
+        self,
+        loop: EventLoop,
+        sock: socket.socket,
+        handler: ConnectionHandler,
+        is_connected: bool = True,
+        unread_since_ms: float | None = None,
     ) -> None:
-        """Take over a non-blocking socket; `accepted` and `connect` make one."""
+        """Take over a non-blocking socket; `accepted` and `connect` make one.
+
+        What is unread on it came at `unread_since_ms` (monotonic) or later; None: now or later.
+        """
         self.loop = loop
         self.handler = handler
         self.is_connected = is_connected
@@ -112,6 +124,8 @@
         self.last_received_ms = monotonic_ms()
         self.last_used_ms = self.last_received_ms
         self.receive_delay_ms = 0.0
+        self.max_receive_delay_ms = 0.0
+        self._unread_since = UnreadSince(loop, unread_since_ms or self.last_received_ms)
         self._sock = sock
         self._reading = True  # whether the handler wants to read
         self._blocked = False  # whether the last write was partial: the socket's buffer is full
@@ -122,10 +136,16 @@
         loop.register(sock, self._mask, self._ready)
 
     @classmethod
-    def accepted(cls, loop: EventLoop, sock: socket.socket, handler: ConnectionHandler) -> "Connection":
-        """Take over a socket that a listener accepted."""
+    def accepted(
+        cls,
+        loop: EventLoop,
+        sock: socket.socket,
+        handler: ConnectionHandler,
+        unread_since_ms: float | None = None,
+    ) -> "Connection":
+        """Take over a socket that a listener accepted; its peer connected at `unread_since_ms` or later."""
         _configure(sock)
-        return cls(loop, sock, handler)
+        return cls(loop, sock, handler, unread_since_ms=unread_since_ms)
 
     @classmethod
     def connect(
@@ -232,6 +252,7 @@
         """Stop or resume reading: backpressure on a peer that does not read its replies."""
         if self._reading != on and not self.is_closed:
             self._reading = on
+            self._unread_since.on_watched_again()
             self._update_mask()
 
     def _update_mask(self) -> None:
@@ -268,8 +289,12 @@
         self.handler.on_connected()
 
     def _read(self) -> None:
+        self._unread_since.on_reported()
         for _ in range(MAX_READS_PER_TURN):
-            if self._read_once() < MAX_READ_BYTES or self.is_closed or not self._reading:
+            count = self._read_once()
+            if self.is_closed or not self._reading or not count:
+                return
+            if count < MAX_READ_BYTES and not self._unread_since.should_drain():
                 return
 
     def _read_once(self) -> int:
@@ -277,7 +302,9 @@
         try:
             data, ancillary, _, _ = self._sock.recvmsg(MAX_READ_BYTES, ANCILLARY_BYTES)
         except OSError as error:
-            if not is_transient(error):  # else it stays readable, and is read in the next turn
+            if isinstance(error, BlockingIOError):
+                self._unread_since.on_drained()
+            elif not is_transient(error):  # else it stays readable, and is read in the next turn
                 self.close(reason_of_broken_connection(error))
             return 0
         if not data:
@@ -289,7 +316,11 @@
     def _deliver(self, data: bytes, ancillary: AncillaryData) -> None:
         self.last_received_ms = monotonic_ms()
         self.last_used_ms = self.last_received_ms
-        self.receive_delay_ms = receive_delay_ms(ancillary, self.loop.turn_started_unix_ms)
+        loop = self.loop
+        self.max_receive_delay_ms = self._unread_since.max_wait_ms
+        self.receive_delay_ms = receive_delay_ms(
+            ancillary, loop.turn_started_unix_ms, loop.wall_clock_step_ms, self.max_receive_delay_ms
+        )
         try:
             self.handler.on_data(data)
         except Exception:  # noqa: BLE001 - whatever a peer sends, it costs no more than its own connection
--- a/function_router/net/event_loop.py
+++ b/function_router/net/event_loop.py
@@ -29,9 +29,10 @@
 class EventLoop:
     """Owns the selector, the timers and the events gathered for the next batch.
 
-    `turn_started_ms` (monotonic) and `turn_started_unix_ms` are the moment at which the current turn began;
-    all that happens in a turn counts as of that moment, however long the process is held up in it.
-    `run` goes on while `running`.
+    `turn_started_ms` (monotonic) and `turn_started_unix_ms` are the moment of the current turn's look at the
+    sockets; all that happens in a turn counts as of that moment, however long the process is held up in it.
+    `previous_look_ms` is the moment of the look before, `wall_clock_step_ms` by how much the wall clock was
+    set since then, and `look_count` counts the looks. `run` goes on while `running`.
     """
 
     def __init__(self, decide: Callable[[float, list[Event]], None], log: Callable[[str], None]) -> None:
@@ -41,6 +42,9 @@
         self.running = True
         self.turn_started_ms = monotonic_ms()
         self.turn_started_unix_ms = unix_ms()
+        self.previous_look_ms = self.turn_started_ms
+        self.wall_clock_step_ms = 0.0
+        self.look_count = 0
         self._decide = decide
         self._log = log
         self._selector = selectors.DefaultSelector()
@@ -80,14 +84,23 @@
 
     def run_once(self, max_wait_s: float | None = None) -> None:
         """Run one turn, after a wait for the first socket or timer; `max_wait_s` bounds the wait."""
-        ready = self._selector.select(self._wait_s(max_wait_s))
-        self.turn_started_ms = monotonic_ms()
-        self.turn_started_unix_ms = unix_ms()
+        ready = self._look(self._wait_s(max_wait_s))
         self._run_turn(ready, self.clock.now_ms())
         took_ms = monotonic_ms() - self.turn_started_ms
         if took_ms > SLOW_TURN_MS:
             self._log(f"slow turn: {took_ms:.0f} ms for {len(ready)} sockets")
 
+    def _look(self, wait_s: float | None) -> list[tuple[selectors.SelectorKey, int]]:
+        """Wait for a socket, and note when this look at them was."""
+        ready = self._selector.select(wait_s)
+        wall_clock_offset_ms = self.turn_started_unix_ms - self.turn_started_ms
+        self.previous_look_ms = self.turn_started_ms
+        self.turn_started_ms = monotonic_ms()
+        self.turn_started_unix_ms = unix_ms()
+        self.wall_clock_step_ms = self.turn_started_unix_ms - self.turn_started_ms - wall_clock_offset_ms
+        self.look_count += 1
+        return ready
+
     def _wait_s(self, max_wait_s: float | None) -> float | None:
         if self._pending_events or self._to_flush:
             return 0.0
@@ -100,10 +113,11 @@
 
     def _run_turn(self, ready: list[tuple[selectors.SelectorKey, int]], now_ms: float) -> None:
         for key, mask in ready:
-            # A socket that an earlier callback of this turn closed is no longer registered under its key;
-            # one that it modified is reported again in the next turn.
-            if self._selector.get_map().get(key.fd) is key:
-                self.guard(key.data, mask)
+            # An earlier callback of this turn may have closed the socket, whose number may be another one's
+            # by now, or may have changed what it is watched for.
+            current = self._selector.get_map().get(key.fd)
+            if current is not None and current.fileobj is key.fileobj and mask & current.events:
+                self.guard(current.data, mask & current.events)
         self.timers.advance(self.turn_started_ms)
         if self._pending_events:
             events = self._pending_events
