Show three ways in which a process that was held up breaks a rule of time

Cause: read for paths where time passes between two steps: several messages in one read, a turn that takes long, a worker that does not read.

--- a/tests/test_client_connection.py
+++ b/tests/test_client_connection.py
@@ -2,6 +2,7 @@
 
 import gc
 import socket
+import time
 import weakref
 from unittest import mock
 
@@ -9,6 +10,7 @@
 from fakes import FakeWorker, encode_request, wait_readable
 from router_harness import SETTINGS
 
+from function_router.decisions.actions import SendRequest
 from function_router.net import client_connection, clock, connection, router_process
 from function_router.net.event_loop import READ
 
@@ -297,3 +299,43 @@
     assert served.is_overdue(
         served._waiting_since_ms + ANSWER_LIMIT_MS - router_process.TIMEOUT_CHECK_INTERVAL_MS
     )
+
+
+# --- a process that was held up -------------------------------------------------------------------
+
+
+def test_requests_read_together_after_a_hold_up_have_no_more_time_than_their_clients_left(start_router):
+    harness = start_router(FakeWorker(instances=None))
+    client, served = connect_accepted_client(harness)
+    harness.round_trip(client)
+    hold_up_ms = 400.0
+
+    client.send_request(call="aa" * 8)
+    time.sleep(hold_up_ms / 1000)
+    client.send_request(call="bb" * 8)
+    read_in_one_turn(harness, served)
+
+    first, second = harness.table.pending.values()
+    assert first.client_request.timeout_ms <= 8000.0 - hold_up_ms + 50.0
+    assert second.client_request.timeout_ms > 8000.0 - 100.0
+
+
+def test_client_that_cancels_during_a_long_turn_gets_no_attempt(start_router):
+    harness, worker = start_with_warm_instances(start_router)
+    client, _ = connect_accepted_client(harness)
+    handle = harness.router_process.router.handle
+
+    def handle_slowly(now_ms, events):
+        actions = handle(now_ms, events)
+        if any(isinstance(action, SendRequest) for action in actions):
+            client.cancel(1)
+            time.sleep(0.15)
+        return actions
+
+    with mock.patch.object(harness.router_process.router, "handle", handle_slowly):
+        client.send_request(call="cc" * 8)
+        harness.run_until(lambda: harness.table.pending, "it is admitted")
+        harness.run_until(lambda: not harness.table.pending, "it is over")
+    harness.round_trip(harness.connect_client())
+
+    assert [request.frame.exchange_id for request in worker.requests[1:]] == []
--- a/tests/test_worker_connection.py
+++ b/tests/test_worker_connection.py
@@ -1,6 +1,7 @@
 """Tests of `worker_connection`, and of the choice among connections in `pooled_worker`."""
 
 import socket
+import time
 from unittest import mock
 
 from fakes import FakeWorker, wait_readable
@@ -8,8 +9,10 @@
 
 from function_router.decisions.types import Outcome
 from function_router.net import pooled_worker, worker_connection
+from function_router.net.clock import monotonic_ms
 from function_router.net.close_reason import CloseReason
 from function_router.net.codecs import worker_frames
+from function_router.net.event_loop import WRITE
 
 # The codes of answers, as documented.
 NOT_LOADED = 2
@@ -202,3 +205,21 @@
         harness.run_attempt(worker, results, exchange_id=b"abcdefgh")
 
     assert worker.requests[0].connection is not worker.requests[1].connection
+
+
+def test_time_left_is_stated_as_of_the_first_byte(start_router):
+    worker = FakeWorker(instances=None)
+    harness = start_router(worker)
+    harness.run_attempt(worker, [])
+    late = attempt(worker.worker_id, [], exchange_id=b"abcdefgh", within_ms=5_000.0)
+    with mock.patch.object(pooled_worker, "CONNECTIONS_BEFORE_SHARING", 1):
+        harness.pool.send(late)
+    connection = late.connection.connection
+
+    connection._blocked = True  # the worker does not read for a while
+    time.sleep(0.4)
+    connection._ready(WRITE)
+    harness.run_until(lambda: len(worker.requests) == 2, "it runs")
+
+    stated_ms = float(worker.requests[1].frame.fields["ms"])
+    assert stated_ms <= late.deadline_ms - monotonic_ms() + 100.0
