Take messages that one read brings after a hold-up for as old as they can be

Cause: the kernel's timestamp is that of the last byte of a read; after the process was held up, requests before it had up to the length of the hold-up more time than their clients, beyond the slack of 150 ms. Change: of several messages in one read, the last one has its exact age; the others that of the last look at an empty socket, where that is more than 100 ms ago.

--- a/function_router/net/client_connection.py
+++ b/function_router/net/client_connection.py
@@ -36,6 +36,9 @@
 # For the rest of an oversized message, which was answered with an exception when its head came.
 SKIP_TIMEOUT_MS = 6_000.0
 
+# Messages that one read brings, and that can't have waited for longer, count as equally old.
+HELD_UP_MS = 100.0
+
 # A client with more bytes of unread answers is not read from.
 STOP_READING_BYTES = 64 * 1024
 # A client with more bytes of unread answers is disconnected.
@@ -57,6 +60,7 @@
     __slots__ = (
         "__weakref__",
         "_chunk_count",
+        "_message_age_ms",
         "_reader",
         "_waiting_since_ms",
         "connection",
@@ -71,6 +75,7 @@
         self.connection = Connection.accepted(listener.loop, sock, self, connected_since_ms)
         self._reader = thrift.FrameReader()
         self.has_received_message = False
+        self._message_age_ms = 0.0  # of the message that is being handled
         self._chunk_count = 0  # reads since the last one that completed a message
         self._waiting_since_ms = monotonic_ms()  # it connected, or the incomplete message began
 
@@ -90,11 +95,24 @@
             self._chunk_count = 1
         else:
             self._chunk_count += 1
-        for message in messages:
+        for number, message in enumerate(messages, 1):
             if self.connection.is_closed or self.connection.is_finishing:
                 return
+            is_last = number == len(messages) and not self._reader.has_partial_frame
+            self._message_age_ms = self._age_ms(is_last=is_last)
             self._on_message(message)
 
+    def _age_ms(self, *, is_last: bool) -> float:
+        """How long a message of the last read had waited: exact for one whose last byte is that of the read.
+
+        Those before it may be older, which matters after the process was held up: they are taken for as old as
+        they can be.
+        """
+        max_age_ms = self.connection.max_receive_delay_ms
+        if is_last or max_age_ms <= HELD_UP_MS:
+            return self.connection.receive_delay_ms
+        return max_age_ms
+
     def on_flushed(self) -> None:
         """Stop reading from a client that does not read, and disconnect it once too much is unread.
 
@@ -242,20 +260,20 @@
         return parsed
 
     def _client_request(self, seqid: int, parsed: ParsedRequest) -> ClientRequest:
-        receive_delay_ms = self.connection.receive_delay_ms
+        age_ms = self._message_age_ms
         return ClientRequest(
             id=parsed.request_id,
             class_name=parsed.class_name,
             tenant=parsed.tenant,
             function=parsed.function,
-            timeout_ms=max(0.0, parsed.timeout_ms - receive_delay_ms),
+            timeout_ms=max(0.0, parsed.timeout_ms - age_ms),
             body=parsed.body,
             idempotency_key=parsed.idempotency_key,
             concurrency=parsed.concurrency,
             memory_mb=parsed.memory_mb,
             start_ms=parsed.start_ms,
             reply=lambda answer: self._reply(seqid, answer),
-            age_ms=receive_delay_ms,
+            age_ms=age_ms,
             is_client_connected=self._is_client_connected,
         )
 
