--- a/tests/test_client_listener.py
+++ b/tests/test_client_listener.py
@@ -3,9 +3,10 @@
 import errno
 from unittest import mock
 
+import pytest
 from fakes import FakeWorker, wait_readable
 
-from function_router.net import client_listener, router_process
+from function_router.net import client_listener, connection, router_process
 
 MAX_SOCKETS = 32
 FEW_SOCKETS = {"sockets": MAX_SOCKETS}
@@ -95,3 +96,25 @@
 
     assert failures == []
     assert not client.is_closed
+
+
+def test_request_that_arrives_during_an_idle_close_is_left_unread(start_router):
+    harness = start_router(FakeWorker(instances=None))
+    client = harness.connect_client()
+    harness.round_trip(client)
+    served = harness.only_client_connection()
+    sock = served.connection._sock
+    peek = served.connection.peek
+
+    def peek_just_before_the_request():
+        found = peek()
+        client.send_request()
+        assert wait_readable(sock)
+        return found
+
+    with mock.patch.object(connection.Connection, "peek", side_effect=peek_just_before_the_request):
+        assert served.close_unless_data_arrived()
+
+    # An unread request makes the close a reset, by which its client knows that it was not taken.
+    with pytest.raises(ConnectionResetError):
+        client.sock.recv(1)
--- a/tests/test_connection.py
+++ b/tests/test_connection.py
@@ -59,12 +59,17 @@
     """A socket whose reads and writes fail at first, once with each of some errors."""
 
     def __init__(self, sock, *error_numbers):
-        self.left = {"recvmsg": list(error_numbers), "sendmsg": list(error_numbers)}
+        self.left = {name: list(error_numbers) for name in ("recv", "recvmsg", "sendmsg")}
         self._sock = sock
 
     def __getattr__(self, name):
         return getattr(self._sock, name)
 
+    def recv(self, *arguments):
+        """Look at or read bytes, once all failures have been."""
+        self._fail("recv")
+        return self._sock.recv(*arguments)
+
     def recvmsg(self, *arguments):
         """Read, once all failures have been."""
         self._fail("recvmsg")
@@ -356,7 +361,7 @@
     run_until(lambda: handler.close_reasons or (peer.data and handler.data), peer)
 
     assert (handler.data, bytes(peer.data), handler.close_reasons) == (b"request", b"reply", [])
-    assert failing.left == {"recvmsg": [], "sendmsg": []}
+    assert (failing.left["recvmsg"], failing.left["sendmsg"]) == ([], [])
 
 
 def test_connect_that_cannot_be_watched_or_is_interrupted_harms_nobody(loop, listener, run_until):
@@ -395,3 +400,16 @@
 
     assert handler.data == b"request"
     assert 0.0 <= connection.receive_delay_ms <= clock.monotonic_ms() - started_ms + 50.0
+
+
+def test_look_that_fails_for_a_moment_is_no_end_of_the_connection(accept):
+    connection, peer = accept(RecordingHandler())
+    failing = FailingAtFirstSocket(connection._sock, errno.ENOMEM, errno.ENOBUFS)
+    connection._sock = failing
+    ends_seen = [connection.has_peer_closed(), connection.has_peer_closed(), connection.has_peer_closed()]
+
+    peer.sock.close()
+
+    assert ends_seen == [False, False, False]
+    assert failing.left["recv"] == []
+    assert connection.has_peer_closed()
--- a/tests/test_request_table.py
+++ b/tests/test_request_table.py
@@ -5,6 +5,7 @@
 
 import pytest
 from fakes import FUNCTION, FakeWorker
+from router_harness import SETTINGS
 
 from function_router.decisions.events import RequestCancelled
 from function_router.net import request_table
@@ -138,17 +139,23 @@
     assert 0 <= decided.deadline_ms - decided.arrived_ms <= time_left_ms
 
 
-def test_full_table_rejects_at_once_and_advises_when_to_retry(start_router):
-    worker = FakeWorker()
-    harness = start_router(worker)
-    client = harness.connect_client()
-
-    with mock.patch.object(request_table, "MAX_TOTAL_BODY_BYTES", 10):
-        seqid = client.send_request(body=b"x" * 11)
-        harness.run_until(lambda: client.answers, "it is rejected")
-
-    expected = {1: {"pushback": str(int(request_table.FULL_TABLE_RETRY_AFTER_MS)).encode()}}
-    assert client.answers == [(seqid, "throttled", expected)]
+def test_full_table_rejects_at_once_and_advises_when_to_retry_as_the_settings_allow(start_router):
+    advice = []
+    for bounds in (
+        {"retry_after": True, "max_retry_after": 2000.0},
+        {"retry_after": True, "max_retry_after": 100.0},
+        {},
+    ):
+        harness = start_router(FakeWorker(), settings={"bounds": {**SETTINGS["bounds"], **bounds}})
+        client = harness.connect_client()
+        with mock.patch.object(request_table, "MAX_TOTAL_BODY_BYTES", 10):
+            client.send_request(body=b"x" * 11)
+            harness.run_until(lambda client=client: client.answers, "it is rejected")
+        [answer] = client.answers
+        assert answer.kind == "throttled"
+        advice.append(float(answer.content[1]["pushback"]))
+
+    assert advice == [request_table.FULL_TABLE_RETRY_AFTER_MS, 100.0, 0.0]
 
 
 def test_finished_request_makes_room_for_the_body_of_the_next(start_router):
