Leave unread what comes between the look at an idle connection and its close

Cause: the close of an idle connection shut the sending side down, then read and dropped up to 64 KiB: a request in them was read and never answered, and its client saw an orderly end. Change: the socket is closed as it is. With bytes unread that is a reset, on which clients send again; without, an orderly end as before. test_handler_is_notified_of_a_close_once_and_of_nothing_after expected the orderly end with bytes unread, which is the fault; it expects the reset now.

--- a/function_router/net/connection.py
+++ b/function_router/net/connection.py
@@ -349,20 +349,14 @@
         if self._connect_timer:
             self._connect_timer.cancel()
         self.loop.unregister(self._sock)
-        if self.is_connected and reason in (CloseReason.IDLE, CloseReason.SHUTDOWN):
-            self._shut_down()
+        # Unread bytes stay unread, which makes this a reset: by that a client knows that a request which
+        # crossed the close was not taken.
         self._sock.close()
         self._write_queue.clear()
         handler = self.handler
         self.handler = _CLOSED_CONNECTION_HANDLER
         handler.on_closed(reason)
 
-    def _shut_down(self) -> None:
-        """End the sending side and discard what came: closing with bytes unread would reset the peer."""
-        with contextlib.suppress(OSError):
-            self._sock.shutdown(socket.SHUT_WR)
-            self._sock.recv(MAX_READ_BYTES)
-
 
 def address_family(address: Address) -> socket.AddressFamily:
     """The address family of a numeric address."""
