Tell a look at a socket that failed for a moment from the end of its peer

Cause: peek took any OSError for the end, so that ENOMEM at the look before an attempt dropped a request whose client waited. Change: peek returns one of four findings; an unknown one neither ends a connection nor lets it be closed as idle. Tests that compared bytes compare the finding.

--- a/function_router/net/client_connection.py
+++ b/function_router/net/client_connection.py
@@ -8,7 +8,7 @@
 from function_router.net.clock import monotonic_ms
 from function_router.net.close_reason import CloseReason
 from function_router.net.codecs import thrift
-from function_router.net.connection import Connection
+from function_router.net.connection import MAY_HOLD_DATA, Connection
 from function_router.net.invariants import Invariant
 from function_router.net.pending_request import ClientRequest, Failed, FinalAnswer, Rejected, Served
 
@@ -175,7 +175,7 @@
 
     def close_unless_data_arrived(self) -> bool:
         """Close it, unless something of it has arrived and is yet to be read; whether it was closed."""
-        if self.connection.peek() and not self.connection.is_finishing:
+        if self.connection.peek() in MAY_HOLD_DATA and not self.connection.is_finishing:
             return False
         self.connection.close(CloseReason.IDLE if self.has_received_message else CloseReason.READ_TIMEOUT)
         return True
@@ -183,7 +183,7 @@
     def has_arriving(self) -> bool:
         """Whether something that it sent is unread, or is a part of an incomplete message."""
         return not self.connection.is_finishing and (
-            self._reader.has_partial_frame or bool(self.connection.peek())
+            self._reader.has_partial_frame or self.connection.peek() in MAY_HOLD_DATA
         )
 
     def eviction_order(self) -> tuple[bool, bool, float]:
--- a/function_router/net/connection.py
+++ b/function_router/net/connection.py
@@ -4,6 +4,7 @@
 import errno
 import select
 import socket
+from enum import Enum, auto
 from typing import Protocol
 
 from function_router.config import Address
@@ -30,6 +31,18 @@
 LINGER_MS = 1_000.0  # how long a peer may go on reading, and close by itself, after `close_after_flush`
 
 
+class Unread(Enum):
+    """What a look at a socket finds."""
+
+    NOTHING = auto()
+    DATA = auto()
+    END = auto()  # the peer has closed, or the connection is broken
+    UNKNOWN = auto()  # the look failed for a moment
+
+
+MAY_HOLD_DATA = (Unread.DATA, Unread.UNKNOWN)
+
+
 class ConnectionHandler(Protocol):
     """The owner of a connection, which is notified of what happens on it."""
 
@@ -242,20 +255,20 @@
 
     # --- reading ------------------------------------------------------------------------------
 
-    def peek(self) -> bytes | None:
-        """The first unread byte, left unread: None where there is none, empty where the peer has closed."""
+    def peek(self) -> Unread:
+        """What is next to be read; it stays unread."""
         try:
-            return self._sock.recv(1, socket.MSG_PEEK)
+            return Unread.DATA if self._sock.recv(1, socket.MSG_PEEK) else Unread.END
         except BlockingIOError:
-            return None
-        except OSError:
-            return b""
+            return Unread.NOTHING
+        except OSError as error:
+            return Unread.UNKNOWN if is_transient(error) else Unread.END
 
     def has_peer_closed(self) -> bool:
         """Whether the peer has closed, also where bytes that it sent before are still unread."""
-        unread = b"" if self.is_closed else self.peek()
-        if not unread:
-            return unread is not None
+        unread = Unread.END if self.is_closed else self.peek()
+        if unread is not Unread.DATA:
+            return unread is Unread.END
         poll = select.poll()
         poll.register(self._sock, select.POLLRDHUP)
         return any(mask & select.POLLRDHUP for _, mask in poll.poll(0))
--- a/function_router/net/worker_connection.py
+++ b/function_router/net/worker_connection.py
@@ -7,7 +7,7 @@
 from function_router.net.clock import monotonic_ms
 from function_router.net.close_reason import CloseReason
 from function_router.net.codecs import worker_frames as frames
-from function_router.net.connection import Connection
+from function_router.net.connection import Connection, Unread
 from function_router.net.event_loop import EventLoop
 from function_router.net.start_rules import Refusal, start_refusal
 from function_router.net.telemetry import Telemetry
@@ -153,7 +153,7 @@
 
     def has_reached_end_of_stream(self) -> bool:
         """Whether the worker has closed it, with nothing unread before that."""
-        return self.connection.peek() == b""
+        return self.connection.peek() is Unread.END
 
     def was_stale(self, reason: CloseReason) -> bool:
         """Whether it broke as soon as it was used after an idle time.
--- a/tests/test_client_connection.py
+++ b/tests/test_client_connection.py
@@ -12,6 +12,7 @@
 
 from function_router.decisions.actions import SendRequest
 from function_router.net import client_connection, clock, connection, router_process
+from function_router.net.connection import Unread
 from function_router.net.event_loop import READ
 
 WITHOUT_CANCEL = {"bounds": {**SETTINGS["bounds"], "cancel": False}}
@@ -261,7 +262,7 @@
 
     client.send_request(withhold=50)
     for _ in range(5):
-        harness.run_until(lambda: served.connection.peek() is None, "a chunk is read")
+        harness.run_until(lambda: served.connection.peek() is Unread.NOTHING, "a chunk is read")
         served._waiting_since_ms -= client_connection.MESSAGE_TIMEOUT_MS
         harness.router_process.listener.check_timeouts()
         client.send_withheld(10)
@@ -277,7 +278,7 @@
 
     overdue = []
     for _ in range(3):
-        harness.run_until(lambda: served.connection.peek() is None, "a chunk is read")
+        harness.run_until(lambda: served.connection.peek() is Unread.NOTHING, "a chunk is read")
         last_received_ms = served.connection.last_received_ms
         overdue.append(served.is_overdue(last_received_ms + client_connection.MESSAGE_TIMEOUT_MS))
         served._waiting_since_ms = last_received_ms - client_connection.MESSAGE_TIMEOUT_MS
--- a/tests/test_connection.py
+++ b/tests/test_connection.py
@@ -11,7 +11,7 @@
 from function_router.net import clock, event_loop
 from function_router.net import connection as connection_module
 from function_router.net.close_reason import CloseReason
-from function_router.net.connection import Connection
+from function_router.net.connection import Connection, Unread
 from function_router.net.event_loop import EventLoop
 from function_router.net.receive_timestamps import enable_receive_timestamps
 from function_router.net.write_queue import MAX_WRITES_PER_FLUSH
@@ -290,8 +290,8 @@
     peer.sock.send(b"unread")
     peer.sock.shutdown(socket.SHUT_WR)
 
-    assert before == (None, False)
-    assert connection.peek() == b"u"
+    assert before == (Unread.NOTHING, False)
+    assert connection.peek() is Unread.DATA
     assert connection.has_peer_closed()
 
 
