Advise clients of a full table no longer than the settings allow

Cause: the rejection for want of room always had pushback 250, also where the settings allow no advice or less. Change: the lesser of 250 ms and the settings' limit.

--- a/function_router/config/loader.py
+++ b/function_router/config/loader.py
@@ -11,6 +11,7 @@
 from function_router.config.schema import (
     FIXED_WEIGHT_SOURCES,
     START_ON_REQUEST,
+    BoundsSection,
     ClassSection,
     ConfigurationFile,
     EndpointList,
@@ -175,7 +176,7 @@
         can_cancel=bounds.cancel,
         can_hedge=bounds.second_copies,
         max_attempts=bounds.max_attempts,
-        max_retry_after_ms=bounds.max_retry_after if bounds.retry_after else 0.0,
+        max_retry_after_ms=_max_retry_after_ms(bounds),
         keep_alive_ms=family.idle_life,
         starts_on_request=family.not_loaded == START_ON_REQUEST,
         start_window_ms=family.load_window,
@@ -201,6 +202,10 @@
     )
 
 
+def _max_retry_after_ms(bounds: BoundsSection) -> float:
+    return bounds.max_retry_after if bounds.retry_after else 0.0
+
+
 def _transport_settings(section: SettingsSection) -> TransportSettings:
     bounds = section.bounds
     family = section.family_info
@@ -209,6 +214,7 @@
         keepalive_ms=bounds.keepalive,
         max_exchanges_per_connection=bounds.streams_per_conn,
         max_pending_requests=bounds.max_open,
+        max_retry_after_ms=_max_retry_after_ms(bounds),
         start_order_timeout_ms=family.load_wait,
         reports_in_flight=family.notes_peers_in_hand,
         may_preconnect=section.costs.handshake == 0,
--- a/function_router/config/types.py
+++ b/function_router/config/types.py
@@ -36,6 +36,7 @@
     keepalive_ms: float = 15_000.0
     max_exchanges_per_connection: int = 32
     max_pending_requests: int = 20_000
+    max_retry_after_ms: float = 0.0  # the longest advice to a client; 0: none is allowed
     start_order_timeout_ms: float = 10_000.0
     reports_in_flight: bool = False
     may_preconnect: bool = True  # a connection may be opened before a request needs it
--- a/function_router/net/request_table.py
+++ b/function_router/net/request_table.py
@@ -88,7 +88,7 @@
     def admit(self, client_request: ClientRequest) -> str | Rejected:
         """Add a request and return its key, or a rejection to answer at once where there is no room."""
         if not self._has_room_for(client_request):
-            return Rejected(FULL_TABLE_RETRY_AFTER_MS)
+            return Rejected(min(FULL_TABLE_RETRY_AFTER_MS, self._wire.max_retry_after_ms))
         key = f"r{next(self._request_numbers)}"
         self._pending_body_bytes += len(client_request.body)
         self._keys_by_client_id[client_request.id] = key
