--- a/tests/test_endpoint_watch.py
+++ b/tests/test_endpoint_watch.py
@@ -1,5 +1,6 @@
 """Tests of `endpoint_watch`: events over a real connection to a fake endpoint log."""
 
+import json
 from unittest import mock
 
 import pytest
@@ -45,6 +46,10 @@
     harness.run_until(lambda: watch.last_sequence == sequence, f"event {sequence} is applied")
 
 
+def last_sequence(harness):
+    return harness.router_process.endpoint_watch.last_sequence
+
+
 def wait_for_requests(harness, count):
     harness.run_until(lambda: len(harness.endpoint_log.requests()) == count, f"{count} requests are made")
 
@@ -191,6 +196,36 @@
     wait_for_sequence(harness, 2)
 
 
+def test_event_that_is_nested_too_deeply_is_skipped_like_any_other_invalid_one(start_router):
+    harness = start_router(FakeWorker())
+    nested = b'{"seq":2,"fleet":{"members":' + b"[" * 900 + b"]" * 900 + b"}}"
+    log = start_moved_log(harness, RepeatingEndpointLog(nested, b'{"seq":3,"fleet":{"members":[]}}', b"3"))
+
+    harness.router_process.endpoint_watch.move_to(log.address)
+    harness.run_until(lambda: len(log.connections) > 3 or last_sequence(harness) == 3, "event 3 is applied")
+
+    assert last_sequence(harness) == 3
+    assert len(log.connections) == 2
+
+
+def test_line_that_keeps_coming_is_waited_for_however_slow_the_log_is(start_router):
+    worker = FakeWorker()
+    harness = start_router(worker)
+    line = json.dumps(endpoint_event(2, worker.record("terminating"))).encode()
+    elapsed = []
+
+    with mock.patch.object(endpoint_watch, "SILENCE_TIMEOUT_MS", 300.0):
+        for start in range(0, len(line), len(line) // 8 + 1):
+            harness.endpoint_log.connections[-1].sock.sendall(line[start : start + len(line) // 8 + 1])
+            harness.router_process.loop.timers.call_later(100.0, lambda: elapsed.append(True))
+            harness.run_until(lambda: elapsed, "some time passes")
+            elapsed.clear()
+        harness.endpoint_log.connections[-1].sock.sendall(b"\n")
+        wait_for_state(harness, worker, WorkerState.DRAINING)
+
+    assert len(harness.endpoint_log.requests()) == 1
+
+
 # --- complete snapshots
 
 
--- a/tests/test_router_process.py
+++ b/tests/test_router_process.py
@@ -122,6 +122,21 @@
     harness.run_until(lambda: not harness.router_process.loop.running, "the loop stops")
 
 
+def test_pending_request_is_answered_before_the_kill_even_if_the_decisions_fail(harness, worker, client):
+    client.send_request()
+    harness.run_until(lambda: worker.requests, "the request runs")
+    started_ms = clock.monotonic_ms()
+
+    with (
+        mock.patch.object(router_process, "MAX_KILL_TIMEOUT_MS", 0.0),  # 0.5 s are left instead of 9 s
+        mock.patch.object(harness.router_process.router, "handle", side_effect=KeyError),
+    ):
+        harness.router_process.drain()
+        harness.run_until(lambda: 1 in client.answer_kinds(), "it is answered")
+
+    assert clock.monotonic_ms() - started_ms < 2000.0
+
+
 # --- reload
 
 
