Bring the deadline timers of pending requests forward in a drain

Cause: a drain cut the deadlines that the decisions see, but the table's own timer, which answers if the decisions fail, kept the client's deadline, past SIGKILL. Change: a drain sets these timers anew.

--- a/function_router/net/request_table.py
+++ b/function_router/net/request_table.py
@@ -34,6 +34,7 @@
 from function_router.net.start_orders import RecountStartOrder, StartOrderSender
 from function_router.net.start_rules import Refusal, request_refusal
 from function_router.net.telemetry import ANSWERS, Telemetry
+from function_router.net.timer_wheel import Timer
 from function_router.net.worker_messages import Answer, Attempt, Result
 from function_router.net.worker_pool import WorkerPool
 
@@ -94,7 +95,7 @@
         self._keys_by_client_id[client_request.id] = key
         now_ms = self._loop.turn_started_ms
         timeout_ms = max(0.0, min(client_request.timeout_ms, self._shutdown_at_ms - now_ms))
-        deadline_timer = self._loop.timers.call_later(timeout_ms, lambda: self._on_deadline(key))
+        deadline_timer = self._set_deadline_timer(key, timeout_ms)
         self.pending[key] = PendingRequest(key, client_request, now_ms + timeout_ms, deadline_timer)
         self._loop.submit(
             RequestArrived(
@@ -116,7 +117,10 @@
         """Limit all deadlines to when the process may be killed: a request pending then gets no answer."""
         self._shutdown_at_ms = self._loop.turn_started_ms + within_ms
         for request in self.pending.values():
-            request.deadline_ms = min(request.deadline_ms, self._shutdown_at_ms)
+            if request.deadline_ms > self._shutdown_at_ms:
+                request.deadline_ms = self._shutdown_at_ms
+                request.deadline_timer.cancel()
+                request.deadline_timer = self._set_deadline_timer(request.key, within_ms)
         self._loop.submit(DrainStarted(within_ms))
 
     def is_pending(self, client_request_id: bytes) -> bool:
@@ -178,6 +182,9 @@
 
     # --- the end of a request -----------------------------------------------------------------
 
+    def _set_deadline_timer(self, key: str, within_ms: float) -> Timer:
+        return self._loop.timers.call_later(within_ms, lambda: self._on_deadline(key))
+
     def _on_deadline(self, key: str) -> None:
         """Fail a request that the decision module did not finish by its deadline.
 
