Take an event or configuration that is nested too deeply for an invalid one

Cause: _without_nulls raised RecursionError at a depth that the decoder still takes; the watch closed its connection, connected again after 200 ms, and got the same event for ever. Change: _convert raises ConfigurationError, so that the line is requested again once and then skipped.

--- a/function_router/config/loader.py
+++ b/function_router/config/loader.py
@@ -149,6 +149,8 @@
         problem, _, path = str(error).partition(MSGSPEC_PATH_SEPARATOR)
         key = (prefix + path.rstrip("`")).lstrip(".")
         raise ConfigurationError.at(key or WHOLE_FILE, problem) from None
+    except RecursionError:
+        raise ConfigurationError.at(prefix or WHOLE_FILE, "nested too deeply") from None
 
 
 def _without_nulls(value: object) -> object:
