Wait for a line of the endpoint log while bytes of it keep coming

Cause: silence was counted from the last whole line. A list that took longer than 2 s was requested again from its beginning, for ever, while drains and starts behind it went unseen.

--- a/function_router/net/endpoint_watch.py
+++ b/function_router/net/endpoint_watch.py
@@ -19,6 +19,8 @@
 
 # The log sends a heartbeat each second, and an event that it holds back counts as published after 4 s.
 SILENCE_TIMEOUT_MS = 2_000.0
+# For one line, while bytes of it keep coming: a complete list over a slow or crowded way.
+MAX_LINE_MS = 30_000.0
 # Before the next connection attempt: an event of a broken connection counts as published after 2 s.
 RECONNECT_DELAY_MS = 200.0
 # The delay doubles up to this where a log answers, but sends nothing valid.
@@ -125,9 +127,14 @@
         self.connect()
 
     def check_timeouts(self) -> None:
-        """Connect anew where no whole line came for too long: a log that stopped may not close its end."""
-        is_connected = self._connection is not None and self._connection.is_connected
-        if is_connected and monotonic_ms() - self._last_line_ms > SILENCE_TIMEOUT_MS:
+        """Connect anew where nothing came for too long: a log that stopped may not close its end."""
+        connection = self._connection
+        if connection is None or not connection.is_connected:
+            return
+        now_ms = monotonic_ms()
+        is_in_line = bool(self._partial_line) and now_ms - self._last_line_ms <= MAX_LINE_MS
+        last_progress_ms = connection.last_received_ms if is_in_line else self._last_line_ms
+        if now_ms - last_progress_ms > SILENCE_TIMEOUT_MS:
             self._request_again("silent")
 
     def close(self) -> None:
