--- a/tests/test_connection.py
+++ b/tests/test_connection.py
@@ -414,3 +414,19 @@
     assert ends_seen == [False, False, False]
     assert failing.left["recv"] == []
     assert connection.has_peer_closed()
+
+
+def test_connection_that_is_blocked_with_nothing_left_to_write_is_not_watched_for_writing(accept, loop):
+    connection, _ = accept(RecordingHandler())
+    cancelled = connection.write(b"cancelled")
+    connection._blocked = True  # the socket's buffer is full
+    connection._update_mask()
+    connection.cancel_write(cancelled)
+    turns = 0
+    end_s = time.monotonic() + 0.1
+
+    while time.monotonic() < end_s:
+        loop.run_once(0.05)
+        turns += 1
+
+    assert turns < 10
--- a/tests/test_endpoint_registry.py
+++ b/tests/test_endpoint_registry.py
@@ -6,6 +6,7 @@
 
 from function_router.config import ConfigurationError, EndpointList, EndpointRecord
 from function_router.decisions.types import WorkerState
+from function_router.net import clock
 from function_router.net.endpoint_registry import AddressedEndpoint, EndpointRegistry, worker_id_of
 
 ADDRESS = ("127.0.0.1", 4000)
@@ -201,3 +202,29 @@
         f"worker {worker_id} is READY, started at 2",
         f"worker {worker_id} is DRAINING, started at 2",
     ]
+
+
+# --- start times, which are of a wall clock that may be wrong -----------------------------------------
+
+
+def notify_of_start(start_router, started_ago_ms):
+    """A router that is notified of a start; how long ago that was by the clock of its decisions."""
+    worker = FakeWorker()
+    harness = start_router(worker)
+    up_since_ms = clock.unix_ms() - started_ago_ms
+    harness.endpoint_log.send_line(endpoint_event(2, worker.record(up_since_ms=up_since_ms)))
+    decided = harness.router_process.router.workers[worker.worker_id]
+    harness.run_until(lambda: decided.started_ms is not None, "it is notified of the start")
+    return harness.router_process.loop.clock.now_ms() - decided.started_ms
+
+
+def test_start_in_the_future_counts_from_now(start_router):
+    assert 0.0 <= notify_of_start(start_router, -3_600_000.0) < 1_000.0
+
+
+def test_start_that_is_news_was_not_long_ago_whatever_the_wall_clock_says(start_router):
+    assert 0.0 <= notify_of_start(start_router, 3_600_000.0) < 1_000.0
+
+
+def test_start_some_seconds_ago_counts_from_then(start_router):
+    assert 4_900.0 <= notify_of_start(start_router, 5_000.0) < 6_000.0
