Read start times of workers so that none in slow start passes for a warm one

Cause: up_since_ms of the list was taken as it stands and compared with this machine's wall clock as of the start. By a clock that is ahead, a worker that has just started is long warm; by one that is behind, it is in slow start for as long as the clock is behind. Change: StartTimes converts each start once: the youngest age that is possible by the settings that the wall clock has shown, none in the future, and a start that a followed log publishes as news counts from now where its age is not plausible. What stays: a router that starts with a wrong clock can't tell the age of workers in its first list.

--- a/function_router/net/connection.py
+++ b/function_router/net/connection.py
@@ -216,10 +216,11 @@
 
     def flush(self) -> None:
         """Write what is queued, as far as the socket takes it; the event loop calls this."""
-        if self.is_connected and not self.is_closed and not self._blocked and self._write_queue:
-            self._write_queued()
-        elif not self._blocked:  # what it was blocked for has been cancelled
-            self._update_mask()
+        if self.is_connected and not self.is_closed and not self._blocked:
+            if self._write_queue:
+                self._write_queued()
+            else:  # what it was blocked for has been cancelled
+                self._update_mask()
         if self._close_reason_after_flush and not self.is_closed and not self._write_queue:
             with contextlib.suppress(OSError):
                 self._sock.shutdown(socket.SHUT_WR)
--- a/function_router/net/endpoint_registry.py
+++ b/function_router/net/endpoint_registry.py
@@ -9,6 +9,7 @@
 from function_router.decisions.events import Endpoint, EndpointsChanged
 from function_router.decisions.types import WorkerState
 from function_router.hashing import hash_name
+from function_router.net.start_times import StartTimes
 from function_router.net.worker_pool import WorkerPool
 
 # Bytes of a worker id: enough for the workers of one list to have different ones.
@@ -67,10 +68,12 @@
         self,
         pool: WorkerPool,
         on_changed: Callable[[EndpointsChanged], None],
+        start_times: StartTimes,
         log: Callable[[str, str], None],
     ) -> None:
         """Keep the list for `pool`; `log` takes a text and its source."""
         self._pool = pool
+        self._start_times = start_times
         self._log = log
         self._has_list = False  # the first one is not logged
         self._on_changed = on_changed
@@ -93,8 +96,18 @@
             for worker_id, endpoint in self._endpoints.items()
             if endpoint.state is not WorkerState.REMOVED
         }
+        is_news = self._has_list and not endpoint_list.complete
         self._has_list = True
-        self._on_changed(EndpointsChanged(changed, endpoint_list.complete))
+        decided = [self._for_decisions(endpoint, is_news=is_news) for endpoint in changed]
+        self._on_changed(EndpointsChanged(decided, endpoint_list.complete))
+
+    def _for_decisions(self, endpoint: Endpoint, *, is_news: bool) -> Endpoint:
+        """The endpoint with its start on the clock of the decisions."""
+        worker_id = endpoint.worker_id
+        started_at_ms = self._start_times.convert(worker_id, endpoint.started_at_ms, is_news=is_news)
+        if endpoint.state is WorkerState.REMOVED:
+            self._start_times.forget(worker_id)
+        return replace(endpoint, started_at_ms=started_at_ms)
 
     def _remove_all_except(self, worker_ids: set[int]) -> None:
         self._pool.remove_all_except(worker_ids)
--- a/function_router/net/endpoint_watch.py
+++ b/function_router/net/endpoint_watch.py
@@ -81,16 +81,22 @@
         self,
         loop: EventLoop,
         address: Address,
-        last_sequence: int,
         on_endpoints: Callable[[EndpointList], None],
+        on_caught_up: Callable[[], None],
         log: Callable[[str], None],
     ) -> None:
+        """Follow the log at an address, from its first event on unless `advance_to` says otherwise.
+
+        `on_endpoints` may raise ConfigurationError, which makes the event invalid; `on_caught_up` is called
+        when the log announces that it has no event which was not applied.
+        """
         now_ms = monotonic_ms()
         self._loop = loop
         self._address = address
-        self._on_endpoints = on_endpoints  # may raise ConfigurationError, which makes the event invalid
+        self._on_endpoints = on_endpoints
+        self._on_caught_up = on_caught_up
         self._log = log
-        self._tracker = SequenceTracker(last_sequence)
+        self._tracker = SequenceTracker(0)
         self._connection: Connection | None = None
         self._reconnect_timer: Timer | None = None
         self._reconnect_delay_ms = RECONNECT_DELAY_MS  # after an invalid line
@@ -247,6 +253,8 @@
         announcement = self._tracker.record_announcement(sequence, may_repeat_request=may_repeat_request)
         if announcement is Announcement.SNAPSHOT_REVOKED:
             self._request_again(f"its last event is {sequence}, before the snapshot that it sent")
+        elif announcement is Announcement.CAUGHT_UP:
+            self._on_caught_up()
         elif announcement is Announcement.EVENTS_MISSING:
             self._request_again(f"events up to {sequence} are missing")
 
--- a/function_router/net/event_loop.py
+++ b/function_router/net/event_loop.py
@@ -104,6 +104,7 @@
         self.turn_started_ms = monotonic_ms()
         self.turn_started_unix_ms = unix_ms()
         self.wall_clock_step_ms = self.turn_started_unix_ms - self.turn_started_ms - wall_clock_offset_ms
+        self.clock.note_wall_clock(self.turn_started_unix_ms - self.turn_started_ms)
         self.look_count += 1
         return ready
 
--- a/function_router/net/router_process.py
+++ b/function_router/net/router_process.py
@@ -24,6 +24,7 @@
 from function_router.net.event_loop import EventLoop
 from function_router.net.log import RateLimitedLog
 from function_router.net.request_table import RequestTable
+from function_router.net.start_times import StartTimes
 from function_router.net.telemetry import Telemetry
 from function_router.net.transient_errors import is_transient, retry_at_start
 from function_router.net.worker_pool import WorkerPool
@@ -106,8 +107,11 @@
         self.table = RequestTable(
             self.loop, self.pool, wire, classes, self.router.recount_start_order, self.telemetry
         )
-        self._registry = EndpointRegistry(self.pool, self.loop.submit, self.log)
-        self.endpoint_watch = EndpointWatch(self.loop, config.endpoint_log, 0, self._registry.apply, self.log)
+        start_times = StartTimes(self.loop.clock)
+        self._registry = EndpointRegistry(self.pool, self.loop.submit, start_times, self.log)
+        self.endpoint_watch = EndpointWatch(
+            self.loop, config.endpoint_log, self._registry.apply, start_times.on_caught_up, self.log
+        )
         self._apply_known_events()
         max_clients = _max_connections(config.max_sockets, CLIENT_SHARE)
         self.listener = ClientListener(
