--- a/tests/test_thrift.py
+++ b/tests/test_thrift.py
@@ -105,3 +105,12 @@
     answer = decode_answer(data[4:])
 
     assert answer == expected
+
+
+def test_application_exception_names_the_method_that_was_called():
+    method = b"status"
+    [error] = thrift.FrameReader().feed(frame(head(method, kind=thrift.CALL) + b"\x63\0\1\0"))
+
+    answer = thrift.encode_application_exception(error)
+
+    assert thrift.parse_head(answer[4:])[:3] == (thrift.EXCEPTION, method.decode(), 7)
