Name the method that was called in an application exception

Cause: the writer had the name handle fixed. Change: the error keeps the method of the message; the writer takes the error.

--- a/function_router/net/client_connection.py
+++ b/function_router/net/client_connection.py
@@ -217,7 +217,7 @@
         if error.seqid is None or error.seqid in self.pending:
             self._finish(CloseReason.PROTOCOL_ERROR)
         else:
-            self._write(thrift.encode_application_exception(error.seqid, str(error), error.kind))
+            self._write(thrift.encode_application_exception(error))
 
     def _on_withdraw(self, message: thrift.Withdraw) -> None:
         key = self.pending.pop(message.seqid, None)
--- a/function_router/net/codecs/thrift_protocol.py
+++ b/function_router/net/codecs/thrift_protocol.py
@@ -63,12 +63,14 @@
     Attributes:
         seqid: sequence number of the message; None where it can't be read.
         kind: the kind of application exception that answers it.
+        method: the method that was called, as far as that could be read.
     """
 
     def __init__(self, text: str, seqid: int | None = None, kind: int = PROTOCOL_ERROR) -> None:
         super().__init__(text)
         self.seqid = seqid
         self.kind = kind
+        self.method = METHOD_HANDLE
 
 
 class TruncatedMessageError(MalformedMessageError):
--- a/function_router/net/codecs/thrift_reader.py
+++ b/function_router/net/codecs/thrift_reader.py
@@ -157,10 +157,12 @@
     try:
         return _parse_call(head, data)
     except MalformedMessageError as error:
-        error.seqid = head.seqid
-        return error
+        malformed = error
     except (struct.error, UnicodeDecodeError, IndexError):
-        return MalformedMessageError("the arguments can't be read", head.seqid)
+        malformed = MalformedMessageError("the arguments can't be read")
+    malformed.seqid = head.seqid
+    malformed.method = head.method
+    return malformed
 
 
 def _parse_call(head: MessageHead, data: bytes) -> Message:
--- a/function_router/net/codecs/thrift_writer.py
+++ b/function_router/net/codecs/thrift_writer.py
@@ -23,6 +23,7 @@
     STRING,
     STRUCT,
     VERSION,
+    MalformedMessageError,
 )
 
 _U32 = struct.Struct(">I")
@@ -80,8 +81,12 @@
     return _encode_declared_exception(RESULT_BROKEN_ID, seqid, {})
 
 
-def encode_application_exception(seqid: int, text: str, kind: int) -> bytes:
-    """The answer to a message that is malformed; it names the method `handle`, whatever was called."""
-    content = _FIELD_HEADER.pack(STRING, APPLICATION_EXCEPTION_TEXT_ID) + encode_string(text.encode())
-    content += _FIELD_HEADER.pack(I32, APPLICATION_EXCEPTION_KIND_ID) + _I32.pack(kind)
-    return encode_frame(EXCEPTION, METHOD_HANDLE.encode(), seqid, content + _STOP_BYTE)
+def encode_application_exception(error: MalformedMessageError) -> bytes:
+    """The answer to a message that is malformed and has a sequence number.
+
+    A one-way message gets one too: whoever sends what can't be used is owed an answer.
+    """
+    content = _FIELD_HEADER.pack(STRING, APPLICATION_EXCEPTION_TEXT_ID) + encode_string(str(error).encode())
+    content += _FIELD_HEADER.pack(I32, APPLICATION_EXCEPTION_KIND_ID) + _I32.pack(error.kind)
+    method = error.method.encode("ascii", "replace")
+    return encode_frame(EXCEPTION, method, error.seqid or 0, content + _STOP_BYTE)
--- a/tests/test_thrift.py
+++ b/tests/test_thrift.py
@@ -107,8 +107,8 @@
     assert answer == expected
 
 
-def test_application_exception_names_the_method_that_was_called():
-    method = b"status"
+@pytest.mark.parametrize("method", [b"handle", b"status", b"withdraw", b"explode"])
+def test_application_exception_names_the_method_that_was_called(method):
     [error] = thrift.FrameReader().feed(frame(head(method, kind=thrift.CALL) + b"\x63\0\1\0"))
 
     answer = thrift.encode_application_exception(error)
