--- a/soak/endpoint_log.py
+++ b/soak/endpoint_log.py
@@ -7,6 +7,8 @@
 
 import msgspec
 
+from soak.ports import PortRange, listen
+
 HEARTBEAT_S = 1.0
 OLD_ADDRESS_S = 1.5  # after a move, open connections to the old address stay for so long
 READY_MARGIN_S = 4.0  # what a log in trouble would have published counts as notified after this
@@ -21,13 +23,17 @@
     """
 
     def __init__(
-        self, events: list[dict[str, Any]], translate: Callable[[dict[str, Any]], dict[str, Any]]
+        self,
+        events: list[dict[str, Any]],
+        translate: Callable[[dict[str, Any]], dict[str, Any]],
+        ports: PortRange,
     ) -> None:
-        """Serve `events`, each as `translate` makes it for this router."""
+        """Serve `events`, each as `translate` makes it for this router, at a port of the range."""
         self.port = 0
         self.troubled_until = 0.0
         self._events = events
         self._translate = translate
+        self._ports = ports
         self._is_silent = False
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task[None]] = set()
@@ -35,8 +41,8 @@
 
     async def start(self) -> None:
         """Listen at a new address."""
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", self.port)
-        self.port = self._server.sockets[0].getsockname()[1]
+        self.port = self.port or self._ports.take()
+        self._server = await listen(self._serve, self.port)
 
     async def publish(self) -> None:
         """Send what was added to the list of events."""
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -17,6 +17,7 @@
 from msgspec import Struct
 
 from function_router.net.codecs import worker_frames as frames
+from soak.ports import PROXY_PORTS, PortRange, listen
 from soak.records import AnswerSeen, AttemptSeen, OrderSeen, Recorder
 
 READ_BYTES = 65_536
@@ -71,6 +72,7 @@
     def __init__(self, router_count: int, worker_count: int, recorder: Recorder) -> None:
         self.pairs = [[Pair(r, w) for w in range(worker_count)] for r in range(router_count)]
         self._recorder = recorder
+        self._ports = PortRange(PROXY_PORTS)
         self._commands: dict[int, ProxyCommand] = {}
 
     async def apply(self, command: ProxyCommand) -> None:
@@ -90,8 +92,8 @@
         async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
             await self._serve(pair, reader, writer)
 
-        pair.server = await asyncio.start_server(serve, "127.0.0.1", pair.port, backlog=256)
-        pair.port = pair.server.sockets[0].getsockname()[1]
+        pair.port = pair.port or self._ports.take()
+        pair.server = await listen(serve, pair.port)
 
     async def _serve(self, pair: Pair, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         pair.open.add(writer)
--- a/soak/run.py
+++ b/soak/run.py
@@ -4,7 +4,6 @@
 import contextlib
 import random
 import signal
-import socket
 import time
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
@@ -18,6 +17,7 @@
 from soak.clients import ClientsCommand
 from soak.endpoint_log import EndpointLogServer
 from soak.plan import Plan, Trouble, TroubleKind
+from soak.ports import OTHER_PORTS, PortRange
 from soak.processes import ModuleProcess, RouterProcessHandle
 from soak.proxy import ProxyCommand
 from soak.shim import ShimControl, build
@@ -70,9 +70,10 @@
         self._folder = folder
         self._chance = random.Random(plan.seed + 1)
         self._shim = build(folder) if uses_shim else None
+        self._ports = PortRange(OTHER_PORTS)
         self._events: list[dict[str, Any]] = []
         self._logs = [
-            EndpointLogServer(self._events, partial(self._translate, router=number))
+            EndpointLogServer(self._events, partial(self._translate, router=number), self._ports)
             for number in range(plan.router_count)
         ]
         self._routers: list[RouterProcessHandle] = []
@@ -117,9 +118,7 @@
         await self._command_clients(ports=ports, requests_per_s=plan.requests_per_s)
 
     def _make_router(self, number: int) -> RouterProcessHandle:
-        with socket.socket() as free:
-            free.bind(("127.0.0.1", 0))
-            port = free.getsockname()[1]
+        port = self._ports.take()
         config = {
             "name": f"n{number}",
             "listen": f"127.0.0.1:{port}",
