--- a/tests/test_event_loop.py
+++ b/tests/test_event_loop.py
@@ -228,3 +228,18 @@
     loop.run_once(0)
 
     assert (flushes_at_read, part.delays, part.flushes) == ([0], 1, 1)
+
+
+def test_wait_that_was_interrupted_until_its_time_was_over_is_followed_by_a_look(loop, readable_socket):
+    called = []
+    loop.register(readable_socket(), READ, called.append)
+    select = loop._selector.select
+
+    def interrupted(timeout):
+        """As after SIGCONT: EINTR, the time to wait is over, and nothing was looked at."""
+        return [] if timeout else select(timeout)
+
+    with mock.patch.object(loop._selector, "select", interrupted):
+        loop.run_once(0.01)
+
+    assert called == [READ]
