--- a/function_router/net/event_loop.py
+++ b/function_router/net/event_loop.py
@@ -15,6 +15,8 @@
 # A turn that has taken longer looks at the sockets again before it writes: the client of a request may have
 # left meanwhile, and an attempt must not begin more than 100 ms after that.
 MAX_LOOK_AGE_MS = 40.0
+# Looks without a wait that confirm that there is nothing; each one may be interrupted, too.
+MAX_CONFIRMATIONS = 2
 MAX_SIGNALS_PER_READ = 64  # bytes of the wakeup socket, one a signal
 TRACEBACK_FRAMES = 3  # innermost frames of an unhandled exception that are logged
 
@@ -99,6 +101,9 @@
     def _look(self, wait_s: float | None) -> list[tuple[selectors.SelectorKey, int]]:
         """Wait for a socket, and note when this look at them was."""
         ready = self._selector.select(wait_s)
+        for _ in range(MAX_CONFIRMATIONS):
+            # A wait that a signal interrupted, such as SIGCONT, may end without having looked at the sockets.
+            ready = ready or self._selector.select(0.0)
         wall_clock_offset_ms = self.turn_started_unix_ms - self.turn_started_ms
         self.previous_look_ms = self.turn_started_ms
         self.turn_started_ms = monotonic_ms()
