Count what was sent to a worker before its start was known towards its budget

Cause: slow_start_sends began with the notification of the start; sends of the window before it, to the process that had started already, came on top. Change: each worker keeps its sends of one overload window; a notification counts those since the start.

--- a/function_router/decisions/router.py
+++ b/function_router/decisions/router.py
@@ -107,6 +107,7 @@
             worker.endpoint, worker.removed_since_ms = endpoint, None
             if started_ms is not None and started_ms > (worker.started_ms or -math.inf):
                 worker.started_ms = started_ms
+                worker.count_sends_since_start()
         self.ready = [w for w in self.workers.values() if w.endpoint.state == WorkerState.READY]
         self.unresponsive_count = sum(worker.unresponsive_since_ms is not None for worker in self.ready)
         members = {worker.id: self._machine_size(worker) for worker in self.ready}
@@ -332,6 +333,8 @@
         pool.in_flight, worker.in_flight = pool.in_flight + 1, worker.in_flight + 1
         self.sends.add(now_ms)
         worker.sends.add(now_ms)
+        worker.recent_sends.add(now_ms)
+        worker.recent_sends.forget_before(now_ms - self.settings.overload_window_ms)
         if self._slow_start_share(worker) < 1.0:
             worker.slow_start_sends.add(now_ms)
         self._expect_reply(worker)
--- a/function_router/decisions/state.py
+++ b/function_router/decisions/state.py
@@ -36,10 +36,18 @@
     unresponsive_since_ms: float | None = None
     max_in_flight: float = math.inf  # own requests that it can work on well, as of the last refresh
     slow_start_sends: SlidingWindow = field(default_factory=SlidingWindow)
+    recent_sends: SlidingWindow = field(default_factory=SlidingWindow)  # in the window of an overload
     last_function: "Function | None" = None  # that was seen there
     removed_since_ms: float | None = None
     breakers: dict[str, CircuitBreaker] = {}  # by class
 
+    def count_sends_since_start(self) -> None:
+        """Count what was sent to it since its start, of which the notification has just come."""
+        self.slow_start_sends.clear()
+        for sent_ms in self.recent_sends:
+            if self.started_ms is not None and sent_ms >= self.started_ms:
+                self.slow_start_sends.add(sent_ms)
+
 
 class InstancePool(Struct, eq=False):
     """What is believed of the instances of one function at one worker."""
