Show that a worker in slow start gets nothing where traffic is a trickle

Cause: found by a test of start times, which waited 20 s for a request to be sent to the one worker: the budget follows the rate, and at one request in 5 s it is below one for each router.

--- a/tests/test_router_slow_start.py
+++ b/tests/test_router_slow_start.py
@@ -53,3 +53,16 @@
     budget = OVERLOAD_MULTIPLE * SLOW_START_INITIAL * (WINDOW_MS / 1000) * capacity_rps
     assert before.count(busiest) > budget  # spent before anybody knew
     assert after.count(busiest) == 0
+
+
+def test_lone_router_sends_a_single_request_to_a_worker_that_has_just_started():
+    unserved = []
+    for seed in range(20):
+        harness = DecisionHarness(workers=1, seed=seed, slow_start_ms=14_000.0, overload_window_ms=WINDOW_MS)
+        harness.now_ms = 60_000.0
+        harness.feed(EndpointsChanged([Endpoint(1, started_at_ms=harness.now_ms)], is_complete=True))
+        harness.now_ms += 100.0
+        if not harness.complete_starts(harness.request("r")):
+            unserved.append(seed)
+
+    assert unserved == []
