Let all routers together send one request a window to a worker in slow start

Change: one request a window is added to the budget of all routers together, each with its part; the operator's rule allows 3 for chance at any rate.

--- a/function_router/decisions/router.py
+++ b/function_router/decisions/router.py
@@ -28,6 +28,7 @@
 FAR_FACTOR = 2.0  # past this multiple another worker is probed: past the other one, chance alone takes many
 SILENT_MS = 300.0  # a worker that owes a reply and says nothing for less is not silent
 SLOW_START_SAFETY = 0.75  # part of a slow-start budget that is used: capacity and other routers are guesses
+SLOW_START_TRICKLE = 1.0  # requests of all routers in a window at any rate: chance allows for three
 CROWD_SPREAD = 1.5  # room for chance in a worker's limit, in square roots of its mean requests
 LATE_START_MS = 20.0  # a start order that leaves this long after its decision is looked at once more
 SLOTS_PART, CAPACITY_PART = 1.2, 0.6  # of an instance's slots, and a worker's capacity, for a wide function
@@ -474,7 +475,9 @@
         usual = max(self.quota_per_ms / self.router_count, own_usual)
         rate = min(self._arrival_rate(), usual) * self._machine_size(worker) / self.largest_size
         chance = mix64(mix64(self.seed ^ worker.hash)) / 2**64  # a part below one falls to so many routers
-        budget = SLOW_START_SAFETY * multiple * share * window_ms * rate
+        budget = (
+            SLOW_START_SAFETY * multiple * share * window_ms * rate + SLOW_START_TRICKLE / self.router_count
+        )
         return len(worker.slow_start_sends) + 1 <= budget + chance
 
     def _load_bound(self, worker: Worker) -> float:  # own requests (hashing with bounded loads)
