Keep since when an accepted socket may hold data until it is adopted

Cause: a socket that epoll did not take at once was adopted with the listener's present bound, so that a request which had waited meanwhile passed for younger than it may be. Change: the bound of the accept stays with the socket. request_refusal takes pending requests only, as its one caller looks for others first.

--- a/function_router/net/client_listener.py
+++ b/function_router/net/client_listener.py
@@ -2,6 +2,7 @@
 
 import errno
 import socket
+from dataclasses import dataclass
 
 from function_router.config import Address
 from function_router.decisions.settings import RequestClass
@@ -32,6 +33,14 @@
 FIRST_MESSAGE_GRACE_MS = 250.0
 
 
+@dataclass(frozen=True, slots=True)
+class AcceptedSocket:
+    """A socket that was accepted; its client connected at `connected_since_ms` (monotonic) or later."""
+
+    sock: socket.socket
+    connected_since_ms: float
+
+
 class ClientListener:
     """Owns the listening socket and the client connections, within a share of the file descriptors.
 
@@ -82,7 +91,7 @@
         self.address: Address = self._listener.getsockname()[:2]
         self._is_paused = False
         self._unread_since = UnreadSince(loop, monotonic_ms())  # clients that are not accepted yet
-        self._not_adopted: list[socket.socket] = []  # accepted, and to be adopted after the pause
+        self._not_adopted: list[AcceptedSocket] = []  # to be adopted after the pause
         loop.register(self._listener, READ, self._accept)
 
     # --- accepting ------------------------------------------------------------------------------
@@ -119,20 +128,21 @@
             self._pause()
             return False
         self.telemetry.count(ACCEPTED)
-        return self._adopt(sock)
+        return self._adopt(AcceptedSocket(sock, self._unread_since.since_ms))
 
-    def _adopt(self, sock: socket.socket) -> bool:
+    def _adopt(self, accepted: AcceptedSocket) -> bool:
         """Make a client connection of an accepted socket; False where that can't be done now.
 
         Its client may have sent a request by now, which a close would lose: it is adopted later.
         """
         try:
-            self.connections[ClientConnection(self, sock, self._unread_since.since_ms)] = None
+            client = ClientConnection(self, accepted.sock, accepted.connected_since_ms)
         except OSError as error:
             self.telemetry.log(f"accepted connection: {error}")
-            self._not_adopted.append(sock)
+            self._not_adopted.append(accepted)
             self._pause()
             return False
+        self.connections[client] = None
         return True
 
     def _make_room(self) -> bool:
@@ -180,8 +190,8 @@
         self._is_paused = False
         not_adopted = self._not_adopted
         self._not_adopted = []
-        for sock in not_adopted:
-            self._adopt(sock)
+        for accepted in not_adopted:
+            self._adopt(accepted)
 
     # --- the connections ------------------------------------------------------------------------
 
@@ -223,8 +233,8 @@
             self._listener = None
         for client in list(self.connections):
             client.connection.close(CloseReason.SHUTDOWN)
-        for sock in self._not_adopted:
-            sock.close()
+        for accepted in self._not_adopted:
+            accepted.sock.close()
 
 
 def _listen(address: Address) -> socket.socket:
--- a/function_router/net/start_rules.py
+++ b/function_router/net/start_rules.py
@@ -48,21 +48,19 @@
 
 
 def request_refusal(
-    request: PendingRequest | None,
+    request: PendingRequest,
     request_class: RequestClass | None,
     attempts: Iterable["Attempt"],
     now_ms: float,
 ) -> Refusal | None:
-    """Why no attempt of a request may start; None where one may.
+    """Why no attempt of a pending request may start; None where one may.
 
     Args:
-        request: the pending request; None once it has finished.
+        request: the request.
         request_class: its class.
         attempts: its attempts in flight.
         now_ms: the time on the monotonic clock.
     """
-    if request is None:
-        return Refusal.REQUEST_FINISHED
     if not is_in_idempotency_window(request, request_class, attempts, now_ms):
         return Refusal.IDEMPOTENCY_WINDOW_PASSED
     if not request.client_request.is_client_connected():
