--- /dev/null
+++ b/tests/test_soak_run.py
@@ -0,0 +1,20 @@
+"""A short run of the soak test: its processes start, talk to each other, end, and keep the rules."""
+
+import re
+import subprocess
+import sys
+from pathlib import Path
+
+ROOT = Path(__file__).parent.parent
+TIMEOUT_S = 120
+SMALL = ["--routers", "2", "--workers", "2", "--seconds", "3", "--rate", "40", "--no-shim"]
+
+
+def test_small_run_without_trouble_serves_and_keeps_all_rules(tmp_path):
+    command = [sys.executable, "-m", "soak", *SMALL, "--no-trouble", "--keep", str(tmp_path)]
+
+    run = subprocess.run(command, cwd=ROOT, capture_output=True, text=True, timeout=TIMEOUT_S, check=False)
+
+    assert run.returncode == 0, run.stdout + run.stderr
+    assert int(re.search(r"answered served (\d+)", run.stdout)[1]) > 50
+    assert (tmp_path / "seed-1" / "plan.json").exists()
