Show that an exception of the decisions drops what was decided before it

Cause: read for what is left half done: Router.handle changes its state event by event and returns all actions at the end. An exception at a later event drops them; the sends among them stay counted as in flight for good.

--- a/tests/test_router_process.py
+++ b/tests/test_router_process.py
@@ -11,6 +11,7 @@
 from function_router.decisions.actions import LogMessage, SendRequest
 from function_router.decisions.events import TimerFired
 from function_router.net import clock, endpoint_registry, router_process
+from function_router.net.event_loop import READ
 
 
 @pytest.fixture
@@ -214,3 +215,21 @@
 
     assert done == [LogMessage("after")]
     assert any("unhandled exception" in line for line in harness.log_lines)
+
+
+def test_what_was_decided_before_an_exception_of_the_decisions_is_carried_out(harness, worker, client):
+    process = harness.router_process
+    client.send_request()
+    harness.run_until(lambda: worker.requests, "the first request runs")
+    worker.answer(worker.requests[0])
+    harness.run_until(lambda: 1 in client.answer_kinds(), "it is answered")
+    process.router._handlers[TimerFired] = mock.Mock(side_effect=KeyError)
+
+    client.send_request(call="ee" * 8)
+    [served] = process.listener.connections
+    assert wait_readable(served.connection._sock)
+    served.connection._ready(READ)
+    process.loop.submit(TimerFired(1))  # in the same batch, behind the request
+    harness.run_until(lambda: len(worker.requests) == 2, "the second request runs")
+
+    assert any("the decisions" in line for line in harness.log_lines)
