Return each action of the decisions once, also after an exception

Cause: the list of actions stayed in the router until the next batch; after an exception ahead of that it would have been carried out a second time. Change: the router hands its actions over and keeps none. Result: 126 tests of the decisions and the adapter pass.

--- a/function_router/decisions/router.py
+++ b/function_router/decisions/router.py
@@ -88,13 +88,18 @@
 
     def handle(self, now_ms: float, batch: list[events.Event]) -> list[actions.Action]:
         """Take the events of one moment, in order; the actions take effect at that moment."""
-        self.now_ms, self.first_event_ms, self.actions = now_ms, min(self.first_event_ms, now_ms), []
+        self.now_ms, self.first_event_ms = now_ms, min(self.first_event_ms, now_ms)
         for event in batch:
             self._handlers[type(event)](event)
         if not self.is_timer_set and (self.requests or self.attempts):
             self.is_timer_set = True
             self.actions.append(actions.SetTimer(state.SWEEP_MS, 0))
-        return self.actions
+        return self.take_actions()
+
+    def take_actions(self) -> list[actions.Action]:
+        """What was decided and not returned yet: after an exception, by the events before it."""
+        decided, self.actions = self.actions, []
+        return decided
 
     def _on_endpoints_changed(self, event: events.EndpointsChanged) -> None:
         workers, named = self.workers, {endpoint.worker_id for endpoint in event.endpoints}
--- a/function_router/net/router_process.py
+++ b/function_router/net/router_process.py
@@ -261,7 +261,7 @@
         except Exception:  # noqa: BLE001 - it is reported; each pending request has a deadline timer
             self.loop.report_exception("the decisions")
             self.loop.timers.call_later(RECOVERY_TIMER_MS, self._fire_recovery_timer)
-            actions = self.router.actions  # decided before the exception, as the router's state says
+            actions = self.router.take_actions()  # decided before it, as the router's state says
         for action in actions:
             self.loop.guard(self._action_handlers[type(action)], action)
 
