--- a/tests/test_event_loop.py
+++ b/tests/test_event_loop.py
@@ -1,5 +1,6 @@
 """Tests of `event_loop`."""
 
+import errno
 import os
 import signal
 import socket
@@ -9,7 +10,7 @@
 import pytest
 
 from function_router.decisions.events import TimerFired
-from function_router.net import event_loop
+from function_router.net import clock, event_loop
 from function_router.net.event_loop import READ, EventLoop
 
 
@@ -243,3 +244,51 @@
         loop.run_once(0.01)
 
     assert called == [READ]
+
+
+def test_look_counts_from_before_its_call_however_late_that_returns(loop):
+    select = loop._selector.select
+    looked_at_ms = []
+
+    def stopped_on_return(timeout):
+        """As where SIGSTOP comes while epoll_wait returns: what it found is old by the time it is seen."""
+        looked_at_ms.append(clock.monotonic_ms())
+        ready = select(timeout)
+        time.sleep(0.03)
+        return ready
+
+    with mock.patch.object(loop._selector, "select", stopped_on_return):
+        loop.run_once(0.001)
+    loop.run_once(0)
+
+    assert loop.previous_look_ms <= looked_at_ms[-1]
+
+
+class FailingOnceSocket(socket.socket):
+    """A socket whose first read finds no memory."""
+
+    has_failed = False
+
+    def recv(self, *arguments):
+        """Read, at the second try."""
+        if not self.has_failed:
+            self.has_failed = True
+            raise OSError(errno.ENOMEM, "recv")
+        return super().recv(*arguments)
+
+
+def test_signal_that_cannot_be_read_for_a_moment_is_handled_in_a_later_turn(loop, recorder, cleanups):
+    cleanups.callback(signal.signal, signal.SIGUSR1, signal.getsignal(signal.SIGUSR1))
+    handled = []
+    near, far = socket.socketpair()
+    failing = FailingOnceSocket(fileno=near.detach())
+
+    with mock.patch.object(event_loop.socket, "socketpair", return_value=(failing, far)):
+        loop.handle_signals({signal.SIGUSR1: lambda: handled.append(True)})
+    os.kill(os.getpid(), signal.SIGUSR1)
+    for _ in range(3):
+        loop.run_once(0.01)
+
+    assert failing.has_failed
+    assert handled == [True]
+    assert recorder.log_lines == []
