Count a look from before its call, and read a signal again that could not be read

Change: a look counts from the time before its call; after a wait that took over 5 ms, or found nothing, the sockets are looked at again without a wait. A transient error of the signals' socket leaves the signal for the next turn.

--- a/function_router/net/event_loop.py
+++ b/function_router/net/event_loop.py
@@ -10,12 +10,15 @@
 from function_router.decisions.events import Event
 from function_router.net.clock import Clock, monotonic_ms, unix_ms
 from function_router.net.timer_wheel import TimerWheel
+from function_router.net.transient_errors import is_transient
 
 SLOW_TURN_MS = 80.0  # a turn that takes longer is logged: it puts replies that are due at risk
 # A turn that has taken longer looks at the sockets again before it writes: the client of a request may have
 # left meanwhile, and an attempt must not begin more than 100 ms after that.
 MAX_LOOK_AGE_MS = 40.0
-# Looks without a wait that confirm that there is nothing; each one may be interrupted, too.
+# A call that took longer leaves too much open when it looked.
+MAX_LOOK_UNCERTAINTY_MS = 5.0
+# Looks without a wait, until one finds something; each of them may be interrupted, too.
 MAX_CONFIRMATIONS = 2
 MAX_SIGNALS_PER_READ = 64  # bytes of the wakeup socket, one a signal
 TRACEBACK_FRAMES = 3  # innermost frames of an unhandled exception that are logged
@@ -37,10 +40,10 @@
 class EventLoop:
     """Owns the selector, the timers and the events gathered for the next batch.
 
-    `turn_started_ms` (monotonic) and `turn_started_unix_ms` are the moment of the current turn's look at the
-    sockets; all that happens in a turn counts as of that moment, however long the process is held up in it.
-    `previous_look_ms` is the moment of the look before, `wall_clock_step_ms` by how much the wall clock was
-    set since then, and `look_count` counts the looks. `run` goes on while `running`.
+    `turn_started_ms` (monotonic) and `turn_started_unix_ms` are the moment right after the current turn's
+    look at the sockets; all that happens in a turn counts as of then, however long the process is held up in
+    it. What the look before did not report came after `previous_look_ms`. `wall_clock_step_ms` is by how much
+    the wall clock was set since then, and `look_count` counts the looks. `run` goes on while `running`.
     """
 
     def __init__(self, decide: Callable[[float, list[Event]], None], log: Callable[[str], None]) -> None:
@@ -51,6 +54,7 @@
         self.turn_started_ms = monotonic_ms()
         self.turn_started_unix_ms = unix_ms()
         self.previous_look_ms = self.turn_started_ms
+        self._look_ms = self.turn_started_ms
         self.wall_clock_step_ms = 0.0
         self.look_count = 0
         self._decide = decide
@@ -99,13 +103,22 @@
             self._log(f"slow turn: {took_ms:.0f} ms for {len(ready)} sockets")
 
     def _look(self, wait_s: float | None) -> list[tuple[selectors.SelectorKey, int]]:
-        """Wait for a socket, and note when this look at them was."""
+        """Wait for a socket, and note when this look at them was.
+
+        A look counts from before its call: SIGSTOP may come while the call returns. So a wait is followed by
+        a look without one; also as a wait that SIGCONT interrupted may end without having looked.
+        """
+        looked_at_ms = monotonic_ms()
         ready = self._selector.select(wait_s)
-        for _ in range(MAX_CONFIRMATIONS):
-            # A wait that a signal interrupted, such as SIGCONT, may end without having looked at the sockets.
-            ready = ready or self._selector.select(0.0)
+        if not ready or monotonic_ms() - looked_at_ms > MAX_LOOK_UNCERTAINTY_MS:
+            for _ in range(MAX_CONFIRMATIONS):
+                looked_at_ms = monotonic_ms()
+                ready = self._selector.select(0.0)
+                if ready:
+                    break
+        self.previous_look_ms = self._look_ms
+        self._look_ms = looked_at_ms
         wall_clock_offset_ms = self.turn_started_unix_ms - self.turn_started_ms
-        self.previous_look_ms = self.turn_started_ms
         self.turn_started_ms = monotonic_ms()
         self.turn_started_unix_ms = unix_ms()
         self.wall_clock_step_ms = self.turn_started_unix_ms - self.turn_started_ms - wall_clock_offset_ms
@@ -186,13 +199,24 @@
         signal.pthread_sigmask(signal.SIG_UNBLOCK, handlers)
 
         def on_signals(_mask: int) -> None:
-            for number in near.recv(MAX_SIGNALS_PER_READ):
+            for number in self._read_signals():
                 handler = handlers.get(number)
                 if handler:
                     handler()
 
         self.register(near, READ, on_signals)
 
+    def _read_signals(self) -> bytes:
+        """The numbers of the signals that came; none where the read fails for a moment."""
+        if self._wakeup_sockets is None:
+            return b""
+        try:
+            return self._wakeup_sockets[0].recv(MAX_SIGNALS_PER_READ)
+        except OSError as error:
+            if not is_transient(error):
+                raise
+            return b""
+
     def close(self) -> None:
         """Release the selector and the signals' sockets. The owner of a registered socket closes it."""
         if self._wakeup_sockets:
