--- a/function_router/net/connection.py
+++ b/function_router/net/connection.py
@@ -97,6 +97,7 @@
         is_closed: Whether the connection was closed, or could not be established.
         last_received_ms: When bytes were last received, on the monotonic clock.
         last_used_ms: When bytes were last received or written, on the monotonic clock.
+        last_write_ms: When the last write was begun, on the monotonic clock.
         receive_delay_ms: How long the last of the bytes read had waited when the turn began.
         max_receive_delay_ms: How long the first of them can have waited at the most.
     """
@@ -116,6 +117,7 @@
         "is_connected",
         "last_received_ms",
         "last_used_ms",
+        "last_write_ms",
         "loop",
         "max_receive_delay_ms",
         "receive_delay_ms",
@@ -139,6 +141,7 @@
         self.is_closed = False
         self.last_received_ms = monotonic_ms()
         self.last_used_ms = self.last_received_ms
+        self.last_write_ms = self.last_received_ms
         self.receive_delay_ms = 0.0
         self.max_receive_delay_ms = 0.0
         self._unread_since = UnreadSince(loop, unread_since_ms or self.last_received_ms)
@@ -228,6 +231,7 @@
             self.handler.on_flushed()
 
     def _write_queued(self) -> None:
+        self.last_write_ms = monotonic_ms()
         try:
             count = self._sock.sendmsg(self._write_queue.next_buffers())
         except OSError as error:
--- a/function_router/net/worker_connection.py
+++ b/function_router/net/worker_connection.py
@@ -51,8 +51,8 @@
     def on_answer(self, exchange: Exchange, frame: frames.Frame) -> None:
         """The worker answered an exchange, which is off the connection."""
 
-    def on_started(self, exchange: Exchange) -> None:
-        """The first byte of an exchange was written."""
+    def on_started(self, exchange: Exchange, written_at_ms: float) -> None:
+        """The first byte of an exchange was written, at this time of the monotonic clock."""
 
     def refuse(self, exchange: Exchange, refusal: Refusal) -> None:
         """An exchange on the connection, of which nothing was written, may not start any more."""
@@ -257,7 +257,7 @@
         """Notify the owner of the exchanges of which the first byte has just been written."""
         for exchange in self._unstarted:
             if exchange.is_started:
-                self._owner.on_started(exchange)
+                self._owner.on_started(exchange, self.connection.last_write_ms)
         self._unstarted = self.unwritten()
 
     def on_write_delayed(self) -> None:
--- a/function_router/net/worker_pool.py
+++ b/function_router/net/worker_pool.py
@@ -281,14 +281,14 @@
             self._on_connect_failed(worker, reason)
         self._forget_if_unused(worker)
 
-    def on_started(self, exchange: Exchange) -> None:
+    def on_started(self, exchange: Exchange, written_at_ms: float) -> None:
         """Check at run time that the exchange was allowed to start when its first byte was written."""
         what = f"{exchange.exchange_id.hex()} at worker {exchange.worker_id}"
         expect = self.telemetry.invariants.expect
         worker = self.workers.get(exchange.worker_id)
         refusal = worker_refusal(exchange, worker.state) if worker else Refusal.WORKER_UNKNOWN
         expect(not refusal and not exchange.is_done, Invariant.STARTED_BY_THE_RULES, f"{what}: {refusal}")
-        excess_ms = exchange.timeout_excess_ms(monotonic_ms())
+        excess_ms = exchange.timeout_excess_ms(written_at_ms)
         expect(excess_ms <= MAX_TIMEOUT_EXCESS_MS, Invariant.TIMEOUT_PASSED_ON, f"{what}: {excess_ms:.0f} ms")
 
     def on_answer(self, exchange: Exchange, frame: frames.Frame) -> None:
