Format run-time checks only on a violation, and name transient errors once

Cause: reading the change again: each exchange and answer formatted the text of a violation that had not happened; a flush listed unwritten exchanges where none were; close_reason listed the transient errors a second time; the offset of the wall clock was worked out three times a look. Change: checks record a violation where there is one; the set of transient errors is imported; each offset is computed once. Behaviour stays.

--- a/function_router/net/client_connection.py
+++ b/function_router/net/client_connection.py
@@ -130,11 +130,9 @@
 
     def on_closed(self, reason: CloseReason) -> None:
         """Cancel the pending requests; nobody waits for their answers."""
-        self.listener.telemetry.invariants.expect(
-            not self.pending or reason in CLOSED_BY_CLIENT,
-            Invariant.CLOSED_WITH_ANSWERS,
-            f"{reason.name} with {len(self.pending)} requests pending",
-        )
+        if self.pending and reason not in CLOSED_BY_CLIENT:
+            detail = f"{reason.name} with {len(self.pending)} requests pending"
+            self.listener.telemetry.invariants.record(Invariant.CLOSED_WITH_ANSWERS, detail)
         keys = list(self.pending.values())
         self.pending = {}
         for key in keys:
@@ -286,11 +284,11 @@
         return not self.connection.is_closed
 
     def _reply(self, seqid: int, answer: FinalAnswer) -> None:
-        is_first = self.pending.pop(seqid, None) is not None
-        invariants = self.listener.telemetry.invariants
-        invariants.expect(is_first, Invariant.ONE_ANSWER, f"a second one under number {seqid}")
-        if is_first:
-            self._write_answer(seqid, answer)
+        if self.pending.pop(seqid, None) is None:
+            detail = f"a second one under number {seqid}"
+            self.listener.telemetry.invariants.record(Invariant.ONE_ANSWER, detail)
+            return
+        self._write_answer(seqid, answer)
 
     def _write_answer(self, seqid: int, answer: FinalAnswer) -> None:
         if isinstance(answer, Served):
--- a/function_router/net/close_reason.py
+++ b/function_router/net/close_reason.py
@@ -5,6 +5,7 @@
 from enum import Enum, auto
 
 from function_router.decisions.types import Outcome
+from function_router.net.transient_errors import TRANSIENT_ERRORS
 
 
 class CloseReason(Enum):
@@ -62,21 +63,15 @@
 
 _NO_DESCRIPTORS = frozenset({errno.EMFILE, errno.ENFILE})
 # Of connect(2) and epoll_ctl(2), where they fail at once: memory, ports, routes and rules of this machine.
-_LOCAL_ERRORS = frozenset(
-    {
-        errno.EACCES,
-        errno.EADDRINUSE,
-        errno.EADDRNOTAVAIL,
-        errno.EAGAIN,
-        errno.EINTR,
-        errno.ENETDOWN,
-        errno.ENETUNREACH,
-        errno.ENOBUFS,
-        errno.ENOMEM,
-        errno.ENOSPC,
-        errno.EPERM,
-    }
-)
+_LOCAL_ERRORS = TRANSIENT_ERRORS | {
+    errno.EACCES,
+    errno.EADDRINUSE,
+    errno.EADDRNOTAVAIL,
+    errno.ENETDOWN,
+    errno.ENETUNREACH,
+    errno.ENOSPC,
+    errno.EPERM,
+}
 # The ways in which a connection that was established shows that it is broken.
 _CONNECTION_BROKEN = frozenset(
     {
--- a/function_router/net/event_loop.py
+++ b/function_router/net/event_loop.py
@@ -118,11 +118,12 @@
                     break
         self.previous_look_ms = self._look_ms
         self._look_ms = looked_at_ms
-        wall_clock_offset_ms = self.turn_started_unix_ms - self.turn_started_ms
+        previous_offset_ms = self.turn_started_unix_ms - self.turn_started_ms
         self.turn_started_ms = monotonic_ms()
         self.turn_started_unix_ms = unix_ms()
-        self.wall_clock_step_ms = self.turn_started_unix_ms - self.turn_started_ms - wall_clock_offset_ms
-        self.clock.note_wall_clock(self.turn_started_unix_ms - self.turn_started_ms)
+        offset_ms = self.turn_started_unix_ms - self.turn_started_ms
+        self.wall_clock_step_ms = offset_ms - previous_offset_ms
+        self.clock.note_wall_clock(offset_ms)
         self.look_count += 1
         return ready
 
@@ -199,24 +200,13 @@
         signal.pthread_sigmask(signal.SIG_UNBLOCK, handlers)
 
         def on_signals(_mask: int) -> None:
-            for number in self._read_signals():
+            for number in _read_signals(near):
                 handler = handlers.get(number)
                 if handler:
                     handler()
 
         self.register(near, READ, on_signals)
 
-    def _read_signals(self) -> bytes:
-        """The numbers of the signals that came; none where the read fails for a moment."""
-        if self._wakeup_sockets is None:
-            return b""
-        try:
-            return self._wakeup_sockets[0].recv(MAX_SIGNALS_PER_READ)
-        except OSError as error:
-            if not is_transient(error):
-                raise
-            return b""
-
     def close(self) -> None:
         """Release the selector and the signals' sockets. The owner of a registered socket closes it."""
         if self._wakeup_sockets:
@@ -224,3 +214,13 @@
             for sock in self._wakeup_sockets:
                 sock.close()
         self._selector.close()
+
+
+def _read_signals(sock: socket.socket) -> bytes:
+    """The numbers of the signals that came; none where the read fails for a moment."""
+    try:
+        return sock.recv(MAX_SIGNALS_PER_READ)
+    except OSError as error:
+        if not is_transient(error):
+            raise
+        return b""
--- a/function_router/net/invariants.py
+++ b/function_router/net/invariants.py
@@ -39,8 +39,7 @@
         self.violations: Counter[Invariant] = Counter()
         self._log = log
 
-    def expect(self, condition: bool, invariant: Invariant, detail: str) -> None:
-        """Count a violation of the invariant unless the condition holds."""
-        if not condition:
-            self.violations[invariant] += 1
-            self._log(f"{LOG_PREFIX}: {invariant}: {detail}", LOG_SOURCE)
+    def record(self, invariant: Invariant, detail: str) -> None:
+        """Count and log a violation of the invariant."""
+        self.violations[invariant] += 1
+        self._log(f"{LOG_PREFIX}: {invariant}: {detail}", LOG_SOURCE)
--- a/function_router/net/request_table.py
+++ b/function_router/net/request_table.py
@@ -204,9 +204,9 @@
 
     def _check_in_time(self, request: PendingRequest) -> None:
         late_ms = monotonic_ms() - request.deadline_ms
-        self._telemetry.invariants.expect(
-            late_ms <= MAX_LATENESS_MS, Invariant.ANSWERED_IN_TIME, f"{request.key}: {late_ms:.0f} ms late"
-        )
+        if late_ms > MAX_LATENESS_MS:
+            detail = f"{request.key}: {late_ms:.0f} ms late"
+            self._telemetry.invariants.record(Invariant.ANSWERED_IN_TIME, detail)
 
     def _close(self, key: str) -> PendingRequest | None:
         request = self.pending.pop(key, None)
--- a/function_router/net/worker_connection.py
+++ b/function_router/net/worker_connection.py
@@ -255,6 +255,8 @@
 
     def on_flushed(self) -> None:
         """Notify the owner of the exchanges of which the first byte has just been written."""
+        if not self._unstarted:
+            return
         for exchange in self._unstarted:
             if exchange.is_started:
                 self._owner.on_started(exchange, self.connection.last_write_ms)
--- a/function_router/net/worker_pool.py
+++ b/function_router/net/worker_pool.py
@@ -283,13 +283,17 @@
 
     def on_started(self, exchange: Exchange, written_at_ms: float) -> None:
         """Check at run time that the exchange was allowed to start when its first byte was written."""
-        what = f"{exchange.exchange_id.hex()} at worker {exchange.worker_id}"
-        expect = self.telemetry.invariants.expect
         worker = self.workers.get(exchange.worker_id)
         refusal = worker_refusal(exchange, worker.state) if worker else Refusal.WORKER_UNKNOWN
-        expect(not refusal and not exchange.is_done, Invariant.STARTED_BY_THE_RULES, f"{what}: {refusal}")
+        if refusal or exchange.is_done:
+            self._record_violation(Invariant.STARTED_BY_THE_RULES, exchange, str(refusal))
         excess_ms = exchange.timeout_excess_ms(written_at_ms)
-        expect(excess_ms <= MAX_TIMEOUT_EXCESS_MS, Invariant.TIMEOUT_PASSED_ON, f"{what}: {excess_ms:.0f} ms")
+        if excess_ms > MAX_TIMEOUT_EXCESS_MS:
+            self._record_violation(Invariant.TIMEOUT_PASSED_ON, exchange, f"{excess_ms:.0f} ms")
+
+    def _record_violation(self, invariant: Invariant, exchange: Exchange, detail: str) -> None:
+        what = f"{exchange.exchange_id.hex()} at worker {exchange.worker_id}"
+        self.telemetry.invariants.record(invariant, f"{what}: {detail}")
 
     def on_answer(self, exchange: Exchange, frame: frames.Frame) -> None:
         """Finish an exchange with the worker's answer."""
--- a/tests/test_invariants.py
+++ b/tests/test_invariants.py
@@ -84,7 +84,7 @@
 
 def test_violations_are_in_the_line_of_the_counters(harness):
     telemetry = harness.router_process.telemetry
-    telemetry.invariants.expect(False, Invariant.ONE_ANSWER, "by the test")
+    telemetry.invariants.record(Invariant.ONE_ANSWER, "by the test")
 
     assert "invariants violated 1" in telemetry.take_counters()
     assert "invariants violated 1" in telemetry.take_counters()
