Read commands of the soak test's processes in one place

Cause: clients and proxy each opened standard input and decoded lines; an unused constant, an attribute set on a foreign object and a needless chain were left. Change: soak/commands.py serves both; the tasks that copy logs are kept in a field.

--- a/soak/clients.py
+++ b/soak/clients.py
@@ -11,11 +11,11 @@
 from pathlib import Path
 from typing import Any
 
-import msgspec
 from msgspec import Struct
 
 from soak import site
 from soak.bad_clients import run_bad_client
+from soak.commands import read_commands
 from soak.records import ClientGone, ConnectionLost, Recorder, RequestAnswered, RequestSent
 from soak.thrift_client import (
     ClientAnswer,
@@ -216,13 +216,9 @@
     """Follow the commands until standard input ends, then wait for the open requests."""
     recorder = Recorder(record_path)
     clients = Clients(recorder, function_count, seed)
-    reader = asyncio.StreamReader()
-    await asyncio.get_running_loop().connect_read_pipe(
-        lambda: asyncio.StreamReaderProtocol(reader), sys.stdin
-    )
     arrivals = [asyncio.create_task(clients.arrive()), asyncio.create_task(clients.misbehave())]
-    while line := await reader.readline():
-        clients.apply(msgspec.json.decode(line, type=ClientsCommand))
+    async for command in read_commands(ClientsCommand):
+        clients.apply(command)
     for task in arrivals:
         task.cancel()
     await clients.finish()
--- a/soak/ports.py
+++ b/soak/ports.py
@@ -5,9 +5,8 @@
 
 import asyncio
 import errno
-import itertools
 import socket
-from collections.abc import Awaitable, Callable, Iterator
+from collections.abc import Awaitable, Callable
 
 # Below the usual ip_local_port_range of Linux, which begins at 32768.
 PROXY_PORTS = range(20_000, 28_000)
@@ -18,7 +17,7 @@
     """Hands out the ports of a range, each once."""
 
     def __init__(self, ports: range) -> None:
-        self._ports: Iterator[int] = itertools.chain(ports)
+        self._ports = iter(ports)
 
     def take(self) -> int:
         """A port that nobody listens on."""
--- a/soak/processes.py
+++ b/soak/processes.py
@@ -99,6 +99,7 @@
     lives: list[RouterLife] = field(default_factory=list)
     reads_log: bool = True
     process: asyncio.subprocess.Process | None = None
+    _log_tasks: list[asyncio.Task[None]] = field(default_factory=list)
 
     @property
     def life(self) -> RouterLife:
@@ -139,13 +140,9 @@
             stderr=asyncio.subprocess.PIPE,
             limit=4096,
         )
-        self._keep_log(self.process)
+        self._log_tasks.append(asyncio.create_task(self._copy_log(self.process)))
         await self._wait_ready()
 
-    def _keep_log(self, process: asyncio.subprocess.Process) -> None:
-        task = asyncio.create_task(self._copy_log(process))
-        process.log_task = task  # type: ignore[attr-defined]
-
     async def _copy_log(self, process: asyncio.subprocess.Process) -> None:
         assert process.stderr
         with (self.folder / f"router-{self.router}.log").open("ab") as file:
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -17,12 +17,12 @@
 from msgspec import Struct
 
 from function_router.net.codecs import worker_frames as frames
+from soak.commands import read_commands
 from soak.ports import PROXY_PORTS, PortRange, listen
 from soak.records import AnswerSeen, AttemptSeen, OrderSeen, Recorder
 
 READ_BYTES = 65_536
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # SO_LINGER: on, for 0 s
-READY_TIMEOUT_S = 10.0
 
 
 class ProxyCommand(Struct, frozen=True):
@@ -75,6 +75,12 @@
         self._ports = PortRange(PROXY_PORTS)
         self._commands: dict[int, ProxyCommand] = {}
 
+    async def listen(self) -> None:
+        """Listen for all pairs."""
+        for row in self.pairs:
+            for pair in row:
+                await self._listen(pair)
+
     async def apply(self, command: ProxyCommand) -> None:
         """Follow a command from now on."""
         self._commands[command.worker] = command
@@ -177,17 +183,11 @@
     """Serve until standard input ends."""
     recorder = Recorder(record_path)
     proxy = Proxy(router_count, worker_count, recorder)
-    reader = asyncio.StreamReader()
-    await asyncio.get_running_loop().connect_read_pipe(
-        lambda: asyncio.StreamReaderProtocol(reader), sys.stdin
-    )
-    for row in proxy.pairs:
-        for pair in row:
-            await proxy._listen(pair)
+    await proxy.listen()
     ports = [[pair.port for pair in row] for row in proxy.pairs]
     print(msgspec.json.encode(ports).decode(), flush=True)
-    while line := await reader.readline():
-        await proxy.apply(msgspec.json.decode(line, type=ProxyCommand))
+    async for command in read_commands(ProxyCommand):
+        await proxy.apply(command)
     recorder.close()
 
 
