--- a/tests/helpers/__init__.py
+++ b/tests/helpers/__init__.py
@@ -17,8 +17,10 @@
 
 The peers of the last two are `fake_client.FakeClient`, `fake_worker.FakeWorker` and
 `fake_endpoint_log.FakeEndpointLog`. They never wait: they receive what has come when the test, or its
-harness, calls `receive`. `client_messages` builds and parses what clients send and receive; `configuration`
-builds configurations and events of the endpoint log.
+harness, calls `receive`. `serving_worker.ServingWorker` answers all that it gets, and
+`faulty_endpoint_log.FaultyEndpointLog` sends heartbeats and fails in several ways. `client_messages` builds
+and parses what clients send and receive; `configuration` builds configurations and events of the endpoint
+log.
 
 `fake_clock` stands in for the monotonic clock, `sockets` waits for a socket, `readers` feeds a parser in
 chunks, `repository` knows the files of the repository, and `known_red` reads KNOWN-RED.txt.
--- /dev/null
+++ b/tests/helpers/serving_worker.py
@@ -0,0 +1,87 @@
+"""A stand-in for a worker that serves requests and health checks, and can drain, restart or be cut off."""
+
+import time
+from typing import NamedTuple
+
+from function_router.net.codecs import worker_frames
+from helpers.fake_worker import FakeWorker
+
+# Codes of the frames of a health check, as the operator's protocol page has them.
+HEALTH_CHECK = 3
+READY_ANSWER = 6
+DRAINING_ANSWER = 7
+
+
+class NewWork(NamedTuple):
+    """An attempt, or a start order for more than 0 instances, that came from the router."""
+
+    at_s: float  # when it was read, in monotonic seconds
+    is_attempt: bool
+
+
+class ServingWorker(FakeWorker):
+    """A worker that serves each request at once or, while it drains, rejects it.
+
+    A probe gets the same answer whether it drains or not, as with the operator's workers.
+
+    Attributes:
+        is_draining: Whether it accepts no new work.
+        is_cut_off: Whether it neither reads nor answers anything.
+        has_instances: Whether a request finds a running instance; without one, it starts one.
+        new_work: What new work has come, in its order.
+        health_checks: When health checks have come, in monotonic seconds.
+    """
+
+    def __init__(self, name):
+        super().__init__(name)
+        self.is_draining = False
+        self.is_cut_off = False
+        self.has_instances = False
+        self.new_work = []
+        self.health_checks = []
+
+    def receive(self):
+        """Receive all that has come, and answer it, unless it is cut off."""
+        if not self.is_cut_off:
+            super().receive()
+
+    def restart(self):
+        """End all connections, as a process that ends does, and go on as a new process."""
+        for connection in self.connections:
+            connection.close()
+        self.connections.clear()
+        self.is_draining = False
+        self.has_instances = False
+
+    def new_work_after(self, at_s):
+        """The new work that came later than this."""
+        return [work for work in self.new_work if work.at_s > at_s]
+
+    def _on_frame(self, received):
+        now_s = time.monotonic()
+        frame = received.frame
+        if frame.code == worker_frames.RUN:
+            self.new_work.append(NewWork(now_s, is_attempt=True))
+            self._answer_request(received)
+        elif frame.code == HEALTH_CHECK:
+            self.health_checks.append(now_s)
+            self.answer(received, DRAINING_ANSWER if self.is_draining else READY_ANSWER, fields="")
+        elif frame.code == worker_frames.ENSURE_INSTANCES:
+            self._answer_order(received, int(frame.fields[worker_frames.INSTANCES_FIELD]), now_s)
+
+    def _answer_request(self, received):
+        if self.is_draining:
+            self.answer(received, worker_frames.QUEUE_FULL, fields="company=0")
+            return
+        start_kind = worker_frames.REUSED if self.has_instances else worker_frames.STARTED
+        self.has_instances = True
+        self.answer(received, fields=f"res={start_kind},company=0", body=b"served")
+
+    def _answer_order(self, received, instances, now_s):
+        if instances:
+            self.new_work.append(NewWork(now_s, is_attempt=False))
+            if self.is_draining:
+                self.answer(received, worker_frames.QUEUE_FULL, fields="slots_up=0")
+                return
+            self.has_instances = True
+        self.answer(received, fields=f"slots_up={int(self.has_instances)}")
