--- a/tests/net/test_endpoint_watch.py
+++ b/tests/net/test_endpoint_watch.py
@@ -63,6 +63,14 @@
     assert harness.endpoint_log.requests()[1] == ["since", "1"]
 
 
+def test_heartbeat_that_is_an_object_does_not_take_the_place_of_a_missing_event(harness, worker):
+    harness.endpoint_log.send_line({"seq": 2})
+    wait_for_requests(harness, 2)
+    harness.endpoint_log.send_line(endpoint_event(2, worker.record("terminating")))
+
+    wait_for_state(harness, worker, WorkerState.DRAINING)
+
+
 def test_gap_that_stays_is_skipped_at_once_however_large_it_is(harness, worker):
     harness.endpoint_log.send_line(endpoint_event(500, worker.record("terminating")))
     wait_for_requests(harness, 2)
