Take an object with nothing but a number for a heartbeat of the endpoint log

Cause: the operator's log sends its heartbeat as {"seq":N}; only a bare number was taken for one. The object counted as an event without endpoints. So a heartbeat that ran ahead by one made the router drop the event of that number, and none ever showed that the router had caught up. Change: parse_line takes an object without endpoints for an announcement.

--- a/function_router/net/endpoint_messages.py
+++ b/function_router/net/endpoint_messages.py
@@ -10,7 +10,10 @@
 
 
 class SequenceAnnouncement(Struct, frozen=True):
-    """The sequence number of the last event in the log. The log repeats it as its heartbeat."""
+    """The sequence number of the last event in the log. The log repeats it as its heartbeat.
+
+    On a line, it is the number by itself or an object that has nothing but the number.
+    """
 
     sequence: int
 
@@ -19,7 +22,7 @@
     """An event of the endpoint log. Its endpoint list is validated only when it is applied."""
 
     sequence: int
-    has_endpoints: bool  # an event without endpoints only takes a sequence number
+    has_endpoints: bool  # an initial event without endpoints only takes a sequence number
     endpoints: object = None  # as decoded from JSON
 
     @classmethod
@@ -50,7 +53,10 @@
     announced = _sequence_number(decoded)
     if announced is not None:
         return SequenceAnnouncement(announced)
-    return EndpointEvent.from_json(decoded)
+    event = EndpointEvent.from_json(decoded)
+    if event is not None and not event.has_endpoints:
+        return SequenceAnnouncement(event.sequence)
+    return event
 
 
 def _sequence_number(value: object) -> int | None:
