--- a/function_router/config/conversion.py
+++ b/function_router/config/conversion.py
@@ -34,6 +34,7 @@
         start_order_window_ms=family.load_window,
         start_order_burst=family.free_loads,
         start_orders_per_request=family.load_part,
+        drain_grace_ms=invariants.drain_grace,
         slow_start_ms=invariants.cold,
         slow_start_initial=invariants.cold_share,
         overload_window_ms=invariants.fall,
--- a/function_router/config/schema.py
+++ b/function_router/config/schema.py
@@ -85,8 +85,9 @@
 
 
 class InvariantsSection(Struct):
-    """Rules for workers in slow start: `settings.invariants`."""
+    """Rules for draining workers and those in slow start: `settings.invariants`."""
 
+    drain_grace: Milliseconds = 1_000.0
     cold: Milliseconds = 10_000.0
     cold_share: NonNegativeFloat = 0.2
     fall: Milliseconds = 1_000.0
--- a/function_router/decisions/__init__.py
+++ b/function_router/decisions/__init__.py
@@ -17,6 +17,7 @@
     placement                           order of workers, fan-out, headroom
     instances                           which instances are believed to exist
     health, circuit_breakers            which workers are usable
+    endpoint_leases                     until when the endpoint list, and a worker's word, may be believed
     capacity, slow_start                limits and budgets of workers
     arrivals, durations                 rates of requests, run and start times
     workers, functions, requests        tables: who owns the records, and when they are forgotten
--- a/function_router/decisions/actions.py
+++ b/function_router/decisions/actions.py
@@ -44,6 +44,20 @@
     instances: int
 
 
+class CheckHealth(Struct, frozen=True):
+    """Ask a worker whether it is ready for new work or draining."""
+
+    worker_id: int
+    function: str  # for whose requests it is asked; may be empty
+
+
+class NoteWithheld(Struct, frozen=True):
+    """Note that a request was not sent to a worker, as nothing proves that the worker is ready."""
+
+    request_id: str
+    worker_id: int
+
+
 class SetTimer(Struct, frozen=True):
     """Send a `TimerFired` with this token after a delay."""
 
@@ -57,4 +71,14 @@
     text: str
 
 
-Action = SendRequest | CancelAttempt | RejectRequest | FailRequest | EnsureInstances | SetTimer | LogMessage
+Action = (
+    SendRequest
+    | CancelAttempt
+    | RejectRequest
+    | FailRequest
+    | EnsureInstances
+    | CheckHealth
+    | NoteWithheld
+    | SetTimer
+    | LogMessage
+)
--- a/function_router/decisions/dispatch.py
+++ b/function_router/decisions/dispatch.py
@@ -1,7 +1,8 @@
 """Dispatch: the queues of functions, and the one place that sends requests."""
 
-from function_router.decisions.actions import SendRequest
+from function_router.decisions.actions import NoteWithheld, SendRequest
 from function_router.decisions.admission import Admission, Urgency
+from function_router.decisions.endpoint_leases import Proof
 from function_router.decisions.fleet import Fleet
 from function_router.decisions.outbox import Outbox
 from function_router.decisions.records import Attempt, Function, Request, Worker
@@ -26,6 +27,7 @@
         outbox: Outbox,
     ) -> None:
         self._health = fleet.health
+        self._leases = fleet.leases
         self._placement = fleet.placement
         self._requests = requests
         self._admission = admission
@@ -87,6 +89,7 @@
         confined to some of the workers.
         """
         queue = function.queue
+        function.awaits_proof = False
         if len(queue) > 1:
             queue.sort(key=lambda request: self._admission.urgency(request, now_ms))
         for request in list(queue):
@@ -97,7 +100,10 @@
                 break
 
     def _find_worker(self, function: Function, request: Request, now_ms: float) -> Worker | None:
-        """The first candidate below its load bound that may take a request; else the least loaded one."""
+        """The first candidate below its load bound that may take a request; else the least loaded one.
+
+        Of the candidates that are not proven to be ready, only one at a time is asked.
+        """
         limit_fraction = self._admission.limit_fraction(request, now_ms)
         # A hedge may use the whole limit on attempts in flight, but only a fraction of a worker's limit.
         in_flight_fraction = 1.0 if request.has_attempt_in_flight() else limit_fraction
@@ -111,11 +117,22 @@
                 continue
             if not self._may_send_to(request, worker, limit_fraction, now_ms):
                 continue
+            proof = self._leases.prove(worker, function.name, now_ms, may_ask=not function.awaits_proof)
+            if proof is not Proof.VALID:
+                function.awaits_proof = function.awaits_proof or proof is Proof.AWAITED
+                self._note_withheld(request, worker)
+                continue
             if self._placement.is_below_load_bound(worker, len(self._requests.attempts), now_ms):
                 return worker
             beyond_bound.append(worker)
         return min(beyond_bound, key=lambda worker: worker.in_flight, default=None)
 
+    def _note_withheld(self, request: Request, worker: Worker) -> None:
+        """Note once for each worker that a request is not sent to it for want of a proof."""
+        if worker.id not in request.withheld_from:
+            request.withheld_from.append(worker.id)
+            self._outbox.add(NoteWithheld(request.id, worker.id))
+
     def _may_send_to(self, request: Request, worker: Worker, limit_fraction: float, now_ms: float) -> bool:
         """Whether a worker is usable, has capacity and is allowed by the retry policy."""
         if not self._health.is_usable(worker, request.request_class.name, now_ms):
--- a/function_router/decisions/events.py
+++ b/function_router/decisions/events.py
@@ -5,7 +5,7 @@
 
 from msgspec import Struct
 
-from function_router.decisions.types import Outcome, StartKind, WorkerState
+from function_router.decisions.types import Outcome, Readiness, StartKind, WorkerState
 
 
 class Endpoint(Struct, frozen=True):
@@ -27,6 +27,16 @@
     is_complete: bool  # False: only the endpoints that have changed
 
 
+class EndpointListConfirmed(Struct, frozen=True):
+    """The endpoint log has announced that this router has all of its events."""
+
+    as_of_ms: float  # the announcement came no earlier than this
+
+
+class EndpointListInterrupted(Struct, frozen=True):
+    """The endpoint log is not being followed: this is the start, or its connection broke or is replaced."""
+
+
 class RequestArrived(Struct, frozen=True):
     """A client's request has arrived. It is owed one final answer."""
 
@@ -74,6 +84,19 @@
     duration_ms: float
 
 
+class HealthChecked(Struct, frozen=True):
+    """A health check has ended: the worker's answer to a `CheckHealth`, if it gave one."""
+
+    worker_id: int
+    outcome: Outcome  # OK if there was an answer
+    readiness: Readiness
+    asked_at_ms: float  # the worker got the question no earlier than this
+    connected_at_ms: float  # the connection that carried it was established no later than this
+    connection_lost_at_ms: float | None = (
+        None  # when a connection to it last ended without this router's doing
+    )
+
+
 class TimerFired(Struct, frozen=True):
     """A timer is due that was set by `SetTimer`."""
 
@@ -88,10 +111,13 @@
 
 Event = (
     EndpointsChanged
+    | EndpointListConfirmed
+    | EndpointListInterrupted
     | RequestArrived
     | RequestCancelled
     | AttemptEnded
     | InstancesReported
+    | HealthChecked
     | TimerFired
     | DrainStarted
 )
--- a/function_router/decisions/feedback.py
+++ b/function_router/decisions/feedback.py
@@ -1,6 +1,6 @@
 """Feedback: what the router learns from the ends of attempts and from reports of instances."""
 
-from function_router.decisions.events import AttemptEnded, InstancesReported
+from function_router.decisions.events import AttemptEnded, HealthChecked, InstancesReported
 from function_router.decisions.fleet import Fleet
 from function_router.decisions.health import PING_INTERVAL_MS, SLOW_RUN_FACTOR
 from function_router.decisions.records import Attempt, Function, Worker
@@ -92,3 +92,14 @@
         self._health.record_reply(worker, now_ms, silent_for_ms=PING_INTERVAL_MS)
         self._instances.record_report(event, pool, function.concurrency, now_ms)
         return False
+
+    def record_health_check(self, event: HealthChecked, worker: Worker, now_ms: float) -> bool:
+        """Learn from the end of a health check whether the worker answers at all.
+
+        Returns:
+            Whether the worker has just become unresponsive.
+        """
+        if event.outcome is not Outcome.OK:
+            return self._health.record_no_reply(worker, event.outcome, now_ms)
+        self._health.record_reply(worker, now_ms, silent_for_ms=PING_INTERVAL_MS)
+        return False
--- a/function_router/decisions/fleet.py
+++ b/function_router/decisions/fleet.py
@@ -3,6 +3,7 @@
 from function_router.decisions.arrivals import Arrivals
 from function_router.decisions.capacity import Capacity
 from function_router.decisions.durations import Durations
+from function_router.decisions.endpoint_leases import EndpointLeases
 from function_router.decisions.events import EndpointsChanged
 from function_router.decisions.functions import FunctionTable
 from function_router.decisions.health import Health
@@ -24,6 +25,7 @@
         self.durations = Durations(settings.shortest_objective_ms)
         self.slow_start = SlowStart(settings, self.workers, self.arrivals, seed)
         self.capacity = Capacity(settings, self.workers, self.slow_start, self.durations)
+        self.leases = EndpointLeases(settings, self.workers, outbox)
         self.health = Health(settings, self.workers, self.durations, self.capacity, outbox)
         self.instances = Instances(settings, self.capacity)
         self.placement = Placement(
@@ -47,3 +49,4 @@
         for worker in self.workers.forget_removed(now_ms):
             self.functions.forget_worker(worker)
             self.health.forget_worker(worker)
+            self.leases.forget_worker(worker)
--- a/function_router/decisions/health.py
+++ b/function_router/decisions/health.py
@@ -67,7 +67,7 @@
 
         If most workers are unresponsive, all count as responsive, as in Envoy's panic mode.
         """
-        if worker.endpoint.state != WorkerState.READY:
+        if not worker.is_ready:
             return False
         if worker.unresponsive_since_ms is not None and not self._most_are_unresponsive():
             return False
@@ -108,7 +108,7 @@
         if worker.unresponsive_since_ms is None:
             return
         worker.unresponsive_since_ms = None
-        if worker.endpoint.state == WorkerState.READY:
+        if worker.is_ready:
             self._unresponsive_count -= 1
         self._outbox.add(LogMessage(f"worker {worker.id} answers again"))
 
@@ -159,7 +159,7 @@
         worker.unresponsive_since_ms = now_ms
         worker.pinged_ms = now_ms
         self._watched[worker.id] = worker
-        if worker.endpoint.state == WorkerState.READY:
+        if worker.is_ready:
             self._unresponsive_count += 1
         self._outbox.add(LogMessage(f"worker {worker.id} is silent: nothing new goes there"))
         return True
--- a/function_router/decisions/instances.py
+++ b/function_router/decisions/instances.py
@@ -44,7 +44,7 @@
 
         With many routers, a belief lasts longer, as requests of the other routers keep instances alive.
         """
-        if pool.last_seen_ms <= (worker.started_ms or -math.inf):
+        if pool.last_seen_ms <= (worker.latest_start_ms or -math.inf):
             return 0
         if pool.in_flight == 0:
             ttl_ms = SHARED_INSTANCE_TTL_MS if self._capacity.many_routers else self._keep_alive_ms
--- a/function_router/decisions/placement.py
+++ b/function_router/decisions/placement.py
@@ -160,7 +160,10 @@
         demand = max(rate * self._durations.median_run_ms(function, now_ms), function.estimated_in_flight)
         max_by_slots = FANOUT_INSTANCES_PER_WORKER * function.concurrency
         max_by_capacity = FANOUT_CAPACITY_FRACTION * self._capacity.worker_capacity
-        needed = max(1, math.ceil(demand / min(max_by_slots, max_by_capacity)))
+        max_by_worker = min(max_by_slots, max_by_capacity)
+        needed = (
+            max(1, math.ceil(demand / max_by_worker)) if max_by_worker > 0 else 1
+        )  # 0: no worker is ready
         function.fanout = min(needed, max(1, len(self._workers.ready)))
         function.arrivals.add(now_ms)
 
--- a/function_router/decisions/records.py
+++ b/function_router/decisions/records.py
@@ -10,7 +10,7 @@
 
 from function_router.decisions.events import Endpoint, InstancesReported
 from function_router.decisions.settings import RequestClass
-from function_router.decisions.types import Outcome
+from function_router.decisions.types import Outcome, WorkerState
 from function_router.limits import CircuitBreaker
 from function_router.statistics import ArrivalRate, DecayingCounter, SlidingMedian, SlidingWindow
 
@@ -35,6 +35,17 @@
     return SlidingMedian(STATISTICS_WINDOW_MS, MAX_MEDIAN_SAMPLES, MEDIAN_REFRESH_MS)
 
 
+class ReadinessLease(Struct, eq=False):
+    """What a worker has said of itself in answer to health checks; see `endpoint_leases`."""
+
+    ready_as_of_ms: float = -math.inf  # it was ready then: when the question was asked that it answered so
+    process_seen_ms: float = -math.inf  # its present process ran then
+    drain_reported_ms: float | None = None  # when it last said that it drains, unless it was ready since
+    asked_ms: float | None = None  # when the pending health check was decided
+    next_check_ms: float = -math.inf  # it is not asked again before
+    recheck_interval_ms: float = 1_000.0  # until the next check, if it gives no answer or drains
+
+
 class Worker(Struct, eq=False):
     """A worker of the endpoint list. A removed one is kept for a while."""
 
@@ -49,8 +60,14 @@
     max_in_flight: float = math.inf  # own attempts that it can work on, as of the last refresh of limits
     sends: DecayingCounter = field(default_factory=lambda: DecayingCounter(STATISTICS_WINDOW_MS))
 
+    # Readiness.
+    lease: ReadinessLease = field(default_factory=ReadinessLease)
+
     # Slow start.
     started_ms: float | None = None  # as notified, or as inferred when it came back without instances
+    assumed_started_ms: float | None = (
+        None  # if it may have restarted while the endpoint list was out of date
+    )
     recent_sends: SlidingWindow = field(default_factory=SlidingWindow)  # within the overload window
     slow_start_sends: SlidingWindow = field(default_factory=SlidingWindow)  # those since its start
 
@@ -65,11 +82,24 @@
     slow_until_ms: float = -math.inf  # until then, it is slow and not preferred
     breakers: dict[str, CircuitBreaker] = {}  # by request class
 
+    @property
+    def is_ready(self) -> bool:
+        """Whether the list has it as ready, and it has not said itself that it drains."""
+        return self.endpoint.state == WorkerState.READY and self.lease.drain_reported_ms is None
+
+    @property
+    def latest_start_ms(self) -> float | None:
+        """The latest time at which it may have started; None if that was long ago."""
+        if self.assumed_started_ms is None:
+            return self.started_ms
+        return max(self.assumed_started_ms, self.started_ms or -math.inf)
+
     def recount_slow_start_sends(self) -> None:
         """Count the recent sends since its start, after a notification that comes later than they."""
+        started_ms = self.latest_start_ms
         self.slow_start_sends.clear()
         for sent_ms in self.recent_sends:
-            if self.started_ms is not None and sent_ms >= self.started_ms:
+            if started_ms is not None and sent_ms >= started_ms:
                 self.slow_start_sends.add(sent_ms)
 
 
@@ -128,6 +158,7 @@
     random_bits: int  # choose the preferred worker that it tries first
     concurrency: int  # slots of an instance, according to this request
     attempts: list[Attempt] = []
+    withheld_from: list[int] = []  # ids of workers that were not sent it, as nothing proved them to be ready
 
     def has_attempt_in_flight(self) -> bool:
         """Whether an attempt has not ended yet."""
@@ -152,6 +183,7 @@
     queue: list[Request] = []
     pools: dict[int, InstancePool] = {}  # by worker id
     last_probed_ms: float = -math.inf  # at any worker
+    awaits_proof: bool = False  # a worker with a free slot has just been asked whether it is ready
 
     # Load and placement.
     arrivals: ArrivalRate = field(default_factory=lambda: ArrivalRate(ARRIVAL_DECAY_MS, ARRIVAL_BURST))
--- a/function_router/decisions/router.py
+++ b/function_router/decisions/router.py
@@ -15,7 +15,7 @@
 from function_router.decisions.feedback import Feedback
 from function_router.decisions.fleet import Fleet
 from function_router.decisions.outbox import Outbox
-from function_router.decisions.records import Request
+from function_router.decisions.records import Request, Worker
 from function_router.decisions.requests import OpenRequests
 from function_router.decisions.retries import Retries
 from function_router.decisions.retry_policy import RetryPolicy
@@ -24,11 +24,16 @@
 from function_router.decisions.speculation import Speculation
 from function_router.decisions.start_order_limits import StartOrderLimits
 from function_router.decisions.start_orders import StartOrders
+from function_router.decisions.types import Outcome
 from function_router.hashing import mix64
 
 # Idle functions and removed workers are forgotten this often.
 FORGET_INTERVAL_MS = 15_000.0
 
+# After these, a worker has to prove again that it is ready: nothing was sent for want of a connection to the
+# process that did, or that process may have gone.
+OUTCOMES_THAT_END_A_LEASE = (Outcome.NOT_SENT, Outcome.RESET, Outcome.CONNECT_FAILED)
+
 
 class Router:
     """Decides for one router: events in, actions out.
@@ -65,6 +70,9 @@
         """The handler of each kind of event, called with the event and its time."""
         return {
             events.EndpointsChanged: self._on_endpoints_changed,
+            events.EndpointListConfirmed: self._on_endpoint_list_confirmed,
+            events.EndpointListInterrupted: self._on_endpoint_list_interrupted,
+            events.HealthChecked: self._on_health_checked,
             events.RequestArrived: self._on_request_arrived,
             events.RequestCancelled: self._on_request_cancelled,
             events.AttemptEnded: self._on_attempt_ended,
@@ -103,12 +111,57 @@
         """
         return self.start_order_limits.revalidate(counted_ms, now_ms)
 
+    def is_endpoint_list_current(self, now_ms: float) -> bool:
+        """Whether the endpoint list may be believed."""
+        return self.fleet.leases.is_list_current(now_ms)
+
+    def latest_connection_ms(self, worker_id: int, now_ms: float) -> float:
+        """Until when a connection to a worker must have been established to carry new work now.
+
+        Returns:
+            The time; infinite if any connection may, and negative infinite if none may.
+        """
+        return self.fleet.leases.latest_connection_ms(worker_id, now_ms)
+
+    def is_within_drain_grace(self, worker_id: int, at_ms: float) -> bool:
+        """Whether new work that left at some time was within the operator's grace, for run-time checks."""
+        return self.fleet.leases.is_within_grace(worker_id, at_ms)
+
     def _on_endpoints_changed(self, event: events.EndpointsChanged, now_ms: float) -> None:
         """Apply the list, and dispatch what is queued, as other workers may take it now."""
         self.fleet.update_endpoints(event)
         self._refresh(now_ms)
         self._dispatcher.dispatch_all(now_ms)
 
+    def _on_endpoint_list_confirmed(self, event: events.EndpointListConfirmed, now_ms: float) -> None:
+        """Believe the list again, and dispatch what was withheld while it was out of date."""
+        was_current = self.fleet.leases.is_list_current(now_ms)
+        if self.fleet.leases.record_confirmed(event.as_of_ms, now_ms):
+            self._on_ready_changed(now_ms)
+        if not was_current:
+            self._dispatcher.dispatch_all(now_ms)
+
+    def _on_endpoint_list_interrupted(self, _event: events.EndpointListInterrupted, now_ms: float) -> None:
+        """Have the lease on the list run out."""
+        self.fleet.leases.record_interrupted(now_ms)
+
+    def _on_health_checked(self, event: events.HealthChecked, now_ms: float) -> None:
+        """Learn from the answer, and dispatch what waits for it, there or elsewhere."""
+        worker = self.fleet.workers.by_id.get(event.worker_id)
+        if worker is None:
+            return
+        if self.fleet.leases.record_answer(worker, event, now_ms):
+            self._on_ready_changed(now_ms)
+        became_unresponsive = self._feedback.record_health_check(event, worker, now_ms)
+        if became_unresponsive:
+            self._retries.retry_elsewhere(worker, now_ms)
+        self._dispatcher.dispatch_all(now_ms)
+
+    def _on_ready_changed(self, now_ms: float) -> None:
+        """Adapt to other ready workers than before, as after an event of the list."""
+        self.fleet.health.recount_unresponsive()
+        self._refresh(now_ms)
+
     def _on_request_arrived(self, event: events.RequestArrived, now_ms: float) -> None:
         """Queue the request, look for instances if none is known, and dispatch its function."""
         self.fleet.arrivals.record(event, now_ms)
@@ -161,6 +214,7 @@
             return
         function = attempt.function
         became_unresponsive = self._feedback.record_attempt(event, attempt, now_ms)
+        self._revoke_lease_after(event.outcome, attempt.worker)
         if became_unresponsive:
             self._retries.retry_elsewhere(attempt.worker, now_ms)
         request = self.requests.by_id.get(event.request_id)
@@ -181,6 +235,7 @@
         pool = function.pool_at(worker)
         is_start = pool.is_start_report(event)
         became_unresponsive = self._feedback.record_report(event, function, worker, now_ms)
+        self._revoke_lease_after(event.outcome, worker)
         if became_unresponsive:
             self._retries.retry_elsewhere(worker, now_ms)
         if is_start:
@@ -189,6 +244,11 @@
             self._scaling.record_probe_answer(function, worker, event, now_ms)
         self._dispatcher.dispatch(function, now_ms)
 
+    def _revoke_lease_after(self, outcome: Outcome, worker: Worker) -> None:
+        """End a worker's lease where an exchange shows that its process or its connections may have gone."""
+        if outcome in OUTCOMES_THAT_END_A_LEASE:
+            self.fleet.leases.revoke(worker)
+
     def _on_timer_fired(self, _event: events.TimerFired, now_ms: float) -> None:
         """Check all that depends on time: due requests, hedges, lost attempts, silent workers, limits."""
         self._is_timer_set = False
@@ -200,6 +260,7 @@
                 self._retries.hedge_if_overdue(request, now_ms)
         self._retries.retry_lost_attempts(now_ms)
         self.requests.expire_recent_attempts(capacity.latency_objective_ms, now_ms)
+        self.fleet.leases.recheck_draining(now_ms)
         for worker in self.fleet.health.check_timeouts(now_ms):
             self._retries.retry_elsewhere(worker, now_ms)
         if capacity.is_refresh_due(now_ms):
--- a/function_router/decisions/scaling.py
+++ b/function_router/decisions/scaling.py
@@ -51,9 +51,10 @@
     def order_starts(self, function: Function, now_ms: float) -> None:
         """Order cold starts for the queued requests, which race the busy warm instances if there are any.
 
-        One start serves as many requests as an instance has slots. Pending ones count as well.
+        One start serves as many requests as an instance has slots. Pending ones count as well. There is none
+        while an answer is expected that may make one unnecessary.
         """
-        if self._has_recent_probe(function, now_ms):
+        if function.awaits_proof or self._has_recent_probe(function, now_ms):
             return
         is_warm = self._placement.is_warm(function, now_ms)
         pending = self._count_pending_starts(function, now_ms)
@@ -64,7 +65,8 @@
             worker = self._start_orders.choose_worker(function, now_ms, is_speculative=is_warm)
             if worker is None:
                 return
-            self._start_orders.order(function, worker, now_ms, is_speculative=is_warm)
+            if not self._start_orders.order_if_proven(function, worker, now_ms, is_speculative=is_warm):
+                return
 
     def _count_pending_starts(self, function: Function, now_ms: float) -> int:
         """The number of pending start orders at usable workers."""
@@ -121,7 +123,7 @@
         if now_ms - pool.last_probed_ms > PROBE_TTL_MS:
             self._health.probe(function, worker, now_ms)
         elif may_start and self._start_orders.can_start_at(function, worker, now_ms, is_speculative=is_warm):
-            self._start_orders.order(function, worker, now_ms, is_speculative=is_warm)
+            self._start_orders.order_if_proven(function, worker, now_ms, is_speculative=is_warm)
 
     def has_free_slot_or_probe(self, request: Request, worker: Worker, now_ms: float) -> bool:
         """Whether a worker has a free slot for a request; if that is in doubt, the worker is probed."""
--- a/function_router/decisions/settings.py
+++ b/function_router/decisions/settings.py
@@ -43,6 +43,7 @@
     start_order_window_ms: float = 0.0  # window of the rate limit on start orders; 0: there is none
     start_order_burst: float = 0.0  # start orders that the rate limit allows in any window
     start_orders_per_request: float = 0.0  # and how many more for each request in it
+    drain_grace_ms: float = 1000.0  # how long new work may still go to a worker after the notice of its drain
     slow_start_ms: float = 10000.0  # how long after its start a worker is at full capacity, at the latest
     slow_start_initial: float = 0.2  # fraction of its capacity that it has at its start, at least
     overload_window_ms: float = 1000.0  # a worker in slow start fails if it gets within this window
--- a/function_router/decisions/slow_start.py
+++ b/function_router/decisions/slow_start.py
@@ -32,10 +32,11 @@
 
     def capacity_share(self, worker: Worker, now_ms: float) -> float:
         """The fraction of its capacity that a worker has by now: it grows linearly up to 1."""
-        if worker.started_ms is None:
+        started_ms = worker.latest_start_ms
+        if started_ms is None:
             return 1.0
         initial = self._settings.slow_start_initial
-        progress = max(0.0, now_ms - worker.started_ms) / max(1.0, self._settings.slow_start_ms)
+        progress = max(0.0, now_ms - started_ms) / max(1.0, self._settings.slow_start_ms)
         return min(1.0, initial + (1 - initial) * progress)
 
     def admits(self, worker: Worker, now_ms: float) -> bool:
--- a/function_router/decisions/start_orders.py
+++ b/function_router/decisions/start_orders.py
@@ -1,6 +1,7 @@
 """Start orders: at which worker an instance is started, and how starts are recorded."""
 
 from function_router.decisions.actions import EnsureInstances
+from function_router.decisions.endpoint_leases import Proof
 from function_router.decisions.fleet import Fleet
 from function_router.decisions.outbox import Outbox
 from function_router.decisions.records import Function, InstancePool, Worker
@@ -31,6 +32,7 @@
         self._durations = fleet.durations
         self._health = fleet.health
         self._instances = fleet.instances
+        self._leases = fleet.leases
         self._placement = fleet.placement
         self._requests = requests
         self._limits = limits
@@ -57,7 +59,8 @@
 
         That is the first one that can start an instance, has none yet and is below its load bound, or else
         the first one that can start an instance. Workers are tried in the order of preference of the request
-        at the head of the queue, and then in hash order.
+        at the head of the queue, and then in hash order. Those from which no proof of readiness can be had
+        are passed over.
         """
         if not self._limits.allows_order(now_ms):
             return None
@@ -67,12 +70,14 @@
             worker
             for worker in order
             if self.can_start_at(function, worker, now_ms, is_speculative=is_speculative)
+            and self._may_be_proven(function, worker, now_ms)
         )
         best = (
             worker
             for worker in order
             if self._has_room_for_first(function, worker, now_ms)
             and self.can_start_at(function, worker, now_ms, is_speculative=is_speculative)
+            and self._may_be_proven(function, worker, now_ms)
         )
         return next(best, None) or next(able, None)
 
@@ -83,6 +88,19 @@
             return False
         return self._placement.is_below_load_bound(worker, len(self._requests.attempts), now_ms)
 
+    def _may_be_proven(self, function: Function, worker: Worker, now_ms: float) -> bool:
+        """Whether a worker is proven to be ready, or has just been asked."""
+        return self._leases.prove(worker, function.name, now_ms, may_ask=True) is not Proof.MISSING
+
+    def order_if_proven(
+        self, function: Function, worker: Worker, now_ms: float, *, is_speculative: bool
+    ) -> bool:
+        """Order one more instance at a worker that is proven to be ready; False if none was ordered."""
+        proof = self._leases.prove(worker, function.name, now_ms, may_ask=True)
+        if proof is Proof.VALID:
+            self.order(function, worker, now_ms, is_speculative=is_speculative)
+        return proof is Proof.VALID
+
     def order(self, function: Function, worker: Worker, now_ms: float, *, is_speculative: bool) -> None:
         """Order one more instance than a worker is believed to have, and expect no reply while it starts."""
         pool = function.pool_at(worker)
--- a/function_router/decisions/types.py
+++ b/function_router/decisions/types.py
@@ -27,6 +27,14 @@
     REMOVED = 3
 
 
+class Readiness(Enum):
+    """What a worker answers to a health check."""
+
+    READY = "ready"
+    DRAINING = "draining"
+    UNKNOWN = "unknown"  # it gave no usable answer
+
+
 class Outcome(Enum):
     """How an attempt, a start order or a probe ended; the values are those of the simulator's wire."""
 
--- a/function_router/decisions/workers.py
+++ b/function_router/decisions/workers.py
@@ -33,7 +33,18 @@
             self._mark_missing_as_removed(event.endpoints)
         for endpoint in event.endpoints:
             self._apply(endpoint)
-        self.ready = [worker for worker in self.by_id.values() if worker.endpoint.state == WorkerState.READY]
+        self._recompute_ready()
+
+    def set_drain_reported(self, worker: Worker, reported_ms: float | None) -> None:
+        """Note when a worker said that it drains, or that this no longer holds; it is not ready meanwhile."""
+        was_ready = worker.is_ready
+        worker.lease.drain_reported_ms = reported_ms
+        if worker.is_ready is not was_ready:
+            self._recompute_ready()
+
+    def _recompute_ready(self) -> None:
+        """Recompute what depends on which workers are ready."""
+        self.ready = [worker for worker in self.by_id.values() if worker.is_ready]
         sizes = {worker.id: worker.machine_size for worker in self.ready}
         if sizes != self.ready_sizes:
             self.ready_sizes = sizes
@@ -58,6 +69,8 @@
         started_ms = endpoint.started_at_ms
         if started_ms is not None and started_ms > (worker.started_ms or -math.inf):
             worker.started_ms = started_ms
+            if started_ms > (worker.lease.drain_reported_ms or math.inf):
+                worker.lease.drain_reported_ms = None
             worker.recount_slow_start_sends()
 
     def forget_removed(self, now_ms: float) -> list[Worker]:
--- a/function_router/net/clock.py
+++ b/function_router/net/clock.py
@@ -40,6 +40,14 @@
         """The time in milliseconds; it never goes back."""
         return self._read_monotonic_ms() + self._offset_ms
 
+    def from_monotonic_ms(self, monotonic_time_ms: float) -> float:
+        """The time on this clock at a moment of the monotonic clock; infinite times stay as they are."""
+        return monotonic_time_ms + self._offset_ms
+
+    def to_monotonic_ms(self, time_ms: float) -> float:
+        """The moment on the monotonic clock at a time of this clock; infinite times stay as they are."""
+        return time_ms - self._offset_ms
+
     def note_wall_clock(self, offset_ms: float) -> None:
         """Record by how much the wall clock is ahead of the monotonic one now."""
         offsets_ms = self._wall_clock_offsets_ms
--- a/function_router/net/close_reason.py
+++ b/function_router/net/close_reason.py
@@ -93,6 +93,24 @@
 )
 
 
+# With these, a connection ended without this router's doing: the peer's process or machine may have gone.
+_LOST = frozenset(
+    {
+        CloseReason.CONNECTION_REFUSED,
+        CloseReason.UNREACHABLE,
+        CloseReason.CONNECT_TIMEOUT,
+        CloseReason.CLOSED_BY_PEER,
+        CloseReason.RESET_BY_PEER,
+        CloseReason.READ_TIMEOUT,
+    }
+)
+
+
+def is_lost(reason: CloseReason) -> bool:
+    """Whether a connection ended without this router's doing."""
+    return reason in _LOST
+
+
 def outcome_of(reason: CloseReason, *, is_started: bool) -> Outcome:
     """The outcome of an attempt or start order that ended without an answer.
 
--- a/function_router/net/codecs/worker_frames.py
+++ b/function_router/net/codecs/worker_frames.py
@@ -18,6 +18,7 @@
 # The second byte of a router's frame, its code: what the worker is to do.
 RUN = 1
 CANCEL = 2
+CHECK_HEALTH = 3
 ENSURE_INSTANCES = 5
 
 # The second byte of a worker's frame, its code: how the exchange went.
@@ -26,6 +27,8 @@
 QUEUE_FULL = 3
 ERROR = 4
 EXPIRED = 5
+READY = 6
+DRAINING = 7
 
 # The names of the fields.
 CLASS_FIELD = "kind"
@@ -110,6 +113,11 @@
     return encode(ENSURE_INSTANCES, exchange_id, f"{FUNCTION_FIELD}={function},{INSTANCES_FIELD}={instances}")
 
 
+def encode_check_health(exchange_id: bytes) -> bytes:
+    """Encode the frame that asks a worker whether it is ready or draining."""
+    return encode(CHECK_HEALTH, exchange_id)
+
+
 class FrameReader:
     """Splits the bytes of one connection into frames; buffers at most one incomplete frame.
 
--- a/function_router/net/connection_set.py
+++ b/function_router/net/connection_set.py
@@ -3,11 +3,12 @@
 import contextlib
 from collections.abc import Iterator
 
-from function_router.net.close_reason import CloseReason
+from function_router.net.clock import monotonic_ms
+from function_router.net.close_reason import CloseReason, is_lost
 from function_router.net.pool_resources import PoolResources
 from function_router.net.telemetry import CLOSED, CONNECTS
 from function_router.net.worker_connection import ConnectError, WorkerConnection, WorkerConnectionOwner
-from function_router.net.worker_messages import Exchange
+from function_router.net.worker_messages import Exchange, HealthCheck
 
 # Connections to one worker, without retired ones.
 MAX_CONNECTIONS = 6
@@ -21,14 +22,19 @@
 
     A connection to an earlier process of the worker is retired: it stays until its exchanges are finished,
     gets no new ones and doesn't count towards the limits of the worker.
+
+    Attributes:
+        last_lost_ms: When a connection last ended without this router's doing, on the monotonic clock; None
+            if none has.
     """
 
-    __slots__ = ("_connections", "_resources")
+    __slots__ = ("_connections", "_resources", "last_lost_ms")
 
     def __init__(self, resources: PoolResources) -> None:
         """An empty set; `resources` has the limits."""
         self._resources = resources
         self._connections: list[WorkerConnection] = []
+        self.last_lost_ms: float | None = None
 
     def __len__(self) -> int:
         return len(self._connections)
@@ -38,31 +44,33 @@
 
     # --- choosing -----------------------------------------------------------------------------
 
-    def choose(self, exchange_id: bytes) -> WorkerConnection | None:
-        """The connection to use for an exchange with this id; None if none may be used.
+    def choose(self, exchange: Exchange, latest_connection_ms: float) -> WorkerConnection | None:
+        """The connection to use for an exchange; None if none may be used.
+
+        Connections that were established after `latest_connection_ms`, on the monotonic clock, are left out.
 
         An idle connection that the worker has closed is closed here, too, in place of being used: what would
         be written to it would be lost, but as it might have run, a request that must not run twice could not
         be sent again.
         """
-        while (chosen := self._least_used(exchange_id)) is not None:
+        while (chosen := self._best(exchange, latest_connection_ms)) is not None:
             if chosen.exchanges or not chosen.has_reached_end_of_stream():
                 return chosen
             chosen.close(CloseReason.CLOSED_BY_PEER)
         return None
 
-    def _least_used(self, exchange_id: bytes) -> WorkerConnection | None:
-        """The usable connection with the fewest exchanges, if possible a responsive one."""
-        max_idle_ms = self._resources.idle_limit.limit_ms
-        usable = [
+    def _best(self, exchange: Exchange, latest_connection_ms: float) -> WorkerConnection | None:
+        """The usable connection with the fewest exchanges, if possible a responsive one.
+
+        For a health check it is the oldest one, as that shows best whether the process is still the same.
+        """
+        candidates = [
             connection
-            for connection in self._connections
-            if connection.is_connected and not connection.is_retired and connection.accepts(exchange_id)
+            for connection in self._usable(exchange.exchange_id)
+            if connection.established_at_ms <= latest_connection_ms
         ]
-        usable = [connection for connection in usable if connection.idle_ms() <= max_idle_ms]
-        candidates = [connection for connection in usable if not connection.is_unresponsive()]
-        if not candidates and len(self._current()) >= MAX_CONNECTIONS:
-            candidates = usable
+        if isinstance(exchange, HealthCheck):
+            return min(candidates, key=lambda connection: connection.established_at_ms, default=None)
         # Of those with equally few exchanges the one used last: one that has been idle for long may soon be
         # closed.
         return min(
@@ -71,6 +79,20 @@
             default=None,
         )
 
+    def _usable(self, exchange_id: bytes) -> list[WorkerConnection]:
+        """The connections that may carry an exchange with this id, if possible responsive ones."""
+        max_idle_ms = self._resources.idle_limit.limit_ms
+        usable = [
+            connection
+            for connection in self._connections
+            if connection.is_connected and not connection.is_retired and connection.accepts(exchange_id)
+        ]
+        usable = [connection for connection in usable if connection.idle_ms() <= max_idle_ms]
+        candidates = [connection for connection in usable if not connection.is_unresponsive()]
+        if not candidates and len(self._current()) >= MAX_CONNECTIONS:
+            return usable
+        return candidates
+
     # --- opening ------------------------------------------------------------------------------
 
     def open(self, owner: WorkerConnectionOwner) -> None:
@@ -105,7 +127,9 @@
 
     def _open_unchecked(self, owner: WorkerConnectionOwner) -> None:
         resources = self._resources
-        connection = WorkerConnection(resources.loop, owner, resources.transport, resources.telemetry)
+        connection = WorkerConnection(
+            resources.loop, owner, resources.transport, resources.telemetry, resources.readiness
+        )
         self._connections.append(connection)
         resources.budget.on_opened()
         resources.telemetry.count(CONNECTS)
@@ -127,6 +151,8 @@
         self._connections.remove(connection)
         resources.budget.on_closed()
         resources.telemetry.count(CLOSED, reason.name)
+        if is_lost(reason) and not connection.is_retired:
+            self.last_lost_ms = monotonic_ms()
         idle_ms = connection.stale_idle_ms(reason)
         if idle_ms is not None:
             resources.idle_limit.on_stale_connection(idle_ms)
--- a/function_router/net/decision_host.py
+++ b/function_router/net/decision_host.py
@@ -54,6 +54,10 @@
                 return self._table.fail
             case actions.EnsureInstances():
                 return self._table.ensure_instances
+            case actions.CheckHealth():
+                return self._table.check_health
+            case actions.NoteWithheld():
+                return self._table.note_withheld
             case actions.SetTimer():
                 return self._set_timer
             case actions.LogMessage():
--- /dev/null
+++ b/function_router/net/endpoint_list_status.py
@@ -0,0 +1,67 @@
+"""Tells the decisions when the endpoint list was confirmed, and logs whether they believe it."""
+
+from collections.abc import Callable
+
+from function_router.decisions.events import EndpointListConfirmed, EndpointListInterrupted
+from function_router.decisions.router import Router
+from function_router.net.event_loop import EventLoop
+from function_router.net.start_times import StartTimes
+
+
+class EndpointListStatus:
+    """Reports confirmations of the list to the decisions; logs when it is out of date or current again."""
+
+    def __init__(
+        self,
+        router: Router,
+        loop: EventLoop,
+        start_times: StartTimes,
+        read_last_sequence: Callable[[], int],
+        log: Callable[[str], None],
+    ) -> None:
+        """Report to `router`.
+
+        Args:
+            router: Decides whether the list may be believed.
+            loop: Takes the events for it.
+            start_times: Have to know when the list was confirmed, too.
+            read_last_sequence: The sequence number of the last event that was applied.
+            log: Called with the text of a log line.
+        """
+        self._router = router
+        self._loop = loop
+        self._start_times = start_times
+        self._read_last_sequence = read_last_sequence
+        self._log = log
+        self._confirmed_at_ms = loop.clock.now_ms()
+        self._is_stale = False
+
+    def on_confirmed(self) -> None:
+        """Report that all events of the log have been received.
+
+        The announcement was not there yet at the poll before the last one, but may have been right after it:
+        the process may have been suspended.
+        """
+        self._start_times.on_caught_up()
+        self._confirmed_at_ms = self._loop.clock.from_monotonic_ms(self._loop.previous_poll_ms)
+        self._loop.submit(EndpointListConfirmed(self._confirmed_at_ms))
+
+    def on_interrupted(self) -> None:
+        """Report that the log is not being followed."""
+        self._loop.submit(EndpointListInterrupted())
+
+    def check(self) -> None:
+        """Log if the list went out of date, or is current again, since the last check."""
+        now_ms = self._loop.clock.now_ms()
+        is_stale = not self._router.is_endpoint_list_current(now_ms)
+        if is_stale is self._is_stale:
+            return
+        self._is_stale = is_stale
+        sequence = self._read_last_sequence()
+        if is_stale:
+            age_ms = now_ms - self._confirmed_at_ms
+            self._log(
+                f"endpoint list is out of date: last confirmed {age_ms:.0f} ms ago, at event {sequence}"
+            )
+        else:
+            self._log(f"endpoint list is current again, at event {sequence}")
--- a/function_router/net/endpoint_log_client.py
+++ b/function_router/net/endpoint_log_client.py
@@ -19,6 +19,12 @@
 MAX_LINE_MS = 30_000.0
 # Before the next connection attempt: an event of a broken connection counts as published after 2 s.
 RECONNECT_DELAY_MS = 200.0
+# Between two heartbeats of the log, the first of which it sends within this time after a request.
+HEARTBEAT_INTERVAL_MS = 1_000.0
+# On top of it; a first line that comes later than both shows that what the log sends is late by as much.
+MAX_FIRST_LINE_DELAY_MS = 300.0
+# A log that is late is requested again after this time: it may have caught up.
+LATE_LOG_RETRY_MS = 5_000.0
 # The delay doubles up to this where a log answers but sends nothing valid.
 MAX_RECONNECT_DELAY_MS = 1_000.0
 CONNECT_TIMEOUT_MS = 1_000.0
@@ -33,6 +39,14 @@
 
     It owns the connection, whose handler it is, and connects again when that breaks or falls silent. What the
     lines mean is up to its owner, which asks for a new request where they are invalid or incomplete.
+
+    Args:
+        loop: the event loop.
+        address: where the log listens.
+        on_line: called for each line, without its end.
+        read_last_sequence: the sequence number after which events are requested.
+        on_interrupted: called when the log is not followed any more, or not yet.
+        log: called with the text of a log line.
     """
 
     def __init__(
@@ -41,28 +55,24 @@
         address: Address,
         on_line: Callable[[bytes], None],
         read_last_sequence: Callable[[], int],
+        on_interrupted: Callable[[], None],
         log: Callable[[str], None],
     ) -> None:
-        """Prepare to connect to `address`; `connect` does so.
-
-        Args:
-            loop: the event loop.
-            address: where the log listens.
-            on_line: called for each line, without its end.
-            read_last_sequence: the sequence number after which events are requested.
-            log: called with the text of a log line.
-        """
+        """Prepare to connect to `address`; `connect` does so."""
         now_ms = monotonic_ms()
         self._loop = loop
         self._address = address
         self._on_line = on_line
         self._read_last_sequence = read_last_sequence
+        self._on_interrupted = on_interrupted
         self._log = log
         self._connection: Connection | None = None
         self._reconnect_timer: Timer | None = None
         self._reconnect_delay_ms = RECONNECT_DELAY_MS  # of the next `request_again`
         self._last_connect_ms = now_ms
         self._last_line_ms = now_ms  # when the last complete line came
+        self._requested_ms: float | None = None  # when events were requested, until the first line comes
+        self._is_late = False  # whether that took too long
         self._partial_line = b""
 
     @property
@@ -70,6 +80,11 @@
         """Whether the last request is old enough to be repeated without anything new from the log."""
         return monotonic_ms() - self._last_connect_ms > SILENCE_TIMEOUT_MS
 
+    @property
+    def is_late(self) -> bool:
+        """Whether the log took so long for its first line that its heartbeats are no news."""
+        return self._is_late
+
     # --- connecting -----------------------------------------------------------------------------
 
     def connect(self) -> None:
@@ -79,6 +94,9 @@
         self._partial_line = b""
         self._last_connect_ms = now_ms
         self._last_line_ms = now_ms
+        self._requested_ms = None
+        self._is_late = False
+        self._on_interrupted()
         connection = Connection.connect(self._loop, self._address, self, CONNECT_TIMEOUT_MS)
         if isinstance(connection, CloseReason):
             self._connect_after(RECONNECT_DELAY_MS)
@@ -119,6 +137,8 @@
         last_progress_ms = connection.last_received_ms if is_in_line else self._last_line_ms
         if now_ms - last_progress_ms > SILENCE_TIMEOUT_MS:
             self.request_again("silent")
+        elif self._is_late and now_ms - self._last_connect_ms > LATE_LOG_RETRY_MS:
+            self.request_again("late")
 
     def close(self) -> None:
         """Close the connection for good."""
@@ -129,6 +149,7 @@
 
     def _disconnect(self, reason: CloseReason) -> None:
         """Close the connection without the reconnect that follows when it breaks."""
+        self._on_interrupted()
         if self._reconnect_timer is not None:
             self._reconnect_timer.cancel()
             self._reconnect_timer = None
@@ -142,6 +163,7 @@
     def on_connected(self) -> None:
         """Request the events after the last one."""
         self._last_line_ms = monotonic_ms()
+        self._requested_ms = self._last_line_ms
         if self._connection is not None:
             self._connection.write(REQUEST_FORMAT % self._read_last_sequence())
 
@@ -156,6 +178,7 @@
         if self._connection is None:
             return
         self._connection = None
+        self._on_interrupted()
         self._log(f"endpoint log: {reason.name}; connecting again from {self._read_last_sequence()}")
         self._connect_after(RECONNECT_DELAY_MS)
 
@@ -163,6 +186,8 @@
         """Pass on the complete lines, up to one that leads to a new connection."""
         *lines, self._partial_line = (self._partial_line + data).split(b"\n")
         connection = self._connection
+        if lines:
+            self._note_first_line()
         for line in lines:
             self._last_line_ms = monotonic_ms()
             self._on_line(line)
@@ -170,3 +195,11 @@
                 return
         if len(self._partial_line) > MAX_LINE_BYTES and connection is not None:
             connection.close(CloseReason.PROTOCOL_ERROR)
+
+    def _note_first_line(self) -> None:
+        """Note whether the first line after a request came in time."""
+        if self._requested_ms is None:
+            return
+        delay_ms = monotonic_ms() - self._requested_ms
+        self._is_late = delay_ms > HEARTBEAT_INTERVAL_MS + MAX_FIRST_LINE_DELAY_MS
+        self._requested_ms = None
--- a/function_router/net/endpoint_watch.py
+++ b/function_router/net/endpoint_watch.py
@@ -25,6 +25,16 @@
     Missing events are requested again until they come. An invalid line, or an event ahead of a gap, is
     requested again once and then skipped. It owns the connection to the log (`client`) and the position in
     it.
+
+    Args:
+        loop: the event loop.
+        address: where the log listens.
+        on_endpoints: called with the endpoint list of each event; a ConfigurationError that it raises
+            makes the event invalid.
+        on_caught_up: called when the log announces that all its events have been applied or skipped, and
+            is in time.
+        on_interrupted: called when the log is not followed any more, or not yet.
+        log: called with the text of a log line.
     """
 
     def __init__(
@@ -33,23 +43,17 @@
         address: Address,
         on_endpoints: Callable[[EndpointList], None],
         on_caught_up: Callable[[], None],
+        on_interrupted: Callable[[], None],
         log: Callable[[str], None],
     ) -> None:
-        """Follow the log at `address` from its first event, or from where `apply_initial_events` ends.
-
-        Args:
-            loop: the event loop.
-            address: where the log listens.
-            on_endpoints: called with the endpoint list of each event; a ConfigurationError that it raises
-                makes the event invalid.
-            on_caught_up: called when the log announces that all its events have been applied or skipped.
-            log: called with the text of a log line.
-        """
+        """Follow the log at `address` from its first event, or from where `apply_initial_events` ends."""
         self._on_endpoints = on_endpoints
         self._on_caught_up = on_caught_up
         self._log = log
         self._tracker = SequenceTracker(0)
-        self.client = EndpointLogClient(loop, address, self._on_line, lambda: self.last_sequence, log)
+        self.client = EndpointLogClient(
+            loop, address, self._on_line, lambda: self.last_sequence, on_interrupted, log
+        )
 
     @property
     def last_sequence(self) -> int:
@@ -92,7 +96,8 @@
         if state is SyncState.SNAPSHOT_REVOKED:
             self.client.request_again(f"its last event is {sequence}, before the snapshot that it sent")
         elif state is SyncState.CAUGHT_UP:
-            self._on_caught_up()
+            if not self.client.is_late:
+                self._on_caught_up()
         elif state is SyncState.EVENTS_MISSING:
             self.client.request_again(f"events up to {sequence} are missing")
 
--- a/function_router/net/pool_resources.py
+++ b/function_router/net/pool_resources.py
@@ -6,6 +6,7 @@
 from function_router.net.connection_budget import ConnectionBudget
 from function_router.net.event_loop import EventLoop
 from function_router.net.idle_limit import IdleLimit
+from function_router.net.readiness import ReadinessGate
 from function_router.net.telemetry import Telemetry
 
 
@@ -18,6 +19,7 @@
         telemetry: For what was sent, how connections closed and what workers did wrong.
         budget: The connections that there are and may be, to all workers together.
         idle_limit: After which idle time a connection is not used any more.
+        readiness: Says which connections may carry new work.
     """
 
     loop: EventLoop
@@ -25,3 +27,4 @@
     telemetry: Telemetry
     budget: ConnectionBudget
     idle_limit: IdleLimit
+    readiness: ReadinessGate
--- a/function_router/net/pooled_worker.py
+++ b/function_router/net/pooled_worker.py
@@ -1,5 +1,6 @@
 """One worker of the pool: its endpoint, its connections, and the exchanges that are queued for one."""
 
+import math
 from collections.abc import Callable
 
 from function_router.config import Address
@@ -8,10 +9,11 @@
 from function_router.net.connect_retry import ConnectRetry
 from function_router.net.connection_set import ConnectionSet
 from function_router.net.exchange_queue import ExchangeQueue
+from function_router.net.not_sent_reason import NotSentReason
 from function_router.net.pool_resources import PoolResources
 from function_router.net.send_checks import check_worker
 from function_router.net.worker_connection import ConnectError, WorkerConnection
-from function_router.net.worker_messages import Exchange
+from function_router.net.worker_messages import Exchange, HealthCheck
 
 
 class PooledWorker:
@@ -118,8 +120,11 @@
         if not_sent_reason := check_worker(exchange, self.state):
             exchange.finish_unsent(not_sent_reason, telemetry)
             return
-        connection = self.connections.choose(exchange.exchange_id)
-        if connection is None:
+        latest_connection_ms = self._latest_connection_ms(exchange)
+        connection = self.connections.choose(exchange, latest_connection_ms)
+        if connection is None and latest_connection_ms < math.inf:
+            exchange.finish_unsent(NotSentReason.READINESS_UNPROVEN, telemetry)
+        elif connection is None:
             self.queue.append(exchange)
             self._connect_for_queued()
         elif not_sent_reason := exchange.reason_not_to_send():
@@ -127,13 +132,22 @@
         else:
             self._start(exchange, connection)
 
+    def _latest_connection_ms(self, exchange: Exchange) -> float:
+        """Until when a connection must have been established to carry the exchange; infinite if any may."""
+        if not exchange.is_new_work:
+            return math.inf
+        return self._resources.readiness.latest_connection_ms(self.worker_id)
+
     def _start(self, exchange: Exchange, connection: WorkerConnection) -> None:
         """Put an exchange on a connection, and open a spare one for the next where that is called for.
 
         It is where this connection already carried an attempt, or where the settings allow connecting ahead.
+        A health check is answered at once, so it calls for none.
         """
         is_shared = connection.has_attempt_in_flight
         connection.start(exchange)
+        if isinstance(exchange, HealthCheck):
+            return
         if is_shared or self._resources.transport.may_preconnect:
             self.connections.open_spare_if_needed(self)
 
--- a/function_router/net/request_table.py
+++ b/function_router/net/request_table.py
@@ -10,8 +10,10 @@
 from function_router.config import TransportSettings
 from function_router.decisions.actions import (
     CancelAttempt,
+    CheckHealth,
     EnsureInstances,
     FailRequest,
+    NoteWithheld,
     RejectRequest,
     SendRequest,
 )
@@ -22,11 +24,12 @@
 from function_router.net.client_request import ClientRequest, Failed, FinalAnswer, Rejected, Served
 from function_router.net.clock import monotonic_ms
 from function_router.net.event_loop import EventLoop
+from function_router.net.health_checks import HealthChecker
 from function_router.net.invariants import MAX_LATENESS_MS, Invariant
 from function_router.net.pending_request import PendingRequest
 from function_router.net.pending_requests import PendingRequests, RecentlyFinishedRequests
 from function_router.net.start_orders import RevalidateStartOrder, StartOrderSender
-from function_router.net.telemetry import ANSWERS, Telemetry
+from function_router.net.telemetry import ANSWERS, WITHHELD, Telemetry
 from function_router.net.timer_wheel import Timer
 from function_router.net.worker_pool import WorkerPool
 
@@ -71,6 +74,7 @@
         self._start_orders = StartOrderSender(
             loop, pool, revalidate_start_order, self._requests.add_trace_step
         )
+        self._health_checker = HealthChecker(loop, pool, self._requests.add_trace_step, telemetry)
         self._batch_ms = 0.0  # when the batch whose actions are being carried out was handled
         self._shutdown_at_ms = math.inf  # from then on the process may be killed
 
@@ -167,6 +171,16 @@
         """Send a start order or a probe."""
         self._start_orders.send(action, decided_at_ms=self._batch_ms)
 
+    def check_health(self, action: CheckHealth) -> None:
+        """Ask a worker whether it is ready or draining."""
+        self._health_checker.send(action)
+
+    def note_withheld(self, action: NoteWithheld) -> None:
+        """Note in the trace of a request that a worker did not get it, as it may be draining."""
+        self._telemetry.count(WITHHELD)
+        if request := self._requests.by_key.get(action.request_id):
+            request.add_trace_step(f"withheld from {action.worker_id}: not proven ready")
+
     # --- the end of a request -----------------------------------------------------------------
 
     def _set_deadline_timer(self, key: str, within_ms: float) -> Timer:
--- a/function_router/net/router_process.py
+++ b/function_router/net/router_process.py
@@ -9,6 +9,7 @@
 from function_router.net.client_listener import ClientListener
 from function_router.net.decision_host import DecisionHost
 from function_router.net.drain import Drain
+from function_router.net.endpoint_list_status import EndpointListStatus
 from function_router.net.endpoint_registry import EndpointRegistry
 from function_router.net.endpoint_watch import EndpointWatch
 from function_router.net.event_loop import EventLoop
@@ -59,6 +60,7 @@
         router: the decision module.
         pool: the workers and the connections to them.
         table: the pending requests.
+        endpoint_list_status: whether the endpoint list may be believed.
         endpoint_watch: follows the endpoint log.
         listener: the listening socket and the connections of clients.
         drain: the end of the process, which SIGTERM and SIGINT start.
@@ -79,6 +81,8 @@
         self.pool = self._create_pool()
         self.table = self._create_table()
         self._decisions = DecisionHost(self.router, self.loop, self.table, self.log)
+        self._start_times = StartTimes(self.loop.clock)
+        self.endpoint_list_status = self._create_endpoint_list_status()
         self.endpoint_watch = self._create_endpoint_watch()
         self.listener = self._create_listener()
         classes = config.settings.classes.values()
@@ -90,7 +94,9 @@
     def _create_pool(self) -> WorkerPool:
         max_connections = _max_connections(self.config.max_sockets, WORKER_SHARE)
         transport = self.config.transport
-        return WorkerPool(self.loop, transport, max_connections, self.config.seed, self.telemetry)
+        return WorkerPool(
+            self.loop, transport, max_connections, self.config.seed, self.telemetry, readiness=self.router
+        )
 
     def _create_table(self) -> RequestTable:
         return RequestTable(
@@ -102,12 +108,23 @@
             self.telemetry,
         )
 
+    def _create_endpoint_list_status(self) -> EndpointListStatus:
+        """Create the status of the list that the endpoint watch, which is created later, receives."""
+        return EndpointListStatus(
+            self.router, self.loop, self._start_times, lambda: self.endpoint_watch.last_sequence, self.log
+        )
+
     def _create_endpoint_watch(self) -> EndpointWatch:
         """Create the endpoint watch, with the workers that the initial events of the configuration name."""
-        start_times = StartTimes(self.loop.clock)
-        registry = EndpointRegistry(self.pool, self.loop.submit, start_times, self.log)
+        registry = EndpointRegistry(self.pool, self.loop.submit, self._start_times, self.log)
+        status = self.endpoint_list_status
         watch = EndpointWatch(
-            self.loop, self.config.endpoint_log, registry.apply, start_times.on_caught_up, self.log
+            self.loop,
+            self.config.endpoint_log,
+            registry.apply,
+            status.on_confirmed,
+            status.on_interrupted,
+            self.log,
         )
         watch.apply_initial_events(self.config.initial_events, self.config.initial_sequence)
         return watch
@@ -169,6 +186,7 @@
 
     def _check_timeouts(self) -> None:
         self.endpoint_watch.client.check_timeouts()
+        self.endpoint_list_status.check()
         self.pool.check_timeouts()
         self.listener.check_timeouts()
         self.loop.timers.call_later(TIMEOUT_CHECK_INTERVAL_MS, self._check_timeouts)
--- a/function_router/net/send_checks.py
+++ b/function_router/net/send_checks.py
@@ -6,11 +6,13 @@
 first byte could leave.
 """
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
+
+from msgspec import Struct
 
 from function_router.decisions.settings import RequestClass
 from function_router.decisions.types import RetrySafety, WorkerState
-from function_router.net.invariants import MAX_TIMEOUT_EXCESS_MS, Invariant, InvariantMonitor
+from function_router.net.invariants import MAX_TIMEOUT_EXCESS_MS, Invariant
 from function_router.net.not_sent_reason import NotSentReason
 from function_router.net.pending_request import PendingRequest
 from function_router.net.worker_messages import Attempt, Exchange
@@ -28,29 +30,54 @@
     return None
 
 
+def check_readiness(
+    exchange: Exchange, connected_at_ms: float, latest_connection_ms: float
+) -> NotSentReason | None:
+    """Why an exchange may not leave on a connection whose worker may have drained or restarted unnoticed.
+
+    Args:
+        exchange: The exchange.
+        connected_at_ms: When the connection was established.
+        latest_connection_ms: Until when it must have been, so that it leads to a process known to be ready;
+            see `function_router.net.readiness`.
+    """
+    if exchange.is_new_work and connected_at_ms > latest_connection_ms:
+        return NotSentReason.READINESS_UNPROVEN
+    return None
+
+
 def check_exchange(exchange: Exchange, state: WorkerState) -> NotSentReason | None:
     """Why an exchange must not send its first byte now to a worker in this state; None if it may."""
     return check_worker(exchange, state) or exchange.reason_not_to_send()
 
 
-def record_start_violations(
-    exchange: Exchange, state: WorkerState, written_at_ms: float, invariants: InvariantMonitor
-) -> None:
-    """Record where an exchange broke a rule when its first byte was written.
+class StartViolation(Struct, frozen=True):
+    """A rule that an exchange broke when its first byte was written."""
+
+    invariant: Invariant
+    detail: str
+
+
+def start_violations(
+    exchange: Exchange, state: WorkerState, written_at_ms: float, *, is_in_grace: bool
+) -> Iterator[StartViolation]:
+    """The rules that an exchange broke when its first byte was written.
 
     Args:
         exchange: The exchange.
         state: The state of its worker.
         written_at_ms: When the byte was written, on the monotonic clock.
-        invariants: Counts and logs what was broken.
+        is_in_grace: Whether the worker may have got new work then, even if it had drained unnoticed.
     """
     not_sent_reason = check_worker(exchange, state)
+    if exchange.is_new_work and not is_in_grace:
+        not_sent_reason = not_sent_reason or NotSentReason.READINESS_UNPROVEN
     if not_sent_reason or exchange.is_done:
         cause = not_sent_reason.name if not_sent_reason else "finished already"
-        invariants.record(Invariant.STARTED_BY_THE_RULES, f"{_describe(exchange)}: {cause}")
+        yield StartViolation(Invariant.STARTED_BY_THE_RULES, f"{_describe(exchange)}: {cause}")
     excess_ms = exchange.timeout_excess_ms(written_at_ms)
     if excess_ms > MAX_TIMEOUT_EXCESS_MS:
-        invariants.record(Invariant.TIMEOUT_PASSED_ON, f"{_describe(exchange)}: {excess_ms:.0f} ms")
+        yield StartViolation(Invariant.TIMEOUT_PASSED_ON, f"{_describe(exchange)}: {excess_ms:.0f} ms")
 
 
 def check_request(
--- a/function_router/net/sequence_tracker.py
+++ b/function_router/net/sequence_tracker.py
@@ -9,6 +9,7 @@
     CAUGHT_UP = auto()  # no event is missing
     EVENTS_MISSING = auto()  # they are to be requested again
     EVENTS_STILL_MISSING = auto()  # the last request for them is too recent to be repeated
+    LOG_IS_BEHIND = auto()  # the log announces a number from before the last event that it sent
     SNAPSHOT_REVOKED = auto()  # a snapshot ahead of a gap had a sequence number beyond the end of the log
 
 
@@ -104,7 +105,7 @@
         self._skipped_through = sequence  # numbers that were skipped beyond it belong to future events
         self._invalid_line_position = None
         self._sequence_before_snapshot = None
-        return SyncState.CAUGHT_UP
+        return SyncState.LOG_IS_BEHIND if sequence < self.last_sequence else SyncState.CAUGHT_UP
 
     def forget_requests(self) -> None:
         """Forget what was requested again, as the log has moved: it may be requested once more."""
--- a/function_router/net/telemetry.py
+++ b/function_router/net/telemetry.py
@@ -9,6 +9,8 @@
 REQUESTS = "requests"  # attempts
 START_ORDERS = "start orders"
 PROBES = "probes"
+HEALTH_CHECKS = "health checks"  # detail: what the worker answered
+WITHHELD = "withheld"  # requests from workers that are not proven to be ready, once for each of both
 CONNECTS = "connects"  # connections to workers that were begun
 CLOSED = "closed"  # connections to workers; detail: the close reason
 NOT_STARTED = "not started"  # exchanges; detail: the reason not to send
--- a/function_router/net/worker_connection.py
+++ b/function_router/net/worker_connection.py
@@ -1,5 +1,6 @@
 """One connection to a worker, and the exchanges in flight on it."""
 
+import math
 from typing import Protocol
 
 from function_router.config import Address, TransportSettings
@@ -11,7 +12,8 @@
 from function_router.net.connection import Connection
 from function_router.net.connection_activity import ConnectionActivity
 from function_router.net.event_loop import EventLoop
-from function_router.net.send_checks import check_exchange, record_start_violations
+from function_router.net.readiness import ReadinessGate
+from function_router.net.send_checks import check_exchange, check_readiness, start_violations
 from function_router.net.sockets import Unread
 from function_router.net.telemetry import Telemetry
 from function_router.net.timer_wheel import Timer
@@ -60,11 +62,19 @@
 class WorkerConnection:
     """One connection to a worker, and the exchanges in flight on it.
 
+    Args:
+        loop: The event loop that serves it.
+        owner: The worker that it leads to.
+        transport: Has the connect timeout and the limit of exchanges on one connection.
+        telemetry: Logs what the worker did wrong.
+        readiness: Says whether the connection may carry new work.
+
     Attributes:
         connection: The TCP connection.
         exchanges: The exchanges in flight by id, in the order in which they were put on it; it is the
             `ExchangeHolder` of each.
         is_retired: Whether it gets no new exchange and is closed once it has none.
+        established_at_ms: When it was established, on the monotonic clock; infinite before.
     """
 
     __slots__ = (
@@ -74,10 +84,12 @@
         "_owner",
         "_partial_frame_timer",
         "_reader",
+        "_readiness",
         "_telemetry",
         "_unwritten_at_flush",
         "_used_ids",
         "connection",
+        "established_at_ms",
         "exchanges",
         "is_retired",
     )
@@ -88,20 +100,20 @@
         owner: WorkerConnectionOwner,
         transport: TransportSettings,
         telemetry: Telemetry,
+        readiness: ReadinessGate,
     ) -> None:
         """Begin to connect to `owner`, a worker, at its present address.
 
-        `transport` has the connect timeout and the limit of exchanges on one connection; `telemetry` logs
-        what the worker did wrong.
-
         Raises:
             ConnectError: Connecting failed at once; `owner` is not notified then.
         """
         self.exchanges: dict[bytes, Exchange] = {}
         self.is_retired = False
+        self.established_at_ms = math.inf
         self._loop = loop
         self._owner = owner
         self._telemetry = telemetry
+        self._readiness = readiness
         self._max_exchanges = transport.max_exchanges_per_connection
         self._reader = frames.FrameReader()
         self._used_ids: dict[bytes, None] = {}  # ids that may not be used again here, oldest first
@@ -172,7 +184,7 @@
         if not self.exchanges:
             self._activity.on_in_use()
         self.exchanges[exchange.exchange_id] = exchange
-        exchange.attach(self, self.connection.write(exchange.encode()))
+        exchange.attach(self, self.connection.write(exchange.encode()), self.established_at_ms)
         self._unwritten_at_flush.append(exchange)
 
     def remove(self, exchange: Exchange) -> None:
@@ -231,6 +243,7 @@
 
     def on_connected(self) -> None:
         """The connection is established."""
+        self.established_at_ms = monotonic_ms()
         self._owner.on_connection_established(self)
 
     def on_data(self, data: bytes) -> None:
@@ -254,15 +267,25 @@
             return
         for exchange in self._unwritten_at_flush:
             if exchange.is_started:
-                record_start_violations(
-                    exchange, self._owner.state, self.connection.last_write_ms, self._telemetry.invariants
-                )
+                self._check_start(exchange)
         self._unwritten_at_flush = self.unwritten()
 
+    def _check_start(self, exchange: Exchange) -> None:
+        """Check at run time that an exchange whose first bytes were just written was allowed to start."""
+        written_at_ms = self.connection.last_write_ms
+        is_in_grace = self._readiness.is_within_drain_grace(self._owner.worker_id, written_at_ms)
+        violations = start_violations(exchange, self._owner.state, written_at_ms, is_in_grace=is_in_grace)
+        for violation in violations:
+            self._telemetry.invariants.record(violation.invariant, violation.detail)
+
     def on_write_delayed(self) -> None:
         """Finish exchanges that may not be sent any more, and have the others state the time left now."""
+        latest_ms = self._readiness.latest_connection_ms(self._owner.worker_id)
         for exchange in self.unwritten():
-            if not_sent_reason := check_exchange(exchange, self._owner.state):
+            not_sent_reason = check_exchange(exchange, self._owner.state) or check_readiness(
+                exchange, self.established_at_ms, latest_ms
+            )
+            if not_sent_reason:
                 exchange.finish_unsent(not_sent_reason, self._telemetry)
             elif exchange.pending_write is not None:
                 self.connection.replace_write(exchange.pending_write, exchange.encode())
--- a/function_router/net/worker_messages.py
+++ b/function_router/net/worker_messages.py
@@ -1,7 +1,8 @@
-"""What is sent to workers: attempts at requests and start orders, each an exchange that ends with one result.
+"""What is sent to workers: attempts, start orders and health checks, each with one result.
 
-An exchange is created by the request table or the `StartOrderSender`, queued and written by the worker pool,
-and finished exactly once: with the worker's answer, or with the reason why there is none.
+Such an exchange is created by the request table, the `StartOrderSender` or the `HealthChecker`, queued and
+written by the worker pool, and finished exactly once: with the worker's answer, or with the reason why there
+is none.
 """
 
 from abc import ABC, abstractmethod
@@ -11,7 +12,7 @@
 
 from msgspec import Struct
 
-from function_router.decisions.types import Outcome, StartKind
+from function_router.decisions.types import Outcome, Readiness, StartKind
 from function_router.net.clock import monotonic_ms
 from function_router.net.close_reason import CloseReason
 from function_router.net.codecs import worker_frames as frames
@@ -34,6 +35,10 @@
     frames.OK: Outcome.OK,
     frames.QUEUE_FULL: Outcome.QUEUE_FULL,
 }
+_READINESS = {
+    frames.READY: Readiness.READY,
+    frames.DRAINING: Readiness.DRAINING,
+}
 _START_KINDS = {
     frames.REUSED: StartKind.WARM,
     frames.STARTED: StartKind.COLD_START,
@@ -51,6 +56,7 @@
         start_kind: Whether the request needed an instance to start.
         in_flight: Requests for the function that the worker already had when this one arrived.
         instances: Instances of the function on the worker, in the answer to a start order or probe.
+        readiness: Whether the worker accepts new work, in the answer to a health check.
     """
 
     outcome: Outcome
@@ -58,6 +64,7 @@
     start_kind: StartKind
     in_flight: int
     instances: int
+    readiness: Readiness = Readiness.UNKNOWN
 
 
 Result = Answer | CloseReason
@@ -101,6 +108,7 @@
         timeout_timer: Finishes it if nothing else does.
         is_done: Whether it has its result.
         connection_wait_ms: How long after its creation it was put on a connection.
+        connected_at_ms: When that connection was established, on the monotonic clock.
     """
 
     worker_id: int
@@ -113,6 +121,7 @@
     timeout_timer: Timer | None = field(default=None, init=False)
     is_done: bool = field(default=False, init=False)
     connection_wait_ms: float = field(default=0.0, init=False)
+    connected_at_ms: float = field(default=0.0, init=False)
 
     @property
     def is_started(self) -> bool:
@@ -153,8 +162,9 @@
         if holder is not None:
             holder.on_exchange_finished()
 
-    def attach(self, connection: ExchangeHolder, pending_write: PendingWrite) -> None:
-        """Put it on a connection, which is about to write its bytes."""
+    def attach(self, connection: ExchangeHolder, pending_write: PendingWrite, connected_at_ms: float) -> None:
+        """Put it on a connection, which was established at that time and is about to write its bytes."""
+        self.connected_at_ms = connected_at_ms
         self.connection_wait_ms = monotonic_ms() - self.created_at_ms
         self.pending_write = pending_write
         self.holder = connection
@@ -192,6 +202,7 @@
             start_kind=_START_KINDS.get(fields.get(frames.START_KIND_FIELD, ""), StartKind.UNKNOWN),
             in_flight=_parse_count(fields.get(frames.IN_FLIGHT_FIELD)),
             instances=_parse_count(fields.get(frames.INSTANCES_FIELD)),
+            readiness=_READINESS.get(frame.code, Readiness.UNKNOWN),
         )
 
 
@@ -277,3 +288,33 @@
 
     def _deliver(self, result: Result) -> None:
         self.on_done(self, result)
+
+
+@dataclass(slots=True, eq=False, kw_only=True)
+class HealthCheck(Exchange):
+    """A question to a worker: whether it is ready or draining.
+
+    Attributes:
+        on_done: Called once, with the health check and its result.
+        asked_at_ms: When it was encoded, on the monotonic clock: the worker read it no earlier.
+    """
+
+    on_done: Callable[["HealthCheck", Result], None]
+    asked_at_ms: float = field(default=0.0, init=False)
+
+    @property
+    def is_new_work(self) -> bool:
+        """Never new work."""
+        return False
+
+    def encode(self) -> bytes:
+        """Encode the question, and note the time."""
+        self.asked_at_ms = monotonic_ms()
+        return frames.encode_check_health(self.exchange_id)
+
+    def outcome_of(self, code: int) -> Outcome:
+        """What the code of the answer means: any other one than the two is none of a health check."""
+        return Outcome.OK if code in _READINESS else Outcome.ERROR
+
+    def _deliver(self, result: Result) -> None:
+        self.on_done(self, result)
--- a/function_router/net/worker_pool.py
+++ b/function_router/net/worker_pool.py
@@ -13,13 +13,16 @@
 from function_router.net.not_sent_reason import NotSentReason
 from function_router.net.pool_resources import PoolResources
 from function_router.net.pooled_worker import PooledWorker
+from function_router.net.readiness import AlwaysReady, ReadinessGate, ReadinessPolicy
 from function_router.net.telemetry import PROBES, REQUESTS, START_ORDERS, Telemetry
 from function_router.net.worker_connection import WorkerConnection
-from function_router.net.worker_messages import Attempt, Exchange, StartOrder
+from function_router.net.worker_messages import Attempt, Exchange, HealthCheck, StartOrder
 
 EXCHANGE_ID_BYTES = 8
 # The first id of start orders is random, so that routers don't use the same ones.
 FIRST_ORDER_ID_BITS = 62
+# A health check without an answer ends after this time. Workers answer it at once, whatever they run.
+HEALTH_CHECK_TIMEOUT_MS = 1_000.0
 
 
 class WorkerPool:
@@ -38,6 +41,7 @@
         max_connections: int,
         seed: int,
         telemetry: Telemetry,
+        readiness: ReadinessPolicy | None = None,
     ) -> None:
         """A pool without workers.
 
@@ -47,6 +51,7 @@
             max_connections: To all workers together.
             seed: For the ids of start orders.
             telemetry: For what was sent, how connections closed and what workers did wrong.
+            readiness: Decides which workers may get new work; None: all.
         """
         self.workers: dict[int, PooledWorker] = {}
         self._resources = PoolResources(
@@ -55,6 +60,7 @@
             telemetry=telemetry,
             budget=ConnectionBudget(max_connections, self._all_connections),
             idle_limit=IdleLimit(transport.keepalive_ms),
+            readiness=ReadinessGate(loop.clock, readiness or AlwaysReady()),
         )
         self._order_ids = itertools.count(random.Random(seed).getrandbits(FIRST_ORDER_ID_BITS))
 
@@ -87,6 +93,11 @@
             if worker.address == address and worker.state is not WorkerState.REMOVED
         ]
 
+    def connection_lost_at_ms(self, worker_id: int) -> float | None:
+        """When a connection to a worker last ended without this router's doing, on the monotonic clock."""
+        worker = self.workers.get(worker_id)
+        return None if worker is None else worker.connections.last_lost_ms
+
     def remove_all_except(self, worker_ids: set[int]) -> None:
         """Remove the workers that a complete endpoint list does not name."""
         absent = [worker_id for worker_id in self.workers if worker_id not in worker_ids]
@@ -111,9 +122,17 @@
     def ensure_instances(self, order: StartOrder) -> None:
         """Send a start order or a probe, which gets its id here."""
         self._resources.telemetry.count(START_ORDERS if order.instances else PROBES)
-        order.exchange_id = next(self._order_ids).to_bytes(EXCHANGE_ID_BYTES, "big")
+        order.exchange_id = self._next_order_id()
         self._dispatch(order, self._resources.transport.start_order_timeout_ms)
 
+    def check_health(self, check: HealthCheck) -> None:
+        """Send a health check, which gets its id here."""
+        check.exchange_id = self._next_order_id()
+        self._dispatch(check, HEALTH_CHECK_TIMEOUT_MS)
+
+    def _next_order_id(self) -> bytes:
+        return next(self._order_ids).to_bytes(EXCHANGE_ID_BYTES, "big")
+
     def cancel(self, exchange: Exchange) -> None:
         """Cancel an exchange unless it is done; a worker that may have received an attempt is notified."""
         exchange.abort(CloseReason.CANCELLED)
--- a/function_router/simulator_codec.py
+++ b/function_router/simulator_codec.py
@@ -39,6 +39,7 @@
 REJECT = "SAY_NO"
 FAIL = "ERROR"
 ENSURE_INSTANCES = "MOUNT"
+CHECK_HEALTH = "POLL"
 SET_TIMER = "NOTIFY_ME"
 LOG = "LOG"
 EXCEPTION = "EXCEPTION"
@@ -195,6 +196,10 @@
                     INSTANCES: action.instances,
                 }
             }
+        case actions.CheckHealth():
+            return {CHECK_HEALTH: {WORKER_ID: action.worker_id}}
+        case actions.NoteWithheld():
+            return {LOG: {TEXT: f"{action.request_id} withheld from {action.worker_id}"}}
         case actions.SetTimer():
             return {SET_TIMER: {TIMER_DELAY: action.delay_ms, TIMER_TOKEN: action.token}}
         case actions.LogMessage():
--- a/soak/endpoint_log.py
+++ b/soak/endpoint_log.py
@@ -124,7 +124,7 @@
                     if event.sequence > known_sequence:
                         writer.write(msgspec.json.encode(self._to_wire(event)) + b"\n")
                         known_sequence = event.sequence
-                writer.write(b"%d\n" % self._events[-1].sequence)
+                writer.write(b'{"seq":%d}\n' % self._events[-1].sequence)
                 await writer.drain()
             async with self._published:
                 try:
--- a/tests/helpers/configuration.py
+++ b/tests/helpers/configuration.py
@@ -8,8 +8,11 @@
     {"name": "save", "effect": "deduplicated", "give_up": 9000.0, "promise": 8000.0, "dedup_window": 1500.0},
     {"name": "settle", "effect": "at_most_once", "give_up": 9000.0, "promise": 8000.0},
 ]
+# Tests in which no heartbeat confirms the endpoint list have it believed for this long all the same.
+LONG_DRAIN_GRACE_MS = 60_000.0
 SETTINGS = {
     "classes": CLASSES,
+    "invariants": {"drain_grace": LONG_DRAIN_GRACE_MS},
     "tenants": [{"name": "acme"}],
     "bounds": {"max_attempts": 3, "cancel": True, "second_copies": True, "dial_timeout": 5000.0},
     "family_info": {"may_order": True, "not_loaded": "load", "notes_peers_in_hand": True},
--- a/tests/net/test_decision_host.py
+++ b/tests/net/test_decision_host.py
@@ -20,6 +20,8 @@
     (actions.RejectRequest("r1", 250.0), "reject"),
     (actions.FailRequest("r1"), "fail"),
     (actions.EnsureInstances(11, "fn:a", 1), "ensure_instances"),
+    (actions.CheckHealth(11, "fn:a"), "check_health"),
+    (actions.NoteWithheld("r1", 11), "note_withheld"),
 ]
 
 
--- /dev/null
+++ b/tests/net/test_health_checks.py
@@ -0,0 +1,223 @@
+"""Tests of `health_checks`, and of the connections that new work may use while the endpoint list is stale."""
+
+import pytest
+from helpers.exchanges import attempt, start_order
+
+from function_router.decisions.actions import CheckHealth
+from function_router.decisions.events import HealthChecked
+from function_router.decisions.types import Outcome, Readiness
+from function_router.net.close_reason import CloseReason
+from function_router.net.codecs import worker_frames
+from function_router.net.invariants import Invariant
+from function_router.net.not_sent_reason import NotSentReason
+
+GRACE_MS = 5_000.0  # a proof lasts for almost as long, however slow the machine is
+READY_ANSWER = 6  # codes of the operator's protocol page
+DRAINING_ANSWER = 7
+HEALTH_CHECK = 3
+
+
+class Reports:
+    """Stands in for the decisions: keeps what is reported of health checks."""
+
+    def __init__(self, harness):
+        self.checks = []
+        self._submit = harness.router_process.loop.submit
+        harness.router_process.loop.submit = self._on_event
+
+    def _on_event(self, event):
+        if isinstance(event, HealthChecked):
+            self.checks.append(event)
+        else:
+            self._submit(event)
+
+
+@pytest.fixture
+def reports(harness):
+    """What the harness reports of health checks, which the decisions do not get."""
+    return Reports(harness)
+
+
+@pytest.fixture
+def stale(start_router, worker):
+    """A router whose endpoint list was never confirmed, and is not believed any more."""
+    harness = start_router(worker, settings={"invariants": {"drain_grace": GRACE_MS}})
+    harness.round_trip(harness.connect_client())
+    process = harness.router_process
+    process.router.fleet.leases._interrupted_ms -= GRACE_MS  # as if it had started that long ago
+    assert not process.router.is_endpoint_list_current(process.loop.clock.now_ms())
+    return harness
+
+
+def check_health(harness, worker):
+    """Have a worker asked, and wait until it has the question."""
+    count = len(worker.received(HEALTH_CHECK))
+    harness.table.check_health(CheckHealth(worker.worker_id, ""))
+    harness.run_until(lambda: len(worker.received(HEALTH_CHECK)) > count, "it is asked")
+    return worker.received(HEALTH_CHECK)[-1]
+
+
+def prove_ready(harness, worker):
+    """Have a worker asked and let it answer that it is ready."""
+    worker.answer(check_health(harness, worker), READY_ANSWER, fields="")
+    harness.round_trip(harness.connect_client())
+    harness.run_until(lambda: is_proven(harness, worker), "the answer is known")
+
+
+def is_proven(harness, worker):
+    process = harness.router_process
+    return process.router.latest_connection_ms(worker.worker_id, process.loop.clock.now_ms()) > 0
+
+
+# --- the answers
+
+
+@pytest.mark.parametrize(
+    ("code", "outcome", "readiness"),
+    [
+        (READY_ANSWER, Outcome.OK, Readiness.READY),
+        (DRAINING_ANSWER, Outcome.OK, Readiness.DRAINING),
+        (worker_frames.OK, Outcome.ERROR, Readiness.UNKNOWN),
+    ],
+)
+def test_answer_is_reported_with_the_times_of_question_and_connection(
+    harness, worker, reports, code, outcome, readiness
+):
+    clock = harness.router_process.loop.clock
+    started_ms = clock.now_ms()
+
+    worker.answer(check_health(harness, worker), code, fields="")
+    harness.run_until(lambda: reports.checks, "it is reported")
+
+    [report] = reports.checks
+    assert (report.outcome, report.readiness) == (outcome, readiness)
+    assert started_ms <= report.connected_at_ms <= report.asked_at_ms <= clock.now_ms()
+    assert report.connection_lost_at_ms is None
+
+
+def test_health_checks_are_counted_by_their_answers(harness, worker, reports):
+    worker.answer(check_health(harness, worker), READY_ANSWER, fields="")
+    worker.answer(check_health(harness, worker), DRAINING_ANSWER, fields="")
+    harness.run_until(lambda: len(reports.checks) == 2, "both are reported")
+
+    counters = harness.router_process.telemetry.take_counters()
+
+    assert "health checks DRAINING 1, health checks READY 1" in counters
+
+
+def test_connection_that_breaks_under_a_health_check_is_reported_as_lost(harness, worker, reports):
+    clock = harness.router_process.loop.clock
+    started_ms = clock.now_ms()
+
+    check_health(harness, worker).connection.close()
+    harness.run_until(lambda: reports.checks, "it is reported")
+
+    [report] = reports.checks
+    assert (report.outcome, report.readiness) == (Outcome.RESET, Readiness.UNKNOWN)
+    assert started_ms <= report.connection_lost_at_ms <= clock.now_ms()
+
+
+@pytest.mark.usefixtures("reports")
+def test_health_check_uses_the_oldest_connection_and_opens_no_other(harness, worker, results):
+    harness.run_attempt(worker, results)
+    harness.run_attempt(worker, results, exchange_id=b"abcdefgh")
+    harness.run_until(lambda: len(worker.connections) > 1, "there is a second connection")
+    harness.round_trip(harness.connect_client())
+    connections_before = len(worker.connections)
+
+    received = [check_health(harness, worker) for _ in range(3)]
+    harness.round_trip(harness.connect_client())
+
+    assert {each.connection for each in received} == {worker.connections[0]}
+    assert len(worker.connections) == connections_before
+
+
+# --- new work while the list is stale
+
+
+def test_new_work_to_a_worker_without_a_proof_is_not_sent_and_probes_are(stale, worker, results):
+    worker_id = worker.worker_id
+    stale.pool.send(attempt(worker_id, results))
+    stale.pool.ensure_instances(start_order(worker_id, results))
+
+    assert results == [(CloseReason.NOT_SENT, False)] * 2
+    assert f"not started {NotSentReason.READINESS_UNPROVEN.name} 2" in (
+        stale.router_process.telemetry.take_counters()
+    )
+
+    stale.pool.ensure_instances(start_order(worker_id, results, instances=0))
+    stale.run_until(lambda: len(results) == 3, "the probe is answered")
+
+
+def test_new_work_leaves_on_the_connection_that_has_carried_the_proof(stale, worker, results):
+    prove_ready(stale, worker)
+
+    stale.run_attempt(worker, results)
+
+    assert worker.requests[0].connection is worker.connections[0]
+    assert dict(stale.router_process.telemetry.invariants.violations) == {}
+
+
+def test_connection_that_is_newer_than_the_proof_carries_no_new_work(stale, worker, results):
+    prove_ready(stale, worker)
+    [connection] = stale.connections_to(worker.worker_id)
+    connection.established_at_ms += 60_000.0
+
+    stale.pool.send(attempt(worker.worker_id, results))
+
+    assert results == [(CloseReason.NOT_SENT, False)]
+
+
+def test_attempt_whose_write_is_delayed_past_the_proof_is_not_sent(stale, worker, results):
+    prove_ready(stale, worker)
+    [connection] = stale.connections_to(worker.worker_id)
+    stale.pool.send(attempt(worker.worker_id, results))
+    stale.router_process.router.fleet.leases.revoke(
+        stale.router_process.router.fleet.workers.by_id[worker.worker_id]
+    )
+
+    connection.on_write_delayed()
+
+    assert results == [(CloseReason.NOT_SENT, False)]
+    assert worker.requests == []
+
+
+def test_first_byte_after_the_grace_is_counted_as_a_violation(stale, worker, results):
+    prove_ready(stale, worker)
+    fleet = stale.router_process.router.fleet
+    stale.pool.send(attempt(worker.worker_id, results))
+    fleet.leases._interrupted_ms -= 2 * GRACE_MS  # as if no check had been made just before the write
+    fleet.workers.by_id[worker.worker_id].lease.process_seen_ms -= 2 * GRACE_MS
+
+    stale.run_until(lambda: worker.requests, "it runs")
+
+    assert dict(stale.router_process.telemetry.invariants.violations) == {Invariant.STARTED_BY_THE_RULES: 1}
+
+
+# --- a request from end to end
+
+
+def test_trace_of_a_request_says_why_it_was_not_sent(stale, worker):
+    client = stale.connect_client()
+    client.send_request(ttl="400")
+    stale.run_until(lambda: worker.received(HEALTH_CHECK), "the worker is asked")
+    worker.answer(worker.received(HEALTH_CHECK)[-1], DRAINING_ANSWER, fields="")
+    stale.run_until(lambda: client.answers, "it is rejected")
+
+    [trace] = [line for line in stale.log_lines if "rejected after" in line]
+    assert f"health check of {worker.worker_id}" in trace
+    assert f"{worker.worker_id}: DRAINING" in trace
+    assert worker.requests == []
+    assert any("says that it is draining" in line for line in stale.log_lines)
+
+
+def test_request_is_served_by_a_worker_that_says_that_it_is_ready(stale, worker):
+    client = stale.connect_client()
+    client.send_request()
+    stale.run_until(lambda: worker.received(HEALTH_CHECK), "the worker is asked")
+    worker.answer(worker.received(HEALTH_CHECK)[-1], READY_ANSWER, fields="")
+    stale.run_until(lambda: worker.requests, "it runs")
+    worker.answer(worker.requests[0], body=b"served")
+    stale.run_until(lambda: client.answers, "it is answered")
+
+    assert client.answers[0][1:] == ("answer", {1: b"served", 2: {}, 3: True})
--- a/tests/test_repository.py
+++ b/tests/test_repository.py
@@ -34,6 +34,7 @@
     "function_router.decisions.circuit_breakers",
     "function_router.decisions.dispatch",
     "function_router.decisions.durations",
+    "function_router.decisions.endpoint_leases",
     "function_router.decisions.events",
     "function_router.decisions.feedback",
     "function_router.decisions.fleet",
