--- a/soak/client_connections.py
+++ b/soak/client_connections.py
@@ -13,27 +13,35 @@
 class ClientConnections:
     """Opens and reuses connections; it owns all of them except private ones, which the caller closes."""
 
-    def __init__(self, rng: random.Random) -> None:
+    def __init__(self, rng: random.Random, min_per_router: int) -> None:
+        """Open connections until there are `min_per_router` to each router that gets requests."""
         self._rng = rng
+        self._min_per_router = min_per_router
         self._reusable: dict[int, list[ThriftConnection]] = {}  # by port
         self._abandoned: list[ThriftConnection] = []
 
-    async def acquire(self, port: int, *, is_new: bool, is_private: bool) -> ThriftConnection:
+    async def acquire(
+        self, port: int, *, is_new: bool, is_private: bool, may_connect: bool = True
+    ) -> ThriftConnection:
         """Return a connection for one request.
 
         Args:
             port: of the router.
             is_new: open one, also where another could be used again.
             is_private: open one that no other request shares.
+            may_connect: whether to open one at all.
 
         Raises:
-            OSError: The router does not accept a connection.
+            OSError: The router does not accept a connection, or none is open where none may be opened.
         """
         self._close_idle(port)
         reusable = self._reusable.setdefault(port, [])
         usable = [each for each in reusable if len(each.pending) < MAX_PENDING_REQUESTS]
-        if usable and not (is_new or is_private):
+        has_enough = len(reusable) >= self._min_per_router
+        if usable and not (may_connect and (is_new or is_private or not has_enough)):
             return self._rng.choice(usable)
+        if not may_connect:
+            raise ConnectionRefusedError
         connection = await ThriftConnection.open(port)
         if not is_private:
             is_kept = not is_new or self._rng.random() < KEPT_SHARE
--- a/soak/clients.py
+++ b/soak/clients.py
@@ -13,7 +13,7 @@
 from soak.client_connections import ClientConnections
 from soak.commands import ClientsCommand, read_commands
 from soak.records import Recorder
-from soak.request_client import RequestClient, draw_request
+from soak.request_client import RequestClient, Target, draw_request
 
 RATE_POLL_S = 0.05  # while the rate is 0
 SETTLE_S = 0.1  # for the tasks of closed connections to end
@@ -22,13 +22,15 @@
 class Clients:
     """Open-loop arrivals: the rate of requests doesn't depend on how fast the routers answer."""
 
-    def __init__(self, recorder: Recorder, function_count: int, seed: int) -> None:
+    def __init__(
+        self, recorder: Recorder, function_count: int, seed: int, connections_per_router: int
+    ) -> None:
         self._recorder = recorder
         self._rng = random.Random(seed)
         self._functions = [f"{self._rng.getrandbits(64):016x}" for _ in range(function_count)]
         self._weights = [1 / (rank + 1) for rank in range(function_count)]  # Zipf's law
         self._command = ClientsCommand([], 0.0)
-        self._connections = ClientConnections(self._rng)
+        self._connections = ClientConnections(self._rng, connections_per_router)
         self._requests = RequestClient(self._connections, recorder, self._rng)
         self._tasks: set[asyncio.Task[None]] = set()
 
@@ -67,18 +69,27 @@
     async def _request(self, router: int) -> None:
         """Send one request; retry it once if its connection closed just as it was sent."""
         request = draw_request(self._rng, self._functions, self._weights)
-        should_retry = await self._requests.send(request, router, self._command.ports[router])
-        if should_retry and self._command.ports[router]:
-            await self._requests.send(request, router, self._command.ports[router], is_retry=True)
+        may_connect = router not in self._command.open_only
+        target = Target(router, self._command.ports[router], may_connect)
+        should_retry = await self._requests.send(request, target)
+        if should_retry and (routers := self._routers_to_connect_to()):
+            other = router if router in routers else self._rng.choice(routers)
+            await self._requests.send(request, Target(other, self._command.ports[other]), is_retry=True)
+
+    def _routers_to_connect_to(self) -> list[int]:
+        command = self._command
+        return [
+            router for router, port in enumerate(command.ports) if port and router not in command.open_only
+        ]
 
     async def _connect_bad_client(self, router: int) -> None:
         await run_bad_client(router, self._command.ports[router], self._recorder, self._rng)
 
 
-async def main(function_count: int, seed: int, record_path: Path) -> None:
+async def main(function_count: int, seed: int, connections_per_router: int, record_path: Path) -> None:
     """Follow the commands until standard input ends, then wait for the pending requests."""
     recorder = Recorder(record_path)
-    clients = Clients(recorder, function_count, seed)
+    clients = Clients(recorder, function_count, seed, connections_per_router)
     arrivals = [asyncio.create_task(clients.run_requests()), asyncio.create_task(clients.run_bad_clients())]
     async for command in read_commands(ClientsCommand):
         clients.apply(command)
@@ -89,4 +100,4 @@
 
 
 if __name__ == "__main__":
-    asyncio.run(main(int(sys.argv[1]), int(sys.argv[2]), Path(sys.argv[3])))
+    asyncio.run(main(int(sys.argv[1]), int(sys.argv[2]), int(sys.argv[3]), Path(sys.argv[4])))
--- a/soak/cluster.py
+++ b/soak/cluster.py
@@ -141,7 +141,8 @@
         await asyncio.gather(*(self.start_router(router) for router in self.routers))
 
     async def _start_clients(self) -> None:
-        counts = (str(self.plan.function_count), str(self.plan.seed))
+        plan = self.plan
+        counts = (str(plan.function_count), str(plan.seed), str(plan.connections_per_router))
         self._clients = await ModuleProcess.start("soak.clients", *counts, str(self._folder.client_records))
         self._resources.push_async_callback(self._clients.clean_up)
         self.traffic = Traffic(self._clients, self.plan.router_count)
--- a/soak/commands.py
+++ b/soak/commands.py
@@ -18,6 +18,7 @@
     ports: list[int]  # of the routers; 0 where clients are kept away
     requests_per_s: float
     bad_clients_per_s: float = 0.0
+    open_only: list[int] = []  # routers to which clients open no connection, but use those that they have
 
 
 class ProxyCommand(Struct, frozen=True):
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -6,7 +6,7 @@
 
 import asyncio
 import time
-from collections.abc import Awaitable, Callable, Coroutine
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from typing import Final
 
@@ -22,6 +22,9 @@
 ROUTER_DOWN_S = 0.3  # between the end of a router and its next start
 LATE_CONNECTIONS_S = 0.3  # after SIGTERM, until clients avoid the router
 CLIENTS_NOTICE_S = 0.8  # until clients avoid a router that was killed
+SIGHUP_COUNT = 4
+MAX_BETWEEN_SIGNALS_S = 0.2
+MAX_INTENSITY_WITHOUT_ROLL = 0.5  # of a series of signals
 MIN_PAUSE_S = 0.1
 MAX_EXTRA_PAUSE_S = 0.15  # on top of it, at full intensity
 BETWEEN_PAUSES_S = 0.4
@@ -52,23 +55,25 @@
 
 
 async def roll_router(cluster: Cluster, router: RouterSlot, _fault: Fault) -> None:
-    """Send SIGTERM while clients still connect for a moment, then start a new process."""
-    await _restart_router(cluster, router, router.terminate(), LATE_CONNECTIONS_S)
+    """Send SIGTERM; clients connect for a moment more, and use open connections until SIGKILL would come."""
+    ending = asyncio.create_task(router.terminate())
+    await asyncio.sleep(LATE_CONNECTIONS_S)
+    await cluster.traffic.open_no_connections(router.number)
+    await ending
+    await cluster.traffic.avoid_router(router.number)
+    await _start_again(cluster, router)
 
 
 async def kill_router(cluster: Cluster, router: RouterSlot, _fault: Fault) -> None:
     """Send SIGKILL, which clients notice only later, then start a new process."""
-    await _restart_router(cluster, router, router.kill(), CLIENTS_NOTICE_S)
-
-
-async def _restart_router(
-    cluster: Cluster, router: RouterSlot, end: Coroutine[None, None, None], clients_leave_after_s: float
-) -> None:
-    """End a router, which clients avoid only after a while, and start it again."""
-    ending = asyncio.create_task(end)
-    await asyncio.sleep(clients_leave_after_s)
+    ending = asyncio.create_task(router.kill())
+    await asyncio.sleep(CLIENTS_NOTICE_S)
     await cluster.traffic.avoid_router(router.number)
     await ending
+    await _start_again(cluster, router)
+
+
+async def _start_again(cluster: Cluster, router: RouterSlot) -> None:
     await asyncio.sleep(ROUTER_DOWN_S)
     await cluster.start_router(router)
     if router.incarnation.ready_at:
@@ -93,6 +98,19 @@
     router.reload()
 
 
+async def send_signal_series(cluster: Cluster, router: RouterSlot, fault: Fault) -> None:
+    """Move the log and send SIGHUP several times in a row; at high intensity, roll the router amid more."""
+    for _ in range(SIGHUP_COUNT):
+        await reload_router(cluster, router, fault)
+        await asyncio.sleep(MAX_BETWEEN_SIGNALS_S * fault.intensity)
+    if fault.intensity > MAX_INTENSITY_WITHOUT_ROLL:
+        rolling = asyncio.create_task(roll_router(cluster, router, fault))
+        await asyncio.sleep(MAX_BETWEEN_SIGNALS_S)
+        router.reload()
+        router.repeat_term()
+        await rolling
+
+
 async def stall_log_reader(_cluster: Cluster, router: RouterSlot, fault: Fault) -> None:
     """Leave the router's own log unread, so that its pipe fills up."""
     router.is_log_read = False
@@ -245,4 +263,5 @@
     FaultKind.BURST: ClientFault(burst),
     FaultKind.BAD_CLIENTS: ClientFault(add_bad_clients),
     FaultKind.ENDPOINT_LOGS_OUT: LogFault(take_logs_out),
+    FaultKind.SIGNAL_SERIES: RouterFault(send_signal_series),
 }
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -19,6 +19,8 @@
 MAX_FAULT_S = 3.0
 MAX_ROUTER_SHARE = 0.5  # of all routers, as targets of one fault
 MAX_WORKER_SHARE = 0.34
+CROWD_SHARE = 0.3  # of the runs, which have a crowd of clients
+CROWD_CONNECTIONS = 40  # of a crowd to each router
 MIN_FUNCTIONS = 8
 MAX_FUNCTIONS = 24
 
@@ -44,6 +46,7 @@
     BURST = "burst"
     BAD_CLIENTS = "bad-clients"
     ENDPOINT_LOGS_OUT = "endpoint-logs-out"
+    SIGNAL_SERIES = "signal-series"
 
 
 class Fault(Struct, frozen=True):
@@ -80,6 +83,7 @@
     requests_per_s: float
     function_count: int
     faults: list[Fault]
+    connections_per_router: int  # that clients open at least, where a router gets requests
     log_outage_s: float = 0.0
 
 
@@ -109,6 +113,7 @@
         requests_per_s=requests_per_s,
         function_count=rng.randint(MIN_FUNCTIONS, MAX_FUNCTIONS),
         faults=sorted(faults, key=lambda fault: fault.start_s),
+        connections_per_router=CROWD_CONNECTIONS if rng.random() < CROWD_SHARE else 1,
     )
 
 
--- a/soak/request_client.py
+++ b/soak/request_client.py
@@ -77,6 +77,14 @@
     )
 
 
+class Target(Struct, frozen=True):
+    """A router that a request is sent to."""
+
+    router: int
+    port: int
+    may_connect: bool = True  # False: only connections that are open already are used
+
+
 @dataclass(frozen=True, slots=True)
 class SentRequest:
     """A request that was sent on a connection.
@@ -106,30 +114,28 @@
         self._recorder = recorder
         self._rng = rng
 
-    async def send(
-        self, request: GeneratedRequest, router: int, port: int, *, is_retry: bool = False
-    ) -> bool:
+    async def send(self, request: GeneratedRequest, target: Target, *, is_retry: bool = False) -> bool:
         """Send a request and wait until it is over.
 
         Returns:
             Whether the client is to send it again, as its connection closed just as it was sent.
         """
-        is_new = is_retry or self._rng.random() < NEW_CONNECTION_SHARE
         departure = self._draw_departure()
+        if departure is Departure.CLOSE and not target.may_connect:
+            departure = Departure.NONE  # it would need a connection of its own
         closes = departure is Departure.CLOSE
+        is_new = is_retry or self._rng.random() < NEW_CONNECTION_SHARE
         try:
-            connection = await self._connections.acquire(port, is_new=is_new, is_private=closes)
+            connection = await self._connections.acquire(
+                target.port, is_new=is_new, is_private=closes, may_connect=target.may_connect
+            )
         except OSError:
             return False  # never sent
-        sent = self._begin(request, router, connection)
+        sent = self._begin(request, target.router, connection)
         try:
             await self._await_end(sent, departure)
         except ConnectionEndedError as error:
-            should_retry = sent.was_alone and error.at - sent.sent_at <= CLOSE_RACE_S and not is_retry
-            self._recorder.add(
-                ConnectionLost(request.request_id, error.at, error.cause, is_retried=should_retry)
-            )
-            return should_retry
+            return self._record_lost(sent, error, is_retry=is_retry)
         finally:
             connection.pending.pop(sent.seqid, None)
             if closes:
@@ -137,6 +143,14 @@
         self._record_surplus(sent)
         return False
 
+    def _record_lost(self, sent: SentRequest, error: ConnectionEndedError, *, is_retry: bool) -> bool:
+        """Record that a connection has ended before the answer; whether the client sends again."""
+        should_retry = sent.was_alone and error.at - sent.sent_at <= CLOSE_RACE_S and not is_retry
+        self._recorder.add(
+            ConnectionLost(sent.request.request_id, error.at, error.cause, is_retried=should_retry)
+        )
+        return should_retry
+
     def _draw_departure(self) -> Departure:
         if self._rng.random() < CLOSE_SHARE:
             return Departure.CLOSE
--- a/soak/router_slot.py
+++ b/soak/router_slot.py
@@ -79,6 +79,10 @@
         self._write_config()
         self._signal(signal.SIGHUP)
 
+    def repeat_term(self) -> None:
+        """Send SIGTERM to a process that drains already."""
+        self._signal(signal.SIGTERM)
+
     def write_shim_control(self) -> None:
         """Have the shim follow `shim_control`."""
         self.shim_control.write(self._folder.shim_control(self.number))
--- a/soak/traffic.py
+++ b/soak/traffic.py
@@ -35,6 +35,10 @@
         """Send requests to a router at its port."""
         await self._set_port(router, port)
 
+    async def open_no_connections(self, router: int) -> None:
+        """Open no connection to a router, and go on using those that are open."""
+        await self._change(open_only=[*self._command.open_only, router])
+
     async def avoid_router(self, router: int) -> None:
         """Send no more requests to a router."""
         await self._set_port(router, 0)
@@ -42,7 +46,8 @@
     async def _set_port(self, router: int, port: int) -> None:
         ports = list(self._command.ports)
         ports[router] = port
-        await self._change(ports=ports)
+        open_only = [other for other in self._command.open_only if other != router]
+        await self._change(ports=ports, open_only=open_only)
 
     async def _change(self, **changes: float | list[int]) -> None:
         self._command = msgspec.structs.replace(self._command, **changes)
--- a/tests/test_soak_plan.py
+++ b/tests/test_soak_plan.py
@@ -10,7 +10,7 @@
 ROUTERS = 9
 WORKERS = 7
 RECORDED_SEEDS = range(1, 51)
-RECORDED_DIGEST = "f22a8219eec599b5b831e74af9b1516094877c25922dbfd1c980b44b795c12dd"  # with endpoint-logs-out
+RECORDED_DIGEST = "4b4b080d1506a3e91300527cbc09fd47c4fb182f7bba636e5e9402091a91a888"  # with signal-series
 
 
 def draw(seed, kinds=tuple(FaultKind)):
@@ -32,7 +32,7 @@
             [fault.kind, fault.start_s, fault.duration_s, fault.routers, fault.workers, fault.intensity]
             for fault in plan.faults
         ]
-        digest.update(msgspec.json.encode([plan.function_count, faults]))
+        digest.update(msgspec.json.encode([plan.function_count, plan.connections_per_router, faults]))
 
     assert digest.hexdigest() == RECORDED_DIGEST
 
--- a/tests/test_soak_run.py
+++ b/tests/test_soak_run.py
@@ -5,8 +5,11 @@
 import sys
 from pathlib import Path
 
+import pytest
+
 ROOT = Path(__file__).parent.parent
 TIMEOUT_S = 120
+SEEDS = (1, 2)  # which between them draw most kinds of faults
 SMALL = ["--routers", "2", "--workers", "2", "--seconds", "3", "--rate", "40", "--no-shim"]
 
 
@@ -18,3 +21,12 @@
     assert run.returncode == 0, run.stdout + run.stderr
     assert int(re.search(r"answered served (\d+)", run.stdout)[1]) > 50
     assert (tmp_path / "seed-1" / "plan.json").exists()
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_run_with_all_faults_keeps_all_rules(seed):
+    command = [sys.executable, "-m", "soak", "--seed", str(seed), "--seconds", "15", "--routers", "8"]
+
+    run = subprocess.run(command, cwd=ROOT, capture_output=True, text=True, timeout=TIMEOUT_S, check=False)
+
+    assert run.returncode == 0, run.stdout + run.stderr
--- a/tests/test_soak_traffic.py
+++ b/tests/test_soak_traffic.py
@@ -40,12 +40,26 @@
     ("change", "command"),
     [
         (lambda traffic: traffic.avoid_router(0), ClientsCommand([0, 2], 50.0)),
+        (lambda traffic: traffic.open_no_connections(1), ClientsCommand([1, 2], 50.0, open_only=[1])),
         (lambda traffic: traffic.use_router(1, 3), ClientsCommand([1, 3], 50.0)),
         (lambda traffic: traffic.set_request_rate(70.0), ClientsCommand([1, 2], 70.0)),
         (lambda traffic: traffic.set_bad_client_rate(5.0), ClientsCommand([1, 2], 50.0, 5.0)),
         (lambda traffic: traffic.stop(), ClientsCommand([1, 2], 0.0)),
     ],
-    ids=["avoid a router", "use a router", "request rate", "bad clients", "stop"],
+    ids=["avoid a router", "open no connections", "use a router", "request rate", "bad clients", "stop"],
 )
 def test_change_leaves_all_else_as_it_was(command_after, change, command):
     assert command_after(change) == command
+
+
+@pytest.mark.parametrize(
+    "change",
+    [lambda traffic: traffic.avoid_router(1), lambda traffic: traffic.use_router(1, 2)],
+    ids=["avoided", "used again"],
+)
+def test_router_that_is_avoided_or_used_again_is_not_kept_from_connections(command_after, change):
+    async def open_none_then_change(traffic):
+        await traffic.open_no_connections(1)
+        await change(traffic)
+
+    assert command_after(open_none_then_change).open_only == []
