Name counters and close reasons by what they count, and give the soak's tests a folder

The counters "requests" (attempts) and "not started" are "attempts" and "not sent" now, also in the log; a limit on connections has a close reason of its own, CONNECTION_LIMIT, which is retried like a missing descriptor. tests/test_soak_*.py moved to tests/soak_test/. No test or assertion went.

--- a/function_router/net/close_reason.py
+++ b/function_router/net/close_reason.py
@@ -15,7 +15,8 @@
     CONNECTION_REFUSED = auto()  # the peer's host refused the connection
     UNREACHABLE = auto()  # connecting failed in another way
     CONNECT_TIMEOUT = auto()  # connecting took too long
-    NO_FILE_DESCRIPTOR = auto()  # none is left, or a limit on connections is reached
+    NO_FILE_DESCRIPTOR = auto()  # none is left
+    CONNECTION_LIMIT = auto()  # as many connections as the limits allow are open
     LOCAL_FAILURE = auto()  # a system call failed for a reason that says nothing about the peer
     CLOSED_BY_PEER = auto()  # the peer closed the connection
     RESET_BY_PEER = auto()  # the connection broke
@@ -51,6 +52,7 @@
     CloseReason.UNREACHABLE: _FAILED_AT_PEER,
     CloseReason.CONNECT_TIMEOUT: _FAILED_AT_PEER,
     CloseReason.NO_FILE_DESCRIPTOR: _CLOSED_HERE,
+    CloseReason.CONNECTION_LIMIT: _CLOSED_HERE,
     CloseReason.LOCAL_FAILURE: _CLOSED_HERE,
     CloseReason.CLOSED_BY_PEER: _FAILED_AT_PEER,
     CloseReason.RESET_BY_PEER: _FAILED_AT_PEER,
--- a/function_router/net/connect_retry.py
+++ b/function_router/net/connect_retry.py
@@ -11,7 +11,11 @@
 # After this time the queued exchanges are reported as not sent: the decisions may send them elsewhere.
 MAX_RETRY_MS = 200.0
 
-_FAILED_ON_THIS_MACHINE = (CloseReason.LOCAL_FAILURE, CloseReason.NO_FILE_DESCRIPTOR)
+_FAILED_ON_THIS_MACHINE = (
+    CloseReason.LOCAL_FAILURE,
+    CloseReason.NO_FILE_DESCRIPTOR,
+    CloseReason.CONNECTION_LIMIT,
+)
 
 
 class ConnectRetry:
--- a/function_router/net/connection_set.py
+++ b/function_router/net/connection_set.py
@@ -105,7 +105,7 @@
             ConnectError: The limits allow no other connection, or connecting failed at once.
         """
         if len(self._current()) >= MAX_CONNECTIONS or not self._resources.budget.make_room():
-            raise ConnectError(owner, CloseReason.NO_FILE_DESCRIPTOR)
+            raise ConnectError(owner, CloseReason.CONNECTION_LIMIT)
         self._open_unchecked(owner)
 
     def open_spare_if_needed(self, owner: WorkerConnectionOwner) -> None:
--- a/function_router/net/telemetry.py
+++ b/function_router/net/telemetry.py
@@ -6,14 +6,14 @@
 from function_router.net.log import RateLimitedLog
 
 # Names of the counters, in the log too. Those with a detail are counted for each detail.
-REQUESTS = "requests"  # attempts
+ATTEMPTS = "attempts"
 START_ORDERS = "start orders"
 PROBES = "probes"
 HEALTH_CHECKS = "health checks"  # detail: what the worker answered
 WITHHELD = "withheld"  # requests from workers that are not proven to be ready, once for each of both
 CONNECTS = "connects"  # connections to workers that were begun
 CLOSED = "closed"  # connections to workers; detail: the close reason
-NOT_STARTED = "not started"  # exchanges; detail: the reason not to send
+NOT_SENT = "not sent"  # exchanges; detail: the reason not to send
 ACCEPTED = "clients accepted"
 CLIENTS_CLOSED = "clients closed"  # connections of clients; detail: the close reason
 ANSWERS = "answers"  # final ones; detail: their kind
--- a/function_router/net/worker_messages.py
+++ b/function_router/net/worker_messages.py
@@ -17,7 +17,7 @@
 from function_router.net.close_reason import CloseReason
 from function_router.net.codecs import worker_frames as frames
 from function_router.net.not_sent_reason import NotSentReason
-from function_router.net.telemetry import NOT_STARTED, Telemetry
+from function_router.net.telemetry import NOT_SENT, Telemetry
 from function_router.net.timer_wheel import Timer
 from function_router.net.write_queue import PendingWrite
 
@@ -190,7 +190,7 @@
         """Finish it, of which nothing was written, as it may not be sent any more; count the reason."""
         if not self.is_done:
             self.not_sent_reason = not_sent_reason
-            telemetry.count(NOT_STARTED, not_sent_reason.name)
+            telemetry.count(NOT_SENT, not_sent_reason.name)
             self.abort(CloseReason.NOT_SENT)
 
     def parse_answer(self, frame: frames.Frame) -> Answer:
--- a/function_router/net/worker_pool.py
+++ b/function_router/net/worker_pool.py
@@ -14,7 +14,7 @@
 from function_router.net.pool_resources import PoolResources
 from function_router.net.pooled_worker import PooledWorker
 from function_router.net.readiness import AlwaysReady, ReadinessGate, ReadinessPolicy
-from function_router.net.telemetry import PROBES, REQUESTS, START_ORDERS, Telemetry
+from function_router.net.telemetry import ATTEMPTS, PROBES, START_ORDERS, Telemetry
 from function_router.net.worker_connection import WorkerConnection
 from function_router.net.worker_messages import Attempt, Exchange, HealthCheck, StartOrder
 
@@ -116,7 +116,7 @@
         if left_ms <= 0:
             attempt.finish_unsent(NotSentReason.DEADLINE_PASSED, telemetry)
             return
-        telemetry.count(REQUESTS)
+        telemetry.count(ATTEMPTS)
         self._dispatch(attempt, left_ms)
 
     def ensure_instances(self, order: StartOrder) -> None:
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -19,8 +19,8 @@
 MAX_FAULT_S = 3.0
 MAX_ROUTER_SHARE = 0.5  # of all routers, as targets of one fault
 MAX_WORKER_SHARE = 0.34
-CROWD_SHARE = 0.3  # of the runs, which have a crowd of clients
-CROWD_CONNECTIONS = 40  # of a crowd to each router
+MANY_CONNECTIONS_SHARE = 0.3  # of the runs, in which clients hold many connections
+MANY_CONNECTIONS = 40  # to each router
 MIN_FUNCTIONS = 8
 MAX_FUNCTIONS = 24
 
@@ -113,7 +113,7 @@
         requests_per_s=requests_per_s,
         function_count=rng.randint(MIN_FUNCTIONS, MAX_FUNCTIONS),
         faults=sorted(faults, key=lambda fault: fault.start_s),
-        connections_per_router=CROWD_CONNECTIONS if rng.random() < CROWD_SHARE else 1,
+        connections_per_router=MANY_CONNECTIONS if rng.random() < MANY_CONNECTIONS_SHARE else 1,
     )
 
 
--- a/tests/net/test_connect_retry.py
+++ b/tests/net/test_connect_retry.py
@@ -57,7 +57,9 @@
     assert not retry.is_scheduled
 
 
-@pytest.mark.parametrize("reason", [CloseReason.LOCAL_FAILURE, CloseReason.NO_FILE_DESCRIPTOR])
+@pytest.mark.parametrize(
+    "reason", [CloseReason.LOCAL_FAILURE, CloseReason.NO_FILE_DESCRIPTOR, CloseReason.CONNECTION_LIMIT]
+)
 def test_failure_on_this_machine_is_retried_once_after_an_interval(clock, timers, retry, reason):
     retries = []
     is_retried = [retry.schedule_after(reason, lambda: retries.append(clock.now_ms)) for _ in range(3)]
--- a/tests/net/test_connection_budget.py
+++ b/tests/net/test_connection_budget.py
@@ -90,7 +90,7 @@
         harness.pool.send(attempt(worker.worker_id, results, exchange_id=b"%08d" % number))
     harness.run_until(lambda: len(worker.requests) + len(results) == 40, "all run or end")
 
-    assert set(results) == {(CloseReason.NO_FILE_DESCRIPTOR, False)}
+    assert set(results) == {(CloseReason.CONNECTION_LIMIT, False)}
     assert len(worker.connections) <= 32 * router_process.WORKER_SHARE
 
 
--- a/tests/net/test_health_checks.py
+++ b/tests/net/test_health_checks.py
@@ -141,7 +141,7 @@
     stale.pool.ensure_instances(start_order(worker_id, results))
 
     assert results == [(CloseReason.NOT_SENT, False)] * 2
-    assert f"not started {NotSentReason.READINESS_UNPROVEN.name} 2" in (
+    assert f"not sent {NotSentReason.READINESS_UNPROVEN.name} 2" in (
         stale.router_process.telemetry.take_counters()
     )
 
--- a/tests/net/test_worker_messages.py
+++ b/tests/net/test_worker_messages.py
@@ -85,7 +85,7 @@
 
     assert results == [(CloseReason.NOT_SENT, False)]
     assert unsent.not_sent_reason is NotSentReason.CLIENT_GONE
-    assert telemetry.count.call_args_list == [mock.call("not started", "CLIENT_GONE")]
+    assert telemetry.count.call_args_list == [mock.call("not sent", "CLIENT_GONE")]
 
 
 # --- answers
--- a/tests/test_soak_checker.py
+++ b/tests/soak_test/test_checker.py
@@ -27,7 +27,7 @@
 from soak.run_record import RouterIncarnation, RunRecord, WorkerIncarnation
 from soak.worker_rules import slow_start_limit
 
-ROOT = Path(__file__).parent.parent
+ROOT = Path(__file__).parents[2]
 ROUTER = 0
 WORKER = 0
 ID = "ab" * 8
--- a/tests/test_soak_client_connections.py
+++ b/tests/soak_test/test_client_connections.py
@@ -35,7 +35,7 @@
     assert with_connections(use)
 
 
-def test_crowd_opens_connections_up_to_its_number(with_connections):
+def test_connections_are_opened_up_to_the_number_that_clients_hold(with_connections):
     async def use(connections, port):
         acquired = [await connections.acquire(port, is_new=False, is_private=False) for _ in range(20)]
         return len({id(connection) for connection in acquired})
--- a/tests/test_soak_run.py
+++ b/tests/soak_test/test_run.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-ROOT = Path(__file__).parent.parent
+ROOT = Path(__file__).parents[2]
 TIMEOUT_S = 120
 SEEDS = (1, 2)  # which between them draw most kinds of faults
 SMALL = ["--routers", "2", "--workers", "2", "--seconds", "3", "--rate", "40", "--no-shim"]
