Show that a list without an event that could not be read counts as complete

The event is requested again and then skipped, and the next heartbeat confirms the list, though the event may have been a drain.

--- a/tests/net/test_endpoint_list_status.py
+++ b/tests/net/test_endpoint_list_status.py
@@ -64,6 +64,48 @@
     assert not is_current(harness)
 
 
+UNREADABLE_EVENT = b'{"seq":2,"fleet":5}'
+
+
+def skip_unreadable_event(harness):
+    """Let the log send an event that can't be read, again on request, and then announce it."""
+    for count in (2, 2):
+        harness.endpoint_log.send_line(UNREADABLE_EVENT)
+        harness.run_until(lambda count=count: len(harness.endpoint_log.requests()) == count, "it is read")
+    harness.endpoint_log.send_line(b"2")
+    harness.run_until(lambda: any("skipped events" in line for line in harness.log_lines), "it is skipped")
+    harness.round_trip(harness.connect_client())
+
+
+def test_list_that_lacks_an_unreadable_event_is_not_confirmed(harness):
+    wait_until_stale(harness)
+
+    skip_unreadable_event(harness)
+
+    assert not is_current(harness)
+
+
+def test_complete_list_makes_up_for_an_unreadable_event(harness, worker):
+    wait_until_stale(harness)
+    skip_unreadable_event(harness)
+
+    harness.endpoint_log.send_line(endpoint_event(3, worker.record(), complete=True))
+    harness.endpoint_log.send_line(b"3")
+
+    harness.run_until(lambda: is_current(harness), "the list is current")
+
+
+def test_noise_that_is_no_event_leaves_the_list_confirmed(harness):
+    wait_until_stale(harness)
+    for _ in range(2):
+        harness.endpoint_log.send_line(b"noise")
+        harness.run_until(lambda: len(harness.endpoint_log.requests()) == 2, "it is read")
+
+    harness.endpoint_log.send_line(b"1")
+
+    harness.run_until(lambda: is_current(harness), "the list is current")
+
+
 def test_event_does_not_confirm_the_list_but_the_heartbeat_after_it_does(harness):
     wait_until_stale(harness)
     harness.endpoint_log.send_line(endpoint_event(2))
