Confirm no endpoint list that lacks an event which could not be read

Cause: after an event was skipped as unreadable, a heartbeat with its number confirmed the list. Change: the tracker keeps its number, and reports EVENT_UNREADABLE until it is applied after all, a complete list replaces it, or the log announces an earlier number, so that the line was no event.

--- a/function_router/net/endpoint_watch.py
+++ b/function_router/net/endpoint_watch.py
@@ -110,9 +110,10 @@
             self.client.request_again(f"not the next event: {line[:MAX_QUOTED_LINE_BYTES]!r}")
             return
         skipped_through = self._tracker.position + 1
-        if event is not None and event.sequence >= skipped_through and self._deliver(event):
+        is_unreadable = event is None or event.sequence < skipped_through or not self._deliver(event)
+        if event is not None and not is_unreadable:
             skipped_through = event.sequence
-        self._tracker.skip_through(skipped_through)
+        self._tracker.skip_through(skipped_through, is_unreadable=is_unreadable)
         self._log(f"endpoint log: skipped events up to {skipped_through}")
 
     # --- events ---------------------------------------------------------------------------------
@@ -130,7 +131,9 @@
             return False
         if not self._deliver(event):
             return False
-        self._tracker.record_applied(event.sequence, is_ahead_of_gap=is_ahead_of_gap)
+        self._tracker.record_applied(
+            event.sequence, is_ahead_of_gap=is_ahead_of_gap, is_snapshot=event.is_snapshot
+        )
         self.client.reset_backoff()
         return True
 
--- a/function_router/net/sequence_tracker.py
+++ b/function_router/net/sequence_tracker.py
@@ -9,6 +9,7 @@
     CAUGHT_UP = auto()  # no event is missing
     EVENTS_MISSING = auto()  # they are to be requested again
     EVENTS_STILL_MISSING = auto()  # the last request for them is too recent to be repeated
+    EVENT_UNREADABLE = auto()  # one was skipped as it could not be read, and no snapshot has come since
     LOG_IS_BEHIND = auto()  # the log announces a number from before the last event that it sent
     SNAPSHOT_REVOKED = auto()  # a snapshot ahead of a gap had a sequence number beyond the end of the log
 
@@ -33,12 +34,14 @@
         "_missing_after",
         "_sequence_before_snapshot",
         "_skipped_through",
+        "_unreadable_sequence",
         "last_sequence",
     )
 
     def __init__(self, last_sequence: int) -> None:
         self.last_sequence = last_sequence  # of the last event that was applied
         self._skipped_through = 0  # events up to this number were requested again without success
+        self._unreadable_sequence: int | None = None  # of the last line that was skipped, if it was an event
         self._invalid_line_position: int | None = None  # position at which an invalid line led to a request
         self._missing_after: int | None = None  # last sequence when missing events led to a request
         # Last sequence before a snapshot ahead of a gap, until an announcement confirms the latter's number.
@@ -66,8 +69,12 @@
         """Count all events up to this number as applied."""
         self.last_sequence = max(self.last_sequence, sequence)
 
-    def record_applied(self, sequence: int, *, is_ahead_of_gap: bool) -> None:
-        """Record an event that was applied; only a snapshot can be ahead of a gap."""
+    def record_applied(
+        self, sequence: int, *, is_ahead_of_gap: bool = False, is_snapshot: bool = False
+    ) -> None:
+        """Record an event that was applied; only a snapshot may come ahead of a gap, and it fills that."""
+        if is_snapshot or sequence == self._unreadable_sequence:
+            self._unreadable_sequence = None
         if is_ahead_of_gap:
             self._sequence_before_snapshot = self.last_sequence
         self.last_sequence = sequence
@@ -81,9 +88,11 @@
         self._invalid_line_position = None
         return InvalidLineResponse.SKIP
 
-    def skip_through(self, sequence: int) -> None:
-        """Stop waiting for events up to this number."""
+    def skip_through(self, sequence: int, *, is_unreadable: bool) -> None:
+        """Stop waiting for events up to this number, the last of which may have been unreadable."""
         self._skipped_through = sequence
+        if is_unreadable:
+            self._unreadable_sequence = sequence
 
     def record_announcement(self, sequence: int, *, may_repeat_request: bool) -> SyncState:
         """Compare the position with the last sequence number that the log announces.
@@ -102,10 +111,14 @@
                 return SyncState.EVENTS_STILL_MISSING
             self._missing_after = self.last_sequence
             return SyncState.EVENTS_MISSING
+        if self._unreadable_sequence is not None and sequence < self._unreadable_sequence:
+            self._unreadable_sequence = None  # the log has no such event: the line was none
         self._skipped_through = sequence  # numbers that were skipped beyond it belong to future events
         self._invalid_line_position = None
         self._sequence_before_snapshot = None
-        return SyncState.LOG_IS_BEHIND if sequence < self.last_sequence else SyncState.CAUGHT_UP
+        if sequence < self.last_sequence:
+            return SyncState.LOG_IS_BEHIND
+        return SyncState.CAUGHT_UP if self._unreadable_sequence is None else SyncState.EVENT_UNREADABLE
 
     def forget_requests(self) -> None:
         """Forget what was requested again, as the log has moved: it may be requested once more."""
--- a/tests/net/test_sequence_tracker.py
+++ b/tests/net/test_sequence_tracker.py
@@ -48,7 +48,7 @@
 
 
 def test_skipped_event_is_still_applied_if_it_comes(tracker):
-    tracker.skip_through(8)
+    tracker.skip_through(8, is_unreadable=False)
 
     assert tracker.position == 8
     assert not tracker.is_applied(7)
@@ -56,7 +56,7 @@
 
 
 def test_announced_position_clears_skips_beyond_it(tracker):
-    tracker.skip_through(8)
+    tracker.skip_through(8, is_unreadable=False)
     tracker.record_invalid_line()
 
     announcement = tracker.record_announcement(7, may_repeat_request=False)
@@ -105,3 +105,34 @@
     assert confirmed is SyncState.CAUGHT_UP
     assert later is SyncState.LOG_IS_BEHIND
     assert tracker.last_sequence == 99
+
+
+def announce(tracker, sequence):
+    return tracker.record_announcement(sequence, may_repeat_request=False)
+
+
+def test_list_without_an_unreadable_event_is_not_complete_until_that_or_a_snapshot_comes(tracker):
+    tracker.skip_through(6, is_unreadable=True)
+    assert announce(tracker, 6) is SyncState.EVENT_UNREADABLE
+    tracker.record_applied(7)
+    assert announce(tracker, 7) is SyncState.EVENT_UNREADABLE
+
+    tracker.record_applied(8, is_snapshot=True)
+
+    assert announce(tracker, 8) is SyncState.CAUGHT_UP
+
+
+def test_unreadable_event_that_can_be_read_later_completes_the_list(tracker):
+    tracker.skip_through(6, is_unreadable=True)
+
+    tracker.record_applied(6)
+
+    assert announce(tracker, 6) is SyncState.CAUGHT_UP
+
+
+def test_unreadable_line_beyond_the_end_of_the_log_was_no_event(tracker):
+    tracker.skip_through(6, is_unreadable=True)
+
+    assert announce(tracker, 5) is SyncState.CAUGHT_UP
+    tracker.record_applied(6)
+    assert announce(tracker, 6) is SyncState.CAUGHT_UP
