--- a/function_router/decisions/records.py
+++ b/function_router/decisions/records.py
@@ -85,7 +85,7 @@
     @property
     def is_ready(self) -> bool:
         """Whether the list has it as ready, and it has not said itself that it drains."""
-        return self.endpoint.state == WorkerState.READY and self.lease.drain_reported_ms is None
+        return self.endpoint.state is WorkerState.READY and self.lease.drain_reported_ms is None
 
     @property
     def latest_start_ms(self) -> float | None:
--- a/function_router/decisions/workers.py
+++ b/function_router/decisions/workers.py
@@ -44,7 +44,12 @@
 
     def _recompute_ready(self) -> None:
         """Recompute what depends on which workers are ready."""
-        self.ready = [worker for worker in self.by_id.values() if worker.is_ready]
+        ready_state = WorkerState.READY  # and no call of `is_ready`: a large list has thousands of workers
+        self.ready = [
+            worker
+            for worker in self.by_id.values()
+            if worker.endpoint.state is ready_state and worker.lease.drain_reported_ms is None
+        ]
         sizes = {worker.id: worker.machine_size for worker in self.ready}
         if sizes != self.ready_sizes:
             self.ready_sizes = sizes
