Show three ways in which what a worker answered is kept too long, or not long enough

Found by reading the leases once more: an answer that comes after the list is current is never forgotten, so that a worker may stay out of use; a confirmation of long ago takes back assumed starts; a health check whose end is never reported is awaited for ever.

--- a/function_router/decisions/endpoint_leases.py
+++ b/function_router/decisions/endpoint_leases.py
@@ -46,6 +46,7 @@
 
 # A worker that gave no answer, or is draining, is asked again after this time; the interval doubles up to the
 # maximum.
+LOST_CHECK_MS = 5_000.0
 RECHECK_INTERVAL_MS = 1_000.0
 MAX_RECHECK_INTERVAL_MS = 4_000.0
 
--- a/tests/decisions/test_endpoint_leases.py
+++ b/tests/decisions/test_endpoint_leases.py
@@ -11,6 +11,7 @@
     CHECK_PATIENCE_MS,
     DRAIN_REPORT_TTL_MS,
     LEASE_MARGIN_MS,
+    LOST_CHECK_MS,
     MAX_LOG_SILENCE_MS,
     RECHECK_INTERVAL_MS,
     RENEWAL_LEAD_MS,
@@ -345,6 +346,33 @@
     assert asking.worker(asking.warm_id).is_ready
 
 
+def test_answer_that_comes_after_the_list_is_current_is_forgotten_in_time_too(asking):
+    asking.confirm_list()
+    asking.answer_check(asking.warm_id, Readiness.DRAINING)
+    asking.now_ms += DRAIN_REPORT_TTL_MS + 1
+
+    asking.confirm_list()
+
+    assert asking.worker(asking.warm_id).is_ready
+
+
+def test_confirmation_of_long_ago_takes_back_no_assumed_start(asking):
+    confirmed_ms = asking.now_ms - LEASE_MS
+    asking.connected_ms = asking.now_ms
+    asking.answer_check(asking.warm_id, lost_at_ms=asking.now_ms)
+    asking.now_ms += MAX_LOG_SILENCE_MS + LEASE_MS
+
+    asking.feed(EndpointListConfirmed(confirmed_ms))
+
+    assert asking.worker(asking.warm_id).latest_start_ms == asking.connected_ms
+
+
+def test_worker_is_asked_again_if_the_end_of_a_health_check_is_never_reported(asking):
+    asking.now_ms += LOST_CHECK_MS
+
+    assert asking.warm_id in checked(asking.request("r2"))
+
+
 def test_later_start_in_the_list_ends_a_reported_drain(asking):
     asking.answer_check(asking.warm_id, Readiness.DRAINING)
     restarted = Endpoint(asking.warm_id, started_at_ms=asking.now_ms + 1)
