Forget what a worker answered once the list is current, whenever the answer came

Cause: a worker was noted for that when it was asked, and the note was dropped with the next confirmation, also if the answer was still to come. Change: it is noted when it answers; assumed starts and reported drains are only dropped where the confirmation makes the list current; a health check whose end was not reported for 5 s counts as lost.

--- a/function_router/decisions/endpoint_leases.py
+++ b/function_router/decisions/endpoint_leases.py
@@ -44,9 +44,11 @@
 # After this time without an answer, requests look for another worker. It is several round trips.
 CHECK_PATIENCE_MS = 60.0
 
+# A health check whose end was not reported by then never will be: an exception may have prevented it.
+LOST_CHECK_MS = 5_000.0
+
 # A worker that gave no answer, or is draining, is asked again after this time; the interval doubles up to the
 # maximum.
-LOST_CHECK_MS = 5_000.0
 RECHECK_INTERVAL_MS = 1_000.0
 MAX_RECHECK_INTERVAL_MS = 4_000.0
 
@@ -79,7 +81,7 @@
         self._confirmed_ms: float | None = None  # as of when the list was last known to be complete
         self._interrupted_ms = math.inf  # the first interruption since then
         self._followed_since_ms = math.inf
-        self._checked: dict[int, Worker] = {}  # by id: workers that were asked since the list was current
+        self._checked: dict[int, Worker] = {}  # by id: workers of which something may have to be forgotten
 
     # --- the list -------------------------------------------------------------------------------
 
@@ -104,13 +106,18 @@
         ready = self._workers.ready
         self._confirmed_ms = max(as_of_ms, self._confirmed_ms or as_of_ms)
         self._interrupted_ms = math.inf
+        if self.is_list_current(now_ms):
+            self._forget_answers(now_ms)
+        return self._workers.ready is not ready
+
+    def _forget_answers(self, now_ms: float) -> None:
+        """Forget what was assumed of workers, and drains that the list should have by now."""
         for worker in list(self._checked.values()):
             worker.assumed_started_ms = None
             lease = worker.lease
             if lease.drain_reported_ms is None or now_ms - lease.drain_reported_ms > DRAIN_REPORT_TTL_MS:
                 self._workers.set_drain_reported(worker, None)
                 del self._checked[worker.id]
-        return self._workers.ready is not ready
 
     def record_interrupted(self, now_ms: float) -> None:
         """Have the lease on the list run out, as the log is not being followed; it may be already."""
@@ -181,10 +188,10 @@
     def _ask(self, worker: Worker, function: str, now_ms: float) -> None:
         """Send a health check, unless one is pending or it is too soon for another one."""
         lease = worker.lease
-        if lease.asked_ms is not None or now_ms < lease.next_check_ms:
+        is_pending = lease.asked_ms is not None and now_ms - lease.asked_ms < LOST_CHECK_MS
+        if is_pending or now_ms < lease.next_check_ms:
             return
         lease.asked_ms = now_ms
-        self._checked[worker.id] = worker
         self._outbox.add(CheckHealth(worker.id, function))
 
     # --- answers --------------------------------------------------------------------------------
@@ -198,6 +205,7 @@
         ready = self._workers.ready
         lease = worker.lease
         lease.asked_ms = None
+        self._checked[worker.id] = worker
         if event.readiness is Readiness.READY:
             self._record_ready(worker, event)
         else:
--- /dev/null
+++ b/tests/helpers/lease_harness.py
@@ -0,0 +1,59 @@
+"""Drives the decision module while its endpoint list can't be confirmed."""
+
+from function_router.decisions.actions import CheckHealth, SendRequest
+from function_router.decisions.endpoint_leases import LEASE_MARGIN_MS
+from function_router.decisions.events import EndpointListConfirmed, EndpointListInterrupted, HealthChecked
+from function_router.decisions.types import Outcome, Readiness
+from helpers.decision_harness import DecisionHarness, actions_of
+
+GRACE_MS = 1_000.0
+LEASE_MS = GRACE_MS - LEASE_MARGIN_MS
+SLOW_START_MS = 10_000.0
+ROUND_TRIP_MS = 2.0
+
+
+class LeaseHarness(DecisionHarness):
+    """A router whose endpoint list was confirmed at its start, and that has a warm instance at one worker.
+
+    Attributes:
+        warm_id: The worker with the instance.
+        connected_ms: When the connections that carry health checks were established.
+    """
+
+    def __init__(self, **settings):
+        super().__init__(drain_grace_ms=GRACE_MS, slow_start_ms=SLOW_START_MS, **settings)
+        self.connected_ms = 0.0
+        self.warm_id = self.warm_up()
+        self.confirm_list()
+
+    @property
+    def leases(self):
+        """The part under test."""
+        return self.fleet.leases
+
+    def confirm_list(self):
+        """Let the endpoint log announce that the list is complete."""
+        return self.feed(EndpointListConfirmed(self.now_ms))
+
+    def let_list_expire(self):
+        """Interrupt the endpoint log, and let the time pass for which the list is still believed."""
+        self.feed(EndpointListInterrupted())
+        self.now_ms += LEASE_MS
+
+    def answer_check(self, worker_id, readiness=Readiness.READY, outcome=Outcome.OK, lost_at_ms=None):
+        """Let a worker answer a health check that it was sent a round trip ago."""
+        asked_ms = self.now_ms
+        self.now_ms += ROUND_TRIP_MS
+        return self.feed(
+            HealthChecked(worker_id, outcome, readiness, asked_ms, self.connected_ms, lost_at_ms)
+        )
+
+
+def checked(actions):
+    """The workers that are asked."""
+    return [action.worker_id for action in actions_of(actions, CheckHealth)]
+
+
+def sent_to(actions):
+    """The workers that get attempts."""
+    return [action.worker_id for action in actions_of(actions, SendRequest)]
