Share the soak's failures of the endpoint log and the health check codes among tests

The stand-in of the endpoint log had the soak test's list of failures, its heartbeat and its intervals a second time, and the tests of health checks had the protocol's codes a second time; each stands once now. What the tests expect stays written out in them.

--- a/tests/helpers/faulty_endpoint_log.py
+++ b/tests/helpers/faulty_endpoint_log.py
@@ -2,29 +2,18 @@
 
 import json
 import time
-from enum import Enum, auto
 
 from helpers.fake_endpoint_log import FakeEndpointLog
+from soak.endpoint_log import HEARTBEAT, HEARTBEAT_S, SEQUENCES_AHEAD, TRICKLE_S, LogFailure
 
-HEARTBEAT_S = 1.0
-TRICKLE_S = 0.4  # between the bytes of a log that sends one now and then
-SEQUENCES_AHEAD = 5
 OLD_SEQUENCE = 0
 
 
-class LogFault(Enum):
-    """How the endpoint log fails."""
-
-    REFUSES = auto()  # its connections are reset, and new ones refused
-    IS_SILENT = auto()  # it accepts connections, and sends nothing
-    TRICKLES = auto()  # it sends a byte of a line now and then
-    ANNOUNCES_MISSING_EVENTS = auto()  # its heartbeats announce events that it doesn't send
-    IS_BEHIND = auto()  # its heartbeats announce a number from before the router's last event
-
-
 class FaultyEndpointLog(FakeEndpointLog):
     """An endpoint log that sends a heartbeat to each connection that has requested events.
 
+    It fails in the ways of the soak test's log, but for `LogFailure.FLAPS`.
+
     Attributes:
         fault: How it fails; None while it works.
         last_sequence: The number of its last event.
@@ -39,7 +28,7 @@
     def fail(self, fault):
         """Fail from now on."""
         self.fault = fault
-        if fault is LogFault.REFUSES:
+        if fault is LogFailure.REFUSES:
             self.close()
             self.connections.clear()
 
@@ -60,16 +49,16 @@
 
     def _send_when_due(self, connection):
         now_s = time.monotonic()
-        if now_s < self._next_at_s.get(connection, 0.0) or self.fault is LogFault.IS_SILENT:
+        if now_s < self._next_at_s.get(connection, 0.0) or self.fault is LogFailure.IS_SILENT:
             return
-        is_trickle = self.fault is LogFault.TRICKLES
+        is_trickle = self.fault is LogFailure.TRICKLES
         self._next_at_s[connection] = now_s + (TRICKLE_S if is_trickle else HEARTBEAT_S)
         try:
-            connection.sock.sendall(b" " if is_trickle else b'{"seq":%d}\n' % self._announced_sequence())
+            connection.sock.sendall(b" " if is_trickle else HEARTBEAT % self._announced_sequence())
         except OSError:
             connection.is_closed = True
 
     def _announced_sequence(self):
-        if self.fault is LogFault.ANNOUNCES_MISSING_EVENTS:
+        if self.fault is LogFailure.ANNOUNCES_MISSING_EVENTS:
             return self.last_sequence + SEQUENCES_AHEAD
-        return OLD_SEQUENCE if self.fault is LogFault.IS_BEHIND else self.last_sequence
+        return OLD_SEQUENCE if self.fault is LogFailure.IS_BEHIND else self.last_sequence
--- a/tests/net/test_health_checks.py
+++ b/tests/net/test_health_checks.py
@@ -2,6 +2,7 @@
 
 import pytest
 from helpers.exchanges import attempt, start_order
+from helpers.serving_worker import DRAINING_ANSWER, HEALTH_CHECK, READY_ANSWER
 
 from function_router.decisions.actions import CheckHealth
 from function_router.decisions.events import HealthChecked
@@ -12,9 +13,6 @@
 from function_router.net.not_sent_reason import NotSentReason
 
 GRACE_MS = 5_000.0  # a proof lasts for almost as long, however slow the machine is
-READY_ANSWER = 6  # codes of the operator's protocol page
-DRAINING_ANSWER = 7
-HEALTH_CHECK = 3
 
 
 class Reports:
--- a/tests/test_stale_endpoint_list.py
+++ b/tests/test_stale_endpoint_list.py
@@ -12,9 +12,11 @@
 from helpers.client_messages import AnswerKind
 from helpers.configuration import SETTINGS, endpoint_event
 from helpers.fake_client import FakeClient
-from helpers.faulty_endpoint_log import FaultyEndpointLog, LogFault
+from helpers.faulty_endpoint_log import FaultyEndpointLog
 from helpers.serving_worker import ServingWorker
 
+from soak.endpoint_log import LogFailure
+
 DRAIN_GRACE_MS = 1_000.0
 GRACE_S = DRAIN_GRACE_MS / 1000 + 0.05  # after the notification, with the protocol's slack for sockets
 NOTIFIED_AFTER_BREAK_S = 2.0
@@ -104,11 +106,11 @@
 @pytest.mark.parametrize(
     ("fault", "notified_after_s"),
     [
-        pytest.param(LogFault.REFUSES, NOTIFIED_AFTER_BREAK_S, id="refused"),
-        pytest.param(LogFault.IS_SILENT, NOTIFIED_AFTER_SILENCE_S, id="silent"),
-        pytest.param(LogFault.TRICKLES, NOTIFIED_AFTER_SILENCE_S, id="trickles"),
-        pytest.param(LogFault.ANNOUNCES_MISSING_EVENTS, NOTIFIED_AFTER_SILENCE_S, id="announces too much"),
-        pytest.param(LogFault.IS_BEHIND, NOTIFIED_AFTER_SILENCE_S, id="behind"),
+        pytest.param(LogFailure.REFUSES, NOTIFIED_AFTER_BREAK_S, id="refused"),
+        pytest.param(LogFailure.IS_SILENT, NOTIFIED_AFTER_SILENCE_S, id="silent"),
+        pytest.param(LogFailure.TRICKLES, NOTIFIED_AFTER_SILENCE_S, id="trickles"),
+        pytest.param(LogFailure.ANNOUNCES_MISSING_EVENTS, NOTIFIED_AFTER_SILENCE_S, id="announces too much"),
+        pytest.param(LogFailure.IS_BEHIND, NOTIFIED_AFTER_SILENCE_S, id="behind"),
     ],
 )
 def test_worker_that_drains_while_the_log_is_out_of_reach_gets_no_new_work(cluster, fault, notified_after_s):
@@ -154,7 +156,7 @@
     cluster.run(BEFORE_S)
     usual_rate = (len(restarted.new_work) + len(other.new_work)) / 2 / BEFORE_S
 
-    cluster.endpoint_log.fail(LogFault.REFUSES)
+    cluster.endpoint_log.fail(LogFailure.REFUSES)
     cluster.run(STALE_AFTER_S)
     restarted.is_draining = True
     cluster.run(DRAIN_S)
@@ -175,7 +177,7 @@
 
 
 def test_router_that_starts_while_the_log_is_out_of_reach_keeps_to_the_grace_too(make_cluster):
-    cluster = make_cluster(log_fault=LogFault.IS_SILENT)
+    cluster = make_cluster(log_fault=LogFailure.IS_SILENT)
     [draining, _] = cluster.workers
     cluster.run(DRAIN_AFTER_S)
     drained_s = time.monotonic()
@@ -192,7 +194,7 @@
     cluster = make_cluster()
     [draining, _] = cluster.workers
     cluster.run(BEFORE_S)
-    cluster.endpoint_log.fail(LogFault.IS_SILENT)
+    cluster.endpoint_log.fail(LogFailure.IS_SILENT)
     cluster.run(STALE_AFTER_S + NOTIFIED_AFTER_SILENCE_S)
     draining.is_draining = True
     drained_s = time.monotonic()
@@ -207,7 +209,7 @@
 def test_every_worker_draining_gets_no_new_work_and_requests_are_rejected_with_advice(make_cluster):
     cluster = make_cluster(bounds={**SETTINGS["bounds"], "retry_after": True, "max_retry_after": 900.0})
     cluster.run(BEFORE_S)
-    cluster.endpoint_log.fail(LogFault.REFUSES)
+    cluster.endpoint_log.fail(LogFailure.REFUSES)
     cluster.run(STALE_AFTER_S)
     drained_s = time.monotonic()
     for worker in cluster.workers:
@@ -227,7 +229,7 @@
     cluster = make_cluster()
     [cut_off, _] = cluster.workers
     cluster.run(BEFORE_S)
-    cluster.endpoint_log.fail(LogFault.REFUSES)
+    cluster.endpoint_log.fail(LogFailure.REFUSES)
     cluster.run(STALE_AFTER_S)
     cut_off.is_cut_off = True
     cut_off_s = time.monotonic()
@@ -263,7 +265,7 @@
     asked_before = sum(len(worker.health_checks) for worker in cluster.workers)
     connections_before = [len(worker.connections) for worker in cluster.workers]
 
-    cluster.endpoint_log.fail(LogFault.REFUSES)
+    cluster.endpoint_log.fail(LogFailure.REFUSES)
     cluster.run(OUTAGE_S)
 
     assert asked_before == 0
