--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,7 +1,8 @@
 """Fixtures for tests of several modules, and the expected failures that KNOWN-RED.txt lists.
 
-A test listed in KNOWN-RED.txt has to fail, and is printed with its cause; all other tests have to pass. A
-listed test that passes fails the run, so that it gets removed from the list.
+A test listed in KNOWN-RED.txt has to fail, and is printed with what was seen; all other tests have to pass. A
+listed test that passes fails the run, so that it gets removed from the list. A listed review case is printed
+and not run.
 """
 
 import contextlib
@@ -17,23 +18,25 @@
 
 
 def pytest_terminal_summary(terminalreporter, config):
-    """Print the tests that are expected to fail, with their causes."""
-    for test, cause in read_known_red(config.rootpath).items():
-        terminalreporter.write_line(f"known red: {test}: {cause}")
+    """Print the tests and review cases that are expected to fail, with what was seen."""
+    for entry in read_known_red(config.rootpath).values():
+        terminalreporter.write_line(f"known red: {entry.test}: {entry}")
 
 
 def pytest_collection_modifyitems(config, items):
     """Mark the listed tests as strict expected failures.
 
     Raises:
-        UnknownTestsError: The run includes all tests, and a listed test is not among them.
+        UnknownTestsError: The run includes all tests, and a listed test is not among them; or the folder of a
+            listed review case does not exist.
     """
     known_red = read_known_red(config.rootpath)
     for item in items:
-        if cause := known_red.get(item.nodeid):
-            item.add_marker(pytest.mark.xfail(reason=cause, strict=True))
+        if entry := known_red.get(item.nodeid):
+            item.add_marker(pytest.mark.xfail(reason=str(entry), strict=True))
     is_whole_run = config.args_source is not config.ArgsSource.ARGS and not config.option.keyword
-    unknown = known_red.keys() - {item.nodeid for item in items}
+    tests = {entry.test for entry in known_red.values() if not entry.is_review_case}
+    unknown = tests - {item.nodeid for item in items}
     if is_whole_run and unknown:
         raise UnknownTestsError(unknown)
 
