--- a/function_router/decisions/__init__.py
+++ b/function_router/decisions/__init__.py
@@ -7,6 +7,7 @@
 components that come after it in this table. It reports to the components before it by return values.
 
     router                              handles each kind of event, and calls the components in order
+    connection_policy                   which connections may carry an exchange now
     retries                             retries, hedges, and attempts that are presumed lost
     dispatch                            queues of functions, and the only place that sends requests
     scaling                             probes and cold starts, some of them speculative
@@ -23,6 +24,7 @@
     capacity, slow_start                limits of workers, and send budgets of those in slow start
     arrivals, durations                 request rates, run times and start times
     workers, functions, requests        tables that own the records; the first two evict old ones
+    process_identity                    which connections lead to the listed workers
     records                             workers, functions, instances, requests and attempts
     outbox                              actions that are decided but not returned yet
 
--- /dev/null
+++ b/function_router/decisions/connection_policy.py
@@ -0,0 +1,47 @@
+"""Which connections to a worker may carry new work or a repeated request now.
+
+The network code asks this for each exchange when its first byte could be written. An answer combines the
+leases, by which a worker is ready, with the evidence of which process a connection leads to.
+"""
+
+import math
+
+from function_router.decisions.fleet import Fleet
+
+
+class ConnectionPolicy:
+    """Answers the queries of the network code about connections to workers; it has no state of its own."""
+
+    def __init__(self, fleet: Fleet) -> None:
+        self._workers = fleet.workers
+        self._leases = fleet.leases
+        self._process_identity = fleet.process_identity
+
+    def connection_cutoff_ms(self, worker_id: int, now_ms: float) -> float:
+        """Return the time by which a connection to a worker must have been established to carry new work now.
+
+        Returns:
+            The time; infinity if every connection may, minus infinity if none may.
+        """
+        return self._leases.connection_cutoff_ms(worker_id, now_ms)
+
+    def process_cutoff_ms(self, worker_id: int) -> float:
+        """Return the time by which a connection must have been established to lead to a worker for certain.
+
+        Returns:
+            The time; minus infinity if the worker is not known.
+        """
+        worker = self._workers.by_id.get(worker_id)
+        return -math.inf if worker is None else self._process_identity.connection_cutoff_ms(worker)
+
+    def is_process_known(self, worker_id: int, connected_at_ms: float) -> bool:
+        """Return whether a connection that was established at this time leads to a worker for certain."""
+        worker = self._workers.by_id.get(worker_id)
+        return worker is not None and self._process_identity.is_known(worker, connected_at_ms)
+
+    def is_within_drain_grace(self, worker_id: int, at_ms: float) -> bool:
+        """Return whether new work that was sent at `at_ms` was within the drain grace, as far as is known.
+
+        This is for the run-time check of invariants, not for decisions.
+        """
+        return self._leases.is_within_grace(worker_id, at_ms)
--- a/function_router/decisions/dispatch.py
+++ b/function_router/decisions/dispatch.py
@@ -151,6 +151,7 @@
         attempt = Attempt(
             request.id,
             worker,
+            worker.endpoint,
             function,
             request.request_class.name,
             now_ms,
--- a/function_router/decisions/events.py
+++ b/function_router/decisions/events.py
@@ -38,6 +38,13 @@
     """The router has no connection to the endpoint log: at start, after a failure, or during a reconnect."""
 
 
+class Transmission(Struct, frozen=True):
+    """When a message was sent to a worker, and on which connection."""
+
+    sent_at_ms: float  # the worker received the message at this time or later
+    connected_at_ms: float  # the connection was established at this time or earlier
+
+
 class RequestArrived(Struct, frozen=True):
     """A client's request has arrived. The router must give exactly one final answer."""
 
@@ -75,6 +82,8 @@
     start_kind: StartKind = StartKind.UNKNOWN
     in_flight: int | None = None  # requests of the function at the worker when this one arrived there
     load_report: dict[str, float] | None = None
+    # None if the attempt was assigned to no connection, or if workers are addressed by their ids.
+    transmission: Transmission | None = None
 
 
 class InstancesReported(Struct, frozen=True):
@@ -85,6 +94,8 @@
     outcome: Outcome
     instances: int  # instances of the function that the worker has now
     duration_ms: float
+    # None if the message was assigned to no connection, or if workers are addressed by their ids.
+    transmission: Transmission | None = None
 
 
 class HealthChecked(Struct, frozen=True):
--- a/function_router/decisions/feedback.py
+++ b/function_router/decisions/feedback.py
@@ -1,6 +1,6 @@
 """Updates the router's estimates when attempts, start orders, probes and health checks end."""
 
-from function_router.decisions.events import AttemptEnded, HealthChecked, InstancesReported
+from function_router.decisions.events import AttemptEnded, HealthChecked, InstancesReported, Transmission
 from function_router.decisions.fleet import Fleet
 from function_router.decisions.health import PING_INTERVAL_MS, SLOW_RUN_FACTOR
 from function_router.decisions.records import Attempt, Function, Worker
@@ -18,9 +18,10 @@
 
 
 class Feedback:
-    """Updates durations, health and instances according to the workers' answers."""
+    """Updates durations, health, instances and process identities according to the workers' answers."""
 
     def __init__(self, fleet: Fleet) -> None:
+        self._process_identity = fleet.process_identity
         self._durations = fleet.durations
         self._health = fleet.health
         self._instances = fleet.instances
@@ -35,6 +36,7 @@
         became_unresponsive = False
         if outcome in REPLY_OUTCOMES:
             self._health.record_reply(attempt.worker, now_ms)
+            self._process_identity.record_reply(attempt.worker, event.transmission)
         if outcome is Outcome.OK:
             self._record_served(event, attempt, now_ms)
         elif outcome is Outcome.NOT_LOADED or event.start_kind is StartKind.START_FAILED:
@@ -86,6 +88,7 @@
         """
         if event.outcome not in REPORT_REPLY_OUTCOMES:
             return self._health.record_no_reply(worker, event.outcome, now_ms)
+        self._process_identity.record_reply(worker, event.transmission)
         pool = function.pool_at(worker)
         if worker.unresponsive_since_ms is not None and pool.count and not event.instances:
             worker.started_ms = now_ms
@@ -101,5 +104,7 @@
         """
         if event.outcome is not Outcome.OK:
             return self._health.record_no_reply(worker, event.outcome, now_ms)
+        transmission = Transmission(event.sent_at_ms, event.connected_at_ms)
+        self._process_identity.record_reply(worker, transmission)
         self._health.record_reply(worker, now_ms, reply_grace_ms=PING_INTERVAL_MS)
         return False
--- a/function_router/decisions/fleet.py
+++ b/function_router/decisions/fleet.py
@@ -10,6 +10,7 @@
 from function_router.decisions.instances import Instances
 from function_router.decisions.outbox import Outbox
 from function_router.decisions.placement import Placement
+from function_router.decisions.process_identity import ProcessIdentity
 from function_router.decisions.settings import Settings
 from function_router.decisions.slow_start import SlowStart
 from function_router.decisions.workers import WorkerTable
@@ -19,7 +20,8 @@
     """Owns the lower layers of the decision logic. The layers that handle requests build on them."""
 
     def __init__(self, settings: Settings, seed: int, outbox: Outbox) -> None:
-        self.workers = WorkerTable(settings)
+        self.process_identity = ProcessIdentity()
+        self.workers = WorkerTable(settings, self.process_identity)
         self.functions = FunctionTable()
         self.arrivals = Arrivals(settings)
         self.durations = Durations(settings.shortest_objective_ms)
@@ -38,9 +40,9 @@
             self.instances,
         )
 
-    def update_endpoints(self, event: EndpointsChanged) -> None:
+    def update_endpoints(self, event: EndpointsChanged, now_ms: float) -> None:
         """Apply a complete endpoint list or the changes in it."""
-        self.workers.update(event)
+        self.workers.update(event, now_ms)
         self.health.recount_unresponsive()
 
     def evict_unused(self, now_ms: float) -> None:
--- a/function_router/decisions/records.py
+++ b/function_router/decisions/records.py
@@ -47,6 +47,14 @@
     recheck_interval_ms: float = 1_000.0  # time to the next check if the worker is draining or doesn't answer
 
 
+class WorkerIdentity(Struct, eq=False):
+    """Evidence of which connections lead to a worker; see `process_identity`."""
+
+    listed_ms: float = -math.inf  # since when the list has named the worker at its address, zone and cell
+    replied_ms: float = -math.inf  # when the worker last had its address, as a reply or a removal has shown
+    last_connected_ms: float | None = None  # when the connection of its last reply was established
+
+
 class Worker(Struct, eq=False):
     """A worker of the endpoint list. After its removal from the list, the record is kept for a while."""
 
@@ -61,8 +69,9 @@
     max_in_flight: float = math.inf  # limit on attempts of this router, as of the last refresh of limits
     sends: DecayingCounter = field(default_factory=lambda: DecayingCounter(STATISTICS_WINDOW_MS))
 
-    # Readiness.
+    # Readiness, and which process answers.
     lease: ReadinessLease = field(default_factory=ReadinessLease)
+    identity: WorkerIdentity = field(default_factory=WorkerIdentity)
 
     # Slow start.
     # Start of its process: announced by the endpoint list, or inferred when it returned without instances.
@@ -136,6 +145,7 @@
 
     request_id: str
     worker: Worker
+    endpoint: Endpoint  # the worker's record when the attempt was sent
     function: "Function"
     class_name: str
     sent_ms: float
@@ -144,6 +154,10 @@
     in_flight: bool = True
     is_lost: bool = False  # presumed lost, and counted as a failure of its worker
     may_have_run: bool = True  # False once the outcome proves that the request did not run
+    is_unsent: bool = False  # True once it has ended without a byte sent
+    connected_at_ms: float | None = (
+        None  # establishment of its connection, once it has ended; None if unknown
+    )
 
 
 class Request(Struct, eq=False):
--- a/function_router/decisions/requests.py
+++ b/function_router/decisions/requests.py
@@ -4,6 +4,7 @@
 
 from function_router.decisions.events import AttemptEnded
 from function_router.decisions.records import Attempt, Request
+from function_router.decisions.types import Outcome
 
 
 class OpenRequests:
@@ -34,6 +35,9 @@
             self.recent_attempts.remove(attempt)
         attempt.in_flight = False
         attempt.may_have_run = event.outcome.may_have_run
+        attempt.is_unsent = event.outcome is Outcome.NOT_SENT
+        if event.transmission is not None:
+            attempt.connected_at_ms = event.transmission.connected_at_ms
         attempt.function.pools[attempt.worker.id].in_flight -= 1
         attempt.worker.in_flight -= 1
         return attempt
--- a/function_router/decisions/retry_policy.py
+++ b/function_router/decisions/retry_policy.py
@@ -1,7 +1,8 @@
 """The retry policy: which requests may be sent again, to which workers, and for how long."""
 
 from function_router.decisions.events import Endpoint
-from function_router.decisions.records import Request, Worker
+from function_router.decisions.process_identity import ProcessIdentity
+from function_router.decisions.records import Attempt, Request, Worker
 from function_router.decisions.settings import Settings
 from function_router.decisions.types import DeduplicationScope, RetrySafety
 
@@ -11,9 +12,14 @@
 
 
 class RetryPolicy:
-    """Applies the rules of the request classes. Attempts that provably did not run restrict no retries."""
+    """Applies the rules of the request classes. Attempts that provably did not run restrict no retries.
 
-    def __init__(self, settings: Settings) -> None:
+    Where only a zone or a cell shares the idempotency key, a request that may have run is repeated only if
+    the process that may have run it and the one that would get it again are known; see `process_identity`.
+    """
+
+    def __init__(self, settings: Settings, process_identity: ProcessIdentity) -> None:
+        self._process_identity = process_identity
         self._max_attempts = settings.max_attempts
         self._can_hedge = settings.can_hedge
 
@@ -28,6 +34,8 @@
             return True
         request_class = request.request_class
         if request_class.retry_safety is RetrySafety.IDEMPOTENCY_KEY:
+            if request_class.is_key_scoped and not self._process_identity.is_attempt_known(first):
+                return False
             window_ms = request_class.idempotency_window_ms - IDEMPOTENCY_MARGIN_MS
             return now_ms - first.sent_ms < window_ms
         return request_class.retry_safety is RetrySafety.IDEMPOTENT
@@ -46,9 +54,20 @@
             return True
         if request_class.retry_safety is RetrySafety.AT_MOST_ONCE:
             return False
-        scope = request_class.deduplication_scope
-        is_in_scope = _is_in_scope(scope, first.worker.endpoint, worker.endpoint)
-        return is_in_scope and self.allows_attempt(request, now_ms)
+        if request_class.is_key_scoped and not self._is_in_scope(request, first, worker):
+            return False
+        return self.allows_attempt(request, now_ms)
+
+    def _is_in_scope(self, request: Request, first: Attempt, worker: Worker) -> bool:
+        """Return whether a worker is known to deduplicate a request that the first attempt may have run.
+
+        A worker that could not be sent the request before has no connection that leads to it for certain.
+        """
+        if not _is_in_scope(request.request_class.deduplication_scope, first.endpoint, worker.endpoint):
+            return False
+        if any(attempt.worker is worker and attempt.is_unsent for attempt in request.attempts):
+            return False
+        return self._process_identity.has_known_connection(worker)
 
     def is_client_retry_safe(self, request: Request) -> bool:
         """Return whether the client may safely send the request again, whichever worker receives it."""
--- a/function_router/decisions/router.py
+++ b/function_router/decisions/router.py
@@ -12,6 +12,7 @@
 from function_router.decisions.actions import Action, SetTimer
 from function_router.decisions.admission import TIMER_INTERVAL_MS, Admission
 from function_router.decisions.answers import Answers
+from function_router.decisions.connection_policy import ConnectionPolicy
 from function_router.decisions.dispatch import Dispatcher
 from function_router.decisions.feedback import Feedback
 from function_router.decisions.fleet import Fleet
@@ -51,11 +52,12 @@
         self._evicted_ms = -math.inf
         self._outbox = Outbox()
         self.fleet = Fleet(settings, seed, self._outbox)
+        self.connection_policy = ConnectionPolicy(self.fleet)
         self.requests = OpenRequests()
         self.start_order_limits = StartOrderLimits(settings, self.fleet.arrivals)
         self.speculation = Speculation(self.fleet.durations)
         self._admission = Admission(settings, self.fleet, self.requests)
-        retry_policy = RetryPolicy(settings)
+        retry_policy = RetryPolicy(settings, self.fleet.process_identity)
         start_orders = StartOrders(self.fleet, self.requests, self.start_order_limits, self._outbox)
         self._start_orders = start_orders
         self._scaling = Scaling(settings, self.fleet, self._admission, self.speculation, start_orders)
@@ -116,30 +118,16 @@
         """Return whether the lease on the endpoint list is valid."""
         return self.fleet.leases.is_list_current(now_ms)
 
-    def connection_cutoff_ms(self, worker_id: int, now_ms: float) -> float:
-        """Return the time by which a connection to a worker must have been established to carry new work now.
-
-        Returns:
-            The time; infinity if every connection may, minus infinity if none may.
-        """
-        return self.fleet.leases.connection_cutoff_ms(worker_id, now_ms)
-
-    def is_within_drain_grace(self, worker_id: int, at_ms: float) -> bool:
-        """Return whether new work that was sent at `at_ms` was within the drain grace, as far as is known.
-
-        This is for the run-time check of invariants, not for decisions.
-        """
-        return self.fleet.leases.is_within_grace(worker_id, at_ms)
-
     def _on_endpoints_changed(self, event: events.EndpointsChanged, now_ms: float) -> None:
         """Apply the list, and dispatch queued requests, as other workers may be available now."""
-        self.fleet.update_endpoints(event)
+        self.fleet.update_endpoints(event, now_ms)
         self._refresh(now_ms)
         self._dispatcher.dispatch_all(now_ms)
 
     def _on_endpoint_list_confirmed(self, event: events.EndpointListConfirmed, now_ms: float) -> None:
         """Renew the lease on the list, and dispatch the requests withheld while it was out of date."""
         was_current = self.fleet.leases.is_list_current(now_ms)
+        self.fleet.process_identity.record_list_confirmed(event.as_of_ms)
         if self.fleet.leases.record_confirmed(event.as_of_ms, now_ms):
             self._on_ready_changed(now_ms)
         if not was_current:
--- a/function_router/decisions/settings.py
+++ b/function_router/decisions/settings.py
@@ -23,6 +23,12 @@
     priority_weight: float = 1.0
     late_value_share: float = 0.0  # fraction of its value that an answer has after the objective
 
+    @property
+    def is_key_scoped(self) -> bool:
+        """Whether only the workers of one zone or cell share the idempotency keys of the class."""
+        has_key = self.retry_safety is RetrySafety.IDEMPOTENCY_KEY
+        return has_key and self.deduplication_scope is not DeduplicationScope.ALL
+
 
 class Settings(Struct, frozen=True):
     """Limits, protocol features and request classes of the deployment."""
--- a/function_router/decisions/workers.py
+++ b/function_router/decisions/workers.py
@@ -5,6 +5,7 @@
 from msgspec import structs
 
 from function_router.decisions.events import Endpoint, EndpointsChanged
+from function_router.decisions.process_identity import ProcessIdentity
 from function_router.decisions.records import Worker
 from function_router.decisions.settings import Settings
 from function_router.decisions.types import WorkerState
@@ -20,19 +21,20 @@
 class WorkerTable:
     """Owns the worker records, and tracks which workers are ready."""
 
-    def __init__(self, settings: Settings) -> None:
+    def __init__(self, settings: Settings, process_identity: ProcessIdentity) -> None:
         self._are_sizes_known = settings.worker_sizes_known
+        self._process_identity = process_identity
         self.by_id: dict[int, Worker] = {}
         self.ready: list[Worker] = []
         self.ready_sizes: dict[int, float] = {}  # by id; replaced by a new dict whenever an entry changes
         self.max_total_size = MIN_MACHINE_SIZE  # maximum total size of the ready workers so far
 
-    def update(self, event: EndpointsChanged) -> None:
+    def update(self, event: EndpointsChanged, now_ms: float) -> None:
         """Apply a complete endpoint list, or the changes in it."""
         if event.is_complete:
             self._mark_missing_as_removed(event.endpoints)
         for endpoint in event.endpoints:
-            self._apply(endpoint)
+            self._apply(endpoint, now_ms)
         self._recompute_ready()
 
     def set_drain_reported(self, worker: Worker, reported_ms: float | None) -> None:
@@ -60,14 +62,20 @@
         listed = {endpoint.worker_id for endpoint in endpoints}
         for worker_id in self.by_id.keys() - listed:
             worker = self.by_id[worker_id]
+            self._process_identity.record_removed(worker)
             worker.endpoint = structs.replace(worker.endpoint, state=WorkerState.REMOVED)
 
-    def _apply(self, endpoint: Endpoint) -> None:
+    def _apply(self, endpoint: Endpoint, now_ms: float) -> None:
         """Add or update one worker. A later start time than the known one restarts its slow start."""
         worker = self.by_id.get(endpoint.worker_id)
+        was_listed = worker is not None and worker.endpoint.state is not WorkerState.REMOVED
         if worker is None:
             worker = Worker(endpoint.worker_id, endpoint, hash64(str(endpoint.worker_id)))
             self.by_id[worker.id] = worker
+        if endpoint.state is WorkerState.REMOVED:
+            self._process_identity.record_removed(worker)
+        elif not was_listed:
+            self._process_identity.record_listed(worker, now_ms)
         worker.endpoint = endpoint
         worker.machine_size = max(endpoint.size, MIN_MACHINE_SIZE) if self._are_sizes_known else 1.0
         worker.removed_since_ms = None
--- a/function_router/net/attempts_in_flight.py
+++ b/function_router/net/attempts_in_flight.py
@@ -11,9 +11,9 @@
 from function_router.net.clock import monotonic_ms
 from function_router.net.event_loop import EventLoop
 from function_router.net.not_sent_reason import NotSentReason
-from function_router.net.pending_request import PendingRequest
+from function_router.net.pending_request import PendingRequest, PossibleRun
 from function_router.net.pending_requests import PendingRequests
-from function_router.net.send_checks import check_request
+from function_router.net.send_checks import check_request, is_key_scoped, possible_runs
 from function_router.net.worker_messages import Attempt, Result, WorkerAnswer
 from function_router.net.worker_pool import WorkerPool
 
@@ -71,7 +71,7 @@
 
         The decision module does not do this if the settings forbid it to cancel attempts.
         """
-        for attempt in self._attempts_of(request):
+        for _, attempt in self._attempts_by_number(request):
             self._pool.cancel_if_unsent(attempt)
 
     def _create(self, request: PendingRequest, number: int, worker_id: int) -> Attempt:
@@ -80,7 +80,8 @@
         return Attempt(
             worker_id=worker_id,
             on_done=lambda attempt, result: self._on_done(key, number, attempt, result),
-            reason_not_to_send=lambda: self._reason_not_to_send(key),
+            reason_not_to_send=lambda: self._reason_not_to_send(key, number),
+            is_scoped_repeat=lambda: self._is_scoped_repeat(key, number),
             exchange_id=invocation.request_id,
             class_name=invocation.class_name,
             function=invocation.function,
@@ -89,7 +90,7 @@
             deadline_ms=request.deadline_ms,
         )
 
-    def _reason_not_to_send(self, key: str) -> NotSentReason | None:
+    def _reason_not_to_send(self, key: str, number: int) -> NotSentReason | None:
         """Return why an attempt must not start now; None if it may.
 
         This is called before the first byte is written, possibly long after the decision to send the attempt.
@@ -97,12 +98,28 @@
         request = self._requests.by_key.get(key)
         if request is None:
             return NotSentReason.REQUEST_FINISHED
-        request_class = self._classes.get(request.invocation.class_name)
-        return check_request(request, request_class, self._attempts_of(request), monotonic_ms())
+        return check_request(
+            request,
+            self._class_of(request),
+            possible_runs(request, self._attempts_by_number(request), number),
+            monotonic_ms(),
+            self._pool.is_process_known,
+        )
+
+    def _is_scoped_repeat(self, key: str, number: int) -> bool:
+        """Return whether an attempt repeats one whose idempotency key only a zone or a cell knows."""
+        request = self._requests.by_key.get(key)
+        if request is None or not is_key_scoped(self._class_of(request)):
+            return False
+        return bool(possible_runs(request, self._attempts_by_number(request), number))
 
-    def _attempts_of(self, request: PendingRequest) -> list[Attempt]:
-        keys = ((request.key, number) for number in range(request.attempt_count))
-        return [self.by_key[key] for key in keys if key in self.by_key]
+    def _class_of(self, request: PendingRequest) -> RequestClass | None:
+        return self._classes.get(request.invocation.class_name)
+
+    def _attempts_by_number(self, request: PendingRequest) -> list[tuple[int, Attempt]]:
+        """Return the attempts of a request that are in flight, with their numbers, oldest first."""
+        keys = [(request.key, number) for number in range(request.attempt_count)]
+        return [(key[1], self.by_key[key]) for key in keys if key in self.by_key]
 
     def _on_done(self, key: str, number: int, attempt: Attempt, result: Result) -> None:
         """Record and report the result of an attempt; the first successful one answers the request."""
@@ -111,7 +128,7 @@
             attempt, result, workers_report_in_flight=self._transport.workers_report_in_flight
         )
         if request := self._requests.by_key.get(key):
-            _record_ended_attempt(request, attempt, report)
+            self._record_ended(request, attempt, report)
         if isinstance(result, WorkerAnswer) and report.outcome is Outcome.OK:
             self._on_served(key, Served(result.body))
         self._loop.submit(
@@ -124,13 +141,23 @@
                 is_answered=key not in self._requests.by_key,
                 start_kind=report.start_kind,
                 in_flight=report.in_flight,
+                transmission=self._loop.clock.convert_transmission(attempt.transmission),
             )
         )
 
-
-def _record_ended_attempt(request: PendingRequest, attempt: Attempt, report: AttemptReport) -> None:
-    """Record the end of an attempt in its request, which is still pending."""
-    wait_ms = attempt.connection_wait_ms
-    request.add_trace_step(f"{attempt.worker_id}: {report.description} connection wait {wait_ms:.0f}")
-    if attempt.is_started and report.outcome.may_have_run:
-        request.first_run_at_ms = min(request.first_run_at_ms, attempt.created_at_ms)
+    def _record_ended(self, request: PendingRequest, attempt: Attempt, report: AttemptReport) -> None:
+        """Record the end of an attempt in its request, which is still pending."""
+        text = f"{attempt.worker_id}: {report.description} connection wait {attempt.connection_wait_ms:.0f}"
+        request.add_trace_step(text + self._describe_unknown_process(request, attempt))
+        if attempt.is_started and report.outcome.may_have_run:
+            run = PossibleRun.of(attempt)
+            first_run = request.first_run
+            if first_run is None or run.created_at_ms < first_run.created_at_ms:
+                request.first_run = run
+
+    def _describe_unknown_process(self, request: PendingRequest, attempt: Attempt) -> str:
+        """Return why a request may not be repeated after an attempt that may have run; empty if it may."""
+        is_known = self._pool.is_process_known(attempt.worker_id, attempt.connected_at_ms)
+        if is_known or not attempt.is_assigned or not is_key_scoped(self._class_of(request)):
+            return ""
+        return f", process unknown on a connection of {monotonic_ms() - attempt.connected_at_ms:.0f} ms"
--- a/function_router/net/clock.py
+++ b/function_router/net/clock.py
@@ -3,6 +3,8 @@
 import time
 from collections.abc import Callable
 
+from function_router.decisions.events import Transmission
+
 # Minimum change of the offset between wall clock and monotonic clock that counts as a step of the wall clock.
 # Slewing changes the offset more slowly.
 MIN_STEP_MS = 100.0
@@ -49,6 +51,15 @@
         """Convert a time of this clock to the monotonic clock; infinite times stay infinite."""
         return time_ms - self._offset_ms
 
+    def convert_transmission(self, transmission: Transmission | None) -> Transmission | None:
+        """Convert the times of a transmission from the monotonic clock to this clock."""
+        if transmission is None:
+            return None
+        return Transmission(
+            self.from_monotonic_ms(transmission.sent_at_ms),
+            self.from_monotonic_ms(transmission.connected_at_ms),
+        )
+
     def record_wall_clock_offset(self, offset_ms: float) -> None:
         """Record the current offset of the wall clock from the monotonic clock, if the wall clock stepped."""
         offsets_ms = self._wall_clock_offsets_ms
--- a/function_router/net/endpoint_registry.py
+++ b/function_router/net/endpoint_registry.py
@@ -131,13 +131,16 @@
         }
 
     def _update(self, item: AddressedEndpoint) -> list[Endpoint]:
-        """Store an endpoint, and return the changed endpoints; those replaced at the same address come first.
+        """Store an endpoint, and return the changed endpoints; removed ones come first.
 
         Of several workers at one address, only the worker that started last still runs; the list may report
         the removal of the others later. Requests for an earlier process must not reach the new one, which has
         no warm instances.
+
+        A worker with another address, zone or cell is another process, so the earlier record is removed.
         """
         endpoint = item.endpoint
+        moved = self._remove_if_moved(item)
         displaced = self._others_at_address(item)
         if any(_started_at_ms(other) > _started_at_ms(endpoint) for other in displaced):
             endpoint = replace(endpoint, state=WorkerState.REMOVED)
@@ -149,7 +152,24 @@
         self._pool.update_endpoint(endpoint.worker_id, item.address, endpoint.state, started_at_ms)
         for changed in [*removed, endpoint]:
             self._store(changed)
-        return [*removed, endpoint]
+        return [*moved, *removed, endpoint]
+
+    def _remove_if_moved(self, item: AddressedEndpoint) -> list[Endpoint]:
+        """Return the earlier record of a worker as removed if it had another address, zone or cell.
+
+        After a change of its zone or cell alone, the connections to it are no longer used. After a change of
+        its address, the pool replaces them by itself.
+        """
+        endpoint = item.endpoint
+        previous = self._endpoints.get(endpoint.worker_id)
+        if previous is None or endpoint.state is WorkerState.REMOVED:
+            return []
+        has_other_place = (previous.zone, previous.cell) != (endpoint.zone, endpoint.cell)
+        if has_other_place:
+            self._pool.update_endpoint(endpoint.worker_id, None, WorkerState.REMOVED, 0.0)
+        elif not self._pool.has_other_address(endpoint.worker_id, item.address):
+            return []
+        return [replace(previous, state=WorkerState.REMOVED)]
 
     def _store(self, endpoint: Endpoint) -> None:
         """Store an endpoint, and log a change of its state or its process."""
--- a/function_router/net/invariants.py
+++ b/function_router/net/invariants.py
@@ -27,6 +27,7 @@
     ANSWERED_IN_TIME = "the final answer leaves in time"
     ANSWERED_BEFORE_CLOSE = "a connection is closed with all its requests answered"
     SENT_ONLY_WHILE_ALLOWED = "the first byte of an exchange leaves only while it may start"
+    REPEATED_IN_SCOPE = "a request that may have run is repeated only where its idempotency key is known"
     TIMEOUT_WITHIN_DEADLINE = "a worker is sent no more time than the client has left"
 
 
--- a/function_router/net/not_sent_reason.py
+++ b/function_router/net/not_sent_reason.py
@@ -10,6 +10,7 @@
     WORKER_REMOVED = auto()
     WORKER_DRAINING = auto()  # the worker accepts no new work
     READINESS_UNPROVEN = auto()  # the endpoint list is out of date, and no lease covers the connection
+    PROCESS_UNKNOWN = auto()  # a repeat needs processes whose zone or cell is known; see `check_request`
     DEADLINE_PASSED = auto()  # no time is left for an answer
     REQUEST_FINISHED = auto()  # the request has its final answer, or was cancelled
     CLIENT_GONE = auto()  # the client has closed its connection, even if the router has not read this yet
--- a/function_router/net/pooled_worker.py
+++ b/function_router/net/pooled_worker.py
@@ -9,9 +9,8 @@
 from function_router.net.connect_retry import ConnectRetry
 from function_router.net.connection_set import ConnectionSet
 from function_router.net.exchange_queue import ExchangeQueue
-from function_router.net.not_sent_reason import NotSentReason
 from function_router.net.pool_resources import PoolResources
-from function_router.net.send_checks import check_worker
+from function_router.net.send_checks import check_worker, reason_without_connection
 from function_router.net.worker_connection import ConnectError, WorkerConnection
 from function_router.net.worker_messages import Exchange, HealthCheck
 
@@ -121,10 +120,10 @@
         if not_sent_reason := check_worker(exchange, self.state):
             exchange.finish_unsent(not_sent_reason, telemetry)
             return
-        connection_cutoff_ms = self._connection_cutoff_ms(exchange)
+        connection_cutoff_ms = self.connection_cutoff_ms(exchange)
         connection = self.connections.choose(exchange, connection_cutoff_ms)
         if connection is None and connection_cutoff_ms < math.inf:
-            exchange.finish_unsent(NotSentReason.READINESS_UNPROVEN, telemetry)
+            exchange.finish_unsent(reason_without_connection(exchange), telemetry)
         elif connection is None:
             self.queue.append(exchange)
             self._connect_for_queued()
@@ -133,14 +132,18 @@
         else:
             self._assign(exchange, connection)
 
-    def _connection_cutoff_ms(self, exchange: Exchange) -> float:
+    def connection_cutoff_ms(self, exchange: Exchange) -> float:
         """Return the time by which a connection must have been established to carry the exchange.
 
         The time is infinite if any connection may carry the exchange, and negative infinite if none may.
         """
         if not exchange.is_new_work:
             return math.inf
-        return self._resources.readiness.connection_cutoff_ms(self.worker_id)
+        readiness = self._resources.readiness
+        cutoff_ms = readiness.connection_cutoff_ms(self.worker_id)
+        if exchange.is_scoped_repeat():
+            return min(cutoff_ms, readiness.process_cutoff_ms(self.worker_id))
+        return cutoff_ms
 
     def _assign(self, exchange: Exchange, connection: WorkerConnection) -> None:
         """Assign an exchange to a connection, and open a spare connection if the next exchange may need it.
--- a/function_router/net/readiness.py
+++ b/function_router/net/readiness.py
@@ -1,13 +1,14 @@
-"""Queries to the decision module: which connections to a worker may carry new work now."""
+"""Queries to the decision module: which connections to a worker may carry an exchange now."""
 
-import math
 from typing import Protocol
 
+from function_router.decisions.types import WorkerState
 from function_router.net.clock import Clock, monotonic_ms
+from function_router.net.send_checks import SendConditions
 
 
 class ReadinessPolicy(Protocol):
-    """Decides which workers may get new work, and when; all times are on the decision module's clock."""
+    """Decides which connections may carry an exchange. All times are on the decision module's clock."""
 
     def connection_cutoff_ms(self, worker_id: int, now_ms: float) -> float:
         """Return the time by which a connection must have been established to carry new work to a worker now.
@@ -16,20 +17,17 @@
         may.
         """
 
-    def is_within_drain_grace(self, worker_id: int, at_ms: float) -> bool:
-        """Return whether new work that was sent at `at_ms` was within the operator's drain grace."""
-
+    def process_cutoff_ms(self, worker_id: int) -> float:
+        """Return the time by which a connection must have been established to lead to the worker for certain.
 
-class AlwaysReady:
-    """The policy of a pool without a decision module."""
+        The time is negative infinite if no connection is known to do so.
+        """
 
-    def connection_cutoff_ms(self, worker_id: int, now_ms: float) -> float:  # noqa: ARG002 (of the protocol)
-        """Return infinity, as any connection may carry new work."""
-        return math.inf
+    def is_process_known(self, worker_id: int, connected_at_ms: float) -> bool:
+        """Return whether a connection that was established at this time leads to the worker for certain."""
 
-    def is_within_drain_grace(self, worker_id: int, at_ms: float) -> bool:  # noqa: ARG002 (of the protocol)
-        """Return True, as new work may be sent at any time."""
-        return True
+    def is_within_drain_grace(self, worker_id: int, at_ms: float) -> bool:
+        """Return whether new work that was sent at `at_ms` was within the operator's drain grace."""
 
 
 class ReadinessAdapter:
@@ -50,6 +48,33 @@
         now_ms = self._clock.from_monotonic_ms(monotonic_ms())
         return self._clock.to_monotonic_ms(self._policy.connection_cutoff_ms(worker_id, now_ms))
 
-    def is_within_drain_grace(self, worker_id: int, written_at_ms: float) -> bool:
-        """Return whether new work that was written at `written_at_ms` was within the drain grace."""
-        return self._policy.is_within_drain_grace(worker_id, self._clock.from_monotonic_ms(written_at_ms))
+    def process_cutoff_ms(self, worker_id: int) -> float:
+        """Return the time, on the monotonic clock, by which a connection must have been established.
+
+        A connection that was established later may lead to another worker than the one of the endpoint list.
+        """
+        return self._clock.to_monotonic_ms(self._policy.process_cutoff_ms(worker_id))
+
+    def is_process_known(self, worker_id: int, connected_at_ms: float) -> bool:
+        """Return whether a connection that was established at this time leads to the worker for certain."""
+        return self._policy.is_process_known(worker_id, self._clock.from_monotonic_ms(connected_at_ms))
+
+    def conditions_of_send(
+        self, worker_id: int, state: WorkerState, written_at_ms: float, connected_at_ms: float
+    ) -> SendConditions:
+        """Return what is known of a first byte that was written on a connection to a worker.
+
+        Args:
+            worker_id: The worker.
+            state: The state of the worker.
+            written_at_ms: When the byte was written, on the monotonic clock.
+            connected_at_ms: When the connection was established, on the monotonic clock.
+        """
+        return SendConditions(
+            state,
+            written_at_ms,
+            is_in_drain_grace=self._policy.is_within_drain_grace(
+                worker_id, self._clock.from_monotonic_ms(written_at_ms)
+            ),
+            is_process_known=self.is_process_known(worker_id, connected_at_ms),
+        )
--- a/function_router/net/router_process.py
+++ b/function_router/net/router_process.py
@@ -95,7 +95,12 @@
         max_connections = _max_connections(self.config.max_sockets, WORKER_SHARE)
         transport = self.config.transport
         return WorkerPool(
-            self.loop, transport, max_connections, self.config.seed, self.telemetry, readiness=self.router
+            self.loop,
+            transport,
+            max_connections,
+            self.config.seed,
+            self.telemetry,
+            self.router.connection_policy,
         )
 
     def _create_table(self) -> RequestTable:
--- a/function_router/net/start_orders.py
+++ b/function_router/net/start_orders.py
@@ -94,4 +94,7 @@
             instances = 0
         self._add_trace_step(order.function, f"{order.worker_id}: {outcome.name} instances {instances}")
         duration_ms = monotonic_ms() - order.created_at_ms
-        self._loop.submit(InstancesReported(order.worker_id, order.function, outcome, instances, duration_ms))
+        transmission = self._loop.clock.convert_transmission(order.transmission)
+        self._loop.submit(
+            InstancesReported(order.worker_id, order.function, outcome, instances, duration_ms, transmission)
+        )
--- a/function_router/net/worker_connection.py
+++ b/function_router/net/worker_connection.py
@@ -46,6 +46,9 @@
     def state(self) -> WorkerState:
         """The state of the worker in the endpoint list."""
 
+    def connection_cutoff_ms(self, exchange: Exchange) -> float:
+        """Return the time by which a connection must have been established to carry an exchange now."""
+
     def on_connection_established(self, connection: "WorkerConnection") -> None:
         """Handle a connection that has just been established."""
 
@@ -276,20 +279,17 @@
 
     def _check_send(self, exchange: Exchange) -> None:
         """Record the invariants that an exchange violated when its first byte was written."""
-        written_at_ms = self.connection.last_write_ms
-        is_in_drain_grace = self._readiness.is_within_drain_grace(self._owner.worker_id, written_at_ms)
-        violations = find_send_violations(
-            exchange, self._owner.state, written_at_ms, is_in_drain_grace=is_in_drain_grace
+        conditions = self._readiness.conditions_of_send(
+            self._owner.worker_id, self._owner.state, self.connection.last_write_ms, self.established_at_ms
         )
-        for violation in violations:
+        for violation in find_send_violations(exchange, conditions):
             self._telemetry.invariants.record(violation.invariant, violation.detail)
 
     def on_write_delayed(self) -> None:
         """Finish unwritten exchanges that may not be sent any more; update the timeouts of the others."""
-        latest_ms = self._readiness.connection_cutoff_ms(self._owner.worker_id)
         for exchange in self.unwritten():
             not_sent_reason = check_exchange(exchange, self._owner.state) or check_readiness(
-                exchange, self.established_at_ms, latest_ms
+                exchange, self.established_at_ms, self._owner.connection_cutoff_ms(exchange)
             )
             if not_sent_reason:
                 exchange.finish_unsent(not_sent_reason, self._telemetry)
--- a/function_router/net/worker_messages.py
+++ b/function_router/net/worker_messages.py
@@ -12,6 +12,7 @@
 
 from msgspec import Struct
 
+from function_router.decisions.events import Transmission
 from function_router.decisions.types import Outcome, Readiness, StartKind
 from function_router.net.clock import monotonic_ms
 from function_router.net.close_reason import CloseReason
@@ -83,6 +84,10 @@
     return None
 
 
+def _is_first_run() -> bool:
+    return False
+
+
 class ExchangeHolder(Protocol):
     """The container of an unfinished exchange: the queue for a connection to its worker, or a connection."""
 
@@ -102,6 +107,8 @@
         exchange_id: Eight bytes that the worker repeats in its answer.
         reason_not_to_send: Returns why the exchange may not be sent, apart from the worker's state; called
             whenever the first byte could be written.
+        is_scoped_repeat: Returns whether the request may have run already and only the workers of one zone or
+            cell recognize the repetition; the exchange then needs a connection to a known process.
         not_sent_reason: Why the exchange was not sent, if it finished for such a reason.
         created_at_ms: When the exchange was created, on the monotonic clock.
         holder: The queue or the connection that has the exchange; None before the exchange is dispatched and
@@ -116,6 +123,7 @@
     worker_id: int
     exchange_id: bytes = b""
     reason_not_to_send: Callable[[], NotSentReason | None] = _always_sendable
+    is_scoped_repeat: Callable[[], bool] = _is_first_run
     not_sent_reason: NotSentReason | None = field(default=None, init=False)
     created_at_ms: float = field(default_factory=monotonic_ms, init=False)
     holder: ExchangeHolder | None = field(default=None, init=False)
@@ -130,6 +138,21 @@
         """Whether the worker may have received some bytes of the message."""
         return self.pending_write is not None and self.pending_write.written > 0
 
+    @property
+    def is_assigned(self) -> bool:
+        """Whether the exchange is or was on a connection, so that its bytes may leave or have left."""
+        return self.pending_write is not None
+
+    @property
+    def transmission(self) -> Transmission | None:
+        """When the exchange was assigned to a connection, and which one; None if it never was.
+
+        The times are on the monotonic clock.
+        """
+        if not self.is_assigned:
+            return None
+        return Transmission(self.created_at_ms + self.connection_wait_ms, self.connected_at_ms)
+
     @property
     @abstractmethod
     def is_new_work(self) -> bool:
--- a/function_router/net/worker_pool.py
+++ b/function_router/net/worker_pool.py
@@ -13,7 +13,7 @@
 from function_router.net.not_sent_reason import NotSentReason
 from function_router.net.pool_resources import PoolResources
 from function_router.net.pooled_worker import PooledWorker
-from function_router.net.readiness import AlwaysReady, ReadinessAdapter, ReadinessPolicy
+from function_router.net.readiness import ReadinessAdapter, ReadinessPolicy
 from function_router.net.telemetry import ATTEMPTS, PROBES, START_ORDERS, Telemetry
 from function_router.net.worker_connection import WorkerConnection
 from function_router.net.worker_messages import Attempt, Exchange, HealthCheck, StartOrder
@@ -42,7 +42,7 @@
         max_connections: int,
         seed: int,
         telemetry: Telemetry,
-        readiness: ReadinessPolicy | None = None,
+        readiness: ReadinessPolicy,
     ) -> None:
         """Create a pool without workers.
 
@@ -52,7 +52,7 @@
             max_connections: The maximum number of connections to all workers together.
             seed: The seed of the first id of start orders and health checks.
             telemetry: Counts dispatched exchanges and closed connections; logs protocol errors of workers.
-            readiness: Decides which workers may get new work; None allows it to all workers.
+            readiness: Decides which connections may carry new work.
         """
         self.workers: dict[int, PooledWorker] = {}
         self._resources = PoolResources(
@@ -61,7 +61,7 @@
             telemetry=telemetry,
             budget=ConnectionBudget(max_connections, self._all_connections),
             idle_limit=IdleLimit(transport.connection_keepalive_ms),
-            readiness=ReadinessAdapter(loop.clock, readiness or AlwaysReady()),
+            readiness=ReadinessAdapter(loop.clock, readiness),
         )
         self._exchange_ids = itertools.count(random.Random(seed).getrandbits(FIRST_EXCHANGE_ID_BITS))
 
@@ -86,6 +86,11 @@
                 worker_id, address, state, started_at_unix_ms, self._resources, on_unused=self._remove_worker
             )
 
+    def has_other_address(self, worker_id: int, address: Address | None) -> bool:
+        """Return whether the pool has a worker at another address; None stands for any address."""
+        worker = self.workers.get(worker_id)
+        return worker is not None and address is not None and worker.address != address
+
     def workers_at(self, address: Address) -> list[int]:
         """Return the ids of the workers at an address, without removed workers."""
         return [
@@ -94,6 +99,10 @@
             if worker.address == address and worker.state is not WorkerState.REMOVED
         ]
 
+    def is_process_known(self, worker_id: int, connected_at_ms: float) -> bool:
+        """Return whether a connection that was established at this time leads to a worker for certain."""
+        return self._resources.readiness.is_process_known(worker_id, connected_at_ms)
+
     def connection_lost_at_ms(self, worker_id: int) -> float | None:
         """Return `ConnectionSet.last_lost_ms` of a worker; None if the pool does not have the worker."""
         worker = self.workers.get(worker_id)
--- a/soak/checker.py
+++ b/soak/checker.py
@@ -18,7 +18,7 @@
     history = RunHistory(record)
     check_result = CheckResult(figures=count_figures(history))
     for request in history.requests:
-        check_result.add(check_request(request, record.router_incarnations))
+        check_result.add(check_request(request, record))
     check_result.add(check_workers(history))
     check_result.add(check_routers(history))
     return check_result
--- a/soak/endpoint_events.py
+++ b/soak/endpoint_events.py
@@ -25,12 +25,14 @@
         slot: The number of the worker slot, which determines the worker's address for each router.
         phase: Whether the worker is ready, draining or removed.
         started_at_ms: The Unix time of the worker's start; 0 for one that counts as started long ago.
+        cell: The cell of the worker.
     """
 
     name: str
     slot: int
     phase: EndpointPhase
     started_at_ms: float
+    cell: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -51,6 +53,7 @@
                 "up_since_ms": endpoint.started_at_ms,
                 "host_port": f"127.0.0.1:{ports_by_slot[endpoint.slot]}",
                 "size": ENDPOINT_SIZE,
+                "cell": endpoint.cell,
             }
             for endpoint in self.endpoints
         ]
--- a/soak/request_rules.py
+++ b/soak/request_rules.py
@@ -8,7 +8,7 @@
 from soak.history import RequestHistory
 from soak.records import AnswerKind, AttemptSeen, RequestSent
 from soak.rules import MEASUREMENT_SLACK_S, Rule, Violation
-from soak.run_record import RouterIncarnation
+from soak.run_record import RouterIncarnation, RunRecord, WorkerIncarnation
 
 MAX_ANSWER_LATENESS_S = 0.5  # from the request's timeout to the answer
 MAX_AFTER_CLIENT_GONE_S = 0.1  # from a client's cancellation or close to the last attempt for it
@@ -19,12 +19,13 @@
 KILL_MARGIN_S = 0.01  # tolerance between the recorded kill and the deadline of a request
 
 
-def check_request(request: RequestHistory, routers: Sequence[RouterIncarnation]) -> Iterator[Violation]:
+def check_request(request: RequestHistory, record: RunRecord) -> Iterator[Violation]:
     """Check a request that was sent; a lost one is no violation if its router was killed as planned."""
-    yield from _check_answers(request, routers)
+    yield from _check_answers(request, record.router_incarnations)
     for attempt in request.attempts:
         yield from _check_attempt(request, attempt)
     yield from _check_retries(request)
+    yield from _check_scope(request, record.worker_incarnations)
 
 
 def _check_answers(request: RequestHistory, routers: Sequence[RouterIncarnation]) -> Iterator[Violation]:
@@ -50,11 +51,14 @@
 
 
 def _check_rejection(context: str, request: RequestHistory) -> Iterator[Violation]:
-    """Check that no at-most-once request that may have run is rejected, as clients may retry it then."""
+    """Check that no request that may have run is rejected, unless it is idempotent: clients may retry it.
+
+    The idempotency keys don't make a client's retry safe, as it may reach another cell.
+    """
     retry_safety = site.RETRY_SAFETY_BY_CLASS[request.sent[0].class_name]
     is_rejected = request.answers[0].kind is AnswerKind.THROTTLED
     may_have_run = request.attempts_that_may_have_run
-    if is_rejected and retry_safety is RetrySafety.AT_MOST_ONCE and may_have_run:
+    if is_rejected and retry_safety is not RetrySafety.IDEMPOTENT and may_have_run:
         yield Violation(Rule.REJECTED_AFTER_RUN, f"{context}: attempt at {may_have_run[0].at:.3f}")
 
 
@@ -102,3 +106,26 @@
         if retry_safety is RetrySafety.AT_MOST_ONCE or not is_in_window:
             text = f"{request.request_id} {retry_safety.value}: again after {after_s:.3f} s"
             yield Violation(Rule.RETRY, text)
+
+
+def _check_scope(request: RequestHistory, workers: Sequence[WorkerIncarnation]) -> Iterator[Violation]:
+    """Check that a request with an idempotency key is repeated only in the cell where it may have run."""
+    retry_safety = site.RETRY_SAFETY_BY_CLASS[request.sent[0].class_name]
+    may_have_run = request.attempts_that_may_have_run
+    if retry_safety is not RetrySafety.IDEMPOTENCY_KEY or not may_have_run:
+        return
+    first = _incarnation_at(may_have_run[0], workers)
+    repeats = [attempt for attempt in request.attempts if attempt.at > may_have_run[0].at]
+    for repeat in repeats:
+        worker = _incarnation_at(repeat, workers)
+        if first is not None and worker is not None and worker.cell != first.cell:
+            text = f"{first.name} of cell {first.cell}, then {worker.name} of cell {worker.cell}"
+            yield Violation(Rule.SCOPE, f"{request.request_id}: {text}, at {repeat.at:.3f}")
+
+
+def _incarnation_at(attempt: AttemptSeen, workers: Sequence[WorkerIncarnation]) -> WorkerIncarnation | None:
+    """Return the process that an attempt reached; None if none had started in its slot."""
+    started = [
+        worker for worker in workers if worker.worker == attempt.worker and worker.started_at <= attempt.at
+    ]
+    return max(started, key=lambda worker: worker.started_at, default=None)
--- a/soak/router_config.py
+++ b/soak/router_config.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from function_router.decisions.types import RetrySafety
+from function_router.decisions.types import DeduplicationScope, RetrySafety
 from soak import site
 
 MEMORY_MB = 96
@@ -18,6 +18,7 @@
         "promise": site.LATENCY_OBJECTIVE_MS,
         "give_up": site.MAX_TIMEOUT_MS,
         "dedup_window": (site.IDEMPOTENCY_WINDOW_MS if retry_safety is RetrySafety.IDEMPOTENCY_KEY else 0.0),
+        "group": DeduplicationScope.CELL.value,
     }
     for name, retry_safety in site.RETRY_SAFETY_BY_CLASS.items()
 ]
--- a/soak/rules.py
+++ b/soak/rules.py
@@ -17,6 +17,7 @@
     CLIENT_GONE = "attempt for a client that has gone"
     TIMEOUT = "worker sent more time than the client has left"
     RETRY = "attempt that the class does not allow"
+    SCOPE = "repeat outside of the cell in which the request may have run"
     REJECTED_AFTER_RUN = "rejection of what may have run"
     DRAIN = "new work to a draining or removed worker"
     SLOW_START = "overload of a worker in slow start"
--- a/soak/run_record.py
+++ b/soak/run_record.py
@@ -43,6 +43,7 @@
         name: The worker's name in the endpoint events.
         started_at: When the process began to listen.
         is_in_slow_start: Whether it started during the run, so that routers have to give it a slow start.
+        cell: The cell whose workers share the idempotency keys of this one.
         ready_notified_at: By router, the time from which it counts as notified that the worker is READY.
         drain_notified_at: By router, the time from which it counts as notified of the worker's drain; empty
             if the worker was not drained.
@@ -52,6 +53,7 @@
     name: str
     started_at: float
     is_in_slow_start: bool = field(kw_only=True)
+    cell: int = 0
     ready_notified_at: dict[int, float] = field(default_factory=dict)
     drain_notified_at: dict[int, float] = field(default_factory=dict)
 
--- a/soak/site.py
+++ b/soak/site.py
@@ -16,6 +16,11 @@
 MAX_TIMEOUT_MS = 2_000.0
 IDEMPOTENCY_WINDOW_MS = 1_500.0
 MAX_ATTEMPTS = 4
+
+# The workers of a cell share idempotency keys. A worker slot starts in the cell of its number, and a worker
+# with a new name is in the next cell.
+CELL_COUNT = 4
+REPLACEMENT_ERROR_SHARE = 0.1  # share of the requests that a worker with a new name fails after a run
 TENANTS = ("north", "south")
 
 WORKER_CONCURRENCY = 2  # concurrent requests per instance
@@ -32,3 +37,13 @@
 START_ORDER_WINDOW_S = 5.0
 START_ORDER_BURST = 2  # start orders that a window allows without any requests
 START_ORDERS_PER_REQUEST = 0.3  # start orders that a window allows for each request in it
+
+
+def first_cell(slot: int) -> int:
+    """Return the cell of the first worker in a slot."""
+    return 1 + slot % CELL_COUNT
+
+
+def next_cell(cell: int) -> int:
+    """Return the cell of a worker with a new name, which takes over the address of one in `cell`."""
+    return 1 + cell % CELL_COUNT
--- a/soak/worker.py
+++ b/soak/worker.py
@@ -1,5 +1,7 @@
 """A worker process, which simulates function instances with cold starts and bounded queues.
 
+Its argument is the share of requests that it answers with an error after they have run.
+
 The worker serves the routers' binary frames. It prints its port to standard output once it listens, and runs
 until it is killed. After SIGUSR1 it drains: it finishes accepted requests, and rejects new work.
 """
@@ -76,7 +78,8 @@
 class WorkerServer:
     """Serves frames on any number of connections."""
 
-    def __init__(self) -> None:
+    def __init__(self, error_share: float) -> None:
+        self._error_share = error_share
         self._functions: dict[str, FunctionInstances] = {}
         self._is_draining = False
 
@@ -128,7 +131,10 @@
             frames.IN_FLIGHT_FIELD: in_flight,
             frames.START_KIND_FIELD: start_kind,
         }
-        self._send_answer(frame, writer, frames.OK, fields, served_body(frame.exchange_id))
+        if random.random() < self._error_share:
+            self._send_answer(frame, writer, frames.ERROR, fields)
+        else:
+            self._send_answer(frame, writer, frames.OK, fields, served_body(frame.exchange_id))
 
     async def _ensure_instances(self, frame: frames.Frame, writer: asyncio.StreamWriter) -> None:
         function = self._functions.setdefault(frame.fields[frames.FUNCTION_FIELD], FunctionInstances())
@@ -159,7 +165,7 @@
 
 async def main() -> None:
     """Serve on a free port of the loopback interface."""
-    worker = WorkerServer()
+    worker = WorkerServer(error_share=float(sys.argv[1]))
     asyncio.get_running_loop().add_signal_handler(signal.SIGUSR1, worker.start_draining)
     server = await asyncio.start_server(worker.serve_connection, "127.0.0.1", 0, backlog=LISTEN_BACKLOG)
     print(server.sockets[0].getsockname()[1], flush=True)
--- a/soak/worker_slot.py
+++ b/soak/worker_slot.py
@@ -3,6 +3,7 @@
 import asyncio
 import time
 
+from soak import site
 from soak.commands import ProxyCommand
 from soak.endpoint_events import Endpoint, EndpointPhase
 from soak.module_process import ModuleProcess
@@ -39,20 +40,31 @@
 
     def endpoint(self, phase: EndpointPhase) -> Endpoint:
         """Return the state of the current worker for an endpoint event."""
-        return Endpoint(self.incarnation.name, self.number, phase, self._started_at_ms)
+        incarnation = self.incarnation
+        return Endpoint(incarnation.name, self.number, phase, self._started_at_ms, incarnation.cell)
 
     async def start(self, name: str, *, is_in_slow_start: bool) -> None:
         """Start a process, and make the proxy forward to it.
 
+        A worker with another name than the one before is in the next cell, and fails some requests.
+
         Args:
             name: The worker's name in endpoint events.
             is_in_slow_start: Whether the worker gets a slow start; False if it counts as started long ago.
         """
-        process = await ModuleProcess.start("soak.worker")
+        cell = site.first_cell(self.number)
+        error_share = 0.0
+        if self.incarnations:
+            is_renamed = name != self.incarnation.name
+            cell = site.next_cell(self.incarnation.cell) if is_renamed else self.incarnation.cell
+            error_share = site.REPLACEMENT_ERROR_SHARE if is_renamed else 0.0
+        process = await ModuleProcess.start("soak.worker", str(error_share))
         self._processes.append(process)
         self._port = int(await process.read_line())
         self.incarnations.append(
-            WorkerIncarnation(self.number, name, time.monotonic(), is_in_slow_start=is_in_slow_start)
+            WorkerIncarnation(
+                self.number, name, time.monotonic(), is_in_slow_start=is_in_slow_start, cell=cell
+            )
         )
         self._started_at_ms = time.time() * 1000 if is_in_slow_start else 0.0
         await self.forward()
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -13,6 +13,7 @@
 from helpers.known_red import UnknownTestsError, read_known_red
 from helpers.process_harness import ProcessHarness
 from helpers.program_launcher import ProgramLauncher
+from helpers.serving_cluster import ServingCluster
 
 QUEUED_CONNECTION_COUNT = 4  # enough to fill the accept queue of a listener with a backlog of 0
 
@@ -103,6 +104,12 @@
     return make
 
 
+@pytest.fixture
+def make_cluster(launcher, exit_stack):
+    """A function that creates a `ServingCluster`; it takes the keyword arguments of that class."""
+    return lambda **options: ServingCluster(launcher, exit_stack, **options)
+
+
 @pytest.fixture
 def launcher(exit_stack, tmp_path):
     """A launcher of the program in separate processes, which are killed after the test."""
--- a/tests/decisions/test_endpoint_leases.py
+++ b/tests/decisions/test_endpoint_leases.py
@@ -26,7 +26,7 @@
     harness.now_ms = 1e9
 
     assert harness.router.is_endpoint_list_current(harness.now_ms)
-    assert harness.router.connection_cutoff_ms(1, harness.now_ms) == math.inf
+    assert harness.router.connection_policy.connection_cutoff_ms(1, harness.now_ms) == math.inf
 
 
 def test_list_is_current_for_one_lease_beyond_the_tolerated_log_silence(harness):
@@ -141,7 +141,12 @@
         action.text for action in actions_of(actions, LogMessage)
     ]
     assert stale_harness.warm_id not in [worker.id for worker in stale_harness.fleet.workers.ready]
-    assert stale_harness.router.connection_cutoff_ms(stale_harness.warm_id, stale_harness.now_ms) == -math.inf
+    assert (
+        stale_harness.router.connection_policy.connection_cutoff_ms(
+            stale_harness.warm_id, stale_harness.now_ms
+        )
+        == -math.inf
+    )
 
 
 def test_instance_is_started_elsewhere_when_its_worker_drains(stale_harness):
--- a/tests/decisions/test_endpoint_leases_recovery.py
+++ b/tests/decisions/test_endpoint_leases_recovery.py
@@ -57,7 +57,9 @@
     stale_harness.answer_health_check(stale_harness.warm_id)
 
     assert (
-        stale_harness.router.connection_cutoff_ms(stale_harness.warm_id, stale_harness.now_ms)
+        stale_harness.router.connection_policy.connection_cutoff_ms(
+            stale_harness.warm_id, stale_harness.now_ms
+        )
         == checked_at_ms
     )
 
@@ -72,7 +74,12 @@
     stale_harness.confirm_list()
 
     assert stale_harness.worker(stale_harness.warm_id).latest_start_ms is None
-    assert stale_harness.router.connection_cutoff_ms(stale_harness.warm_id, stale_harness.now_ms) == math.inf
+    assert (
+        stale_harness.router.connection_policy.connection_cutoff_ms(
+            stale_harness.warm_id, stale_harness.now_ms
+        )
+        == math.inf
+    )
 
 
 def test_older_event_does_not_undo_a_drain_that_the_worker_reported(stale_harness):
@@ -153,8 +160,8 @@
 def test_run_time_check_grants_the_whole_grace_and_no_more(harness):
     confirmed_until_ms = harness.leases.list_expires_ms + LEASE_MARGIN_MS
 
-    assert harness.router.is_within_drain_grace(harness.warm_id, confirmed_until_ms - 1)
-    assert not harness.router.is_within_drain_grace(harness.warm_id, confirmed_until_ms)
+    assert harness.router.connection_policy.is_within_drain_grace(harness.warm_id, confirmed_until_ms - 1)
+    assert not harness.router.connection_policy.is_within_drain_grace(harness.warm_id, confirmed_until_ms)
 
 
 def test_run_time_check_grants_the_grace_after_an_answer_that_a_drain_has_followed(stale_harness):
@@ -162,10 +169,10 @@
     stale_harness.answer_health_check(stale_harness.warm_id)
     stale_harness.answer_health_check(stale_harness.warm_id, Readiness.DRAINING)
 
-    assert stale_harness.router.is_within_drain_grace(
+    assert stale_harness.router.connection_policy.is_within_drain_grace(
         stale_harness.warm_id, checked_at_ms + DRAIN_GRACE_MS - 1
     )
-    assert not stale_harness.router.is_within_drain_grace(
+    assert not stale_harness.router.connection_policy.is_within_drain_grace(
         stale_harness.warm_id, checked_at_ms + DRAIN_GRACE_MS
     )
 
--- a/tests/helpers/__init__.py
+++ b/tests/helpers/__init__.py
@@ -18,9 +18,9 @@
 `ProcessHarness` and `ProgramLauncher` use the fake peers `fake_client.FakeClient`, `fake_worker.FakeWorker`
 and `fake_endpoint_log.FakeEndpointLog`. A fake peer never blocks: when the test or its harness calls
 `receive`, the peer reads the bytes that have arrived. `serving_worker.ServingWorker` answers all requests,
-and `faulty_endpoint_log.FaultyEndpointLog` sends heartbeats and can fail in several ways. `client_messages`
-encodes and decodes the messages of clients. `configuration` builds configurations and events of the endpoint
-log.
+and `faulty_endpoint_log.FaultyEndpointLog` sends heartbeats and can fail in several ways;
+`serving_cluster.ServingCluster` runs a router process between them and a client. `client_messages` encodes
+and decodes the messages of clients. `configuration` builds configurations and events of the endpoint log.
 
 `fake_clock` replaces the monotonic clock, `sockets` waits for a socket to become readable, `readers` passes
 data to a parser in chunks, `repository` has the paths of the source folders and finds the imports of a
--- /dev/null
+++ b/tests/helpers/serving_cluster.py
@@ -0,0 +1,86 @@
+"""Runs a router process with an endpoint log, workers that serve, and a client that sends at a fixed rate."""
+
+import signal
+import time
+
+from helpers.client_messages import AnswerKind
+from helpers.configuration import SETTINGS
+from helpers.fake_client import FakeClient
+from helpers.faulty_endpoint_log import FaultyEndpointLog
+from helpers.serving_worker import ServingWorker
+
+DRAIN_GRACE_MS = 1_000.0
+
+FUNCTIONS = [f"{number:016x}" for number in range(8)]
+REQUEST_INTERVAL_S = 0.02
+POLL_S = 0.001
+TIMEOUT_MS = "400"
+
+
+class ServingCluster:
+    """A router process, its endpoint log, two workers, and a client that sends requests at a fixed rate.
+
+    Attributes:
+        workers: The workers.
+        endpoint_log: The endpoint log.
+        program: The router process.
+        client: The client.
+        class_name: The class of the client's requests.
+        sent_at_s: When each request was sent, by sequence number.
+    """
+
+    def __init__(self, launcher, exit_stack, log_fault=None, class_name="view", **settings):
+        """Start the router and its peers, and connect the client.
+
+        Args:
+            launcher: Starts the router process.
+            exit_stack: Closes the peers after the test.
+            log_fault: The failure of the endpoint log at startup.
+            class_name: The class of the client's requests.
+            settings: Sections that replace those of the default settings. The drain grace is kept, unless
+                `invariants` has one.
+        """
+        self.workers = [ServingWorker("s-1"), ServingWorker("s-2")]
+        self.endpoint_log = FaultyEndpointLog()
+        self.endpoint_log.fail(log_fault)
+        for peer in (self.endpoint_log, *self.workers):
+            exit_stack.callback(peer.close)
+        config = launcher.make_config(*(worker.record() for worker in self.workers))
+        settings["invariants"] = {"drain_grace": DRAIN_GRACE_MS, **settings.get("invariants", {})}
+        config["settings"] = SETTINGS | settings
+        config["changelog"] = self.endpoint_log.host_port
+        self._launcher = launcher
+        self._config = config
+        self.program = launcher.launch(config)
+        host, port = self.program.stderr.readline().rsplit(" ", 1)[1].strip().split(":")
+        self.client = FakeClient((host, int(port)))
+        exit_stack.callback(self.client.close)
+        self.class_name = class_name
+        self.sent_at_s = {}
+
+    def reload(self, **changes):
+        """Change the configuration file, and make the router reload it."""
+        self._launcher.rewrite_config(self._config | changes)
+        self.program.send_signal(signal.SIGHUP)
+
+    def run(self, seconds, *, sends_requests=True):
+        """Run all peers for some time; the client sends requests unless `sends_requests` is false."""
+        end_s = time.monotonic() + seconds
+        next_request_s = time.monotonic()
+        while (now_s := time.monotonic()) < end_s:
+            if sends_requests and now_s >= next_request_s:
+                next_request_s += REQUEST_INTERVAL_S
+                self._send_request(now_s)
+            for peer in (self.endpoint_log, *self.workers, self.client):
+                peer.receive()
+            time.sleep(POLL_S)
+
+    def _send_request(self, now_s):
+        function = FUNCTIONS[len(self.sent_at_s) % len(FUNCTIONS)]
+        self.sent_at_s[self.client.send_request(self.class_name, row=function, ttl=TIMEOUT_MS)] = now_s
+
+    def served_share(self, since_s, until_s):
+        """Return the served share of the requests that were sent in this interval."""
+        kinds = self.client.answer_kinds()
+        sent = [seqid for seqid, at_s in self.sent_at_s.items() if since_s <= at_s < until_s]
+        return sum(kinds.get(seqid) is AnswerKind.ANSWER for seqid in sent) / len(sent)
--- a/tests/helpers/serving_worker.py
+++ b/tests/helpers/serving_worker.py
@@ -7,9 +7,10 @@
 from function_router.net.codecs import worker_frames
 from helpers.fake_worker import FakeWorker
 
-# Codes of health check frames, which the operator's protocol defines. They are repeated here, so that a test
-# fails if `worker_frames` has a wrong one.
+# Codes of health checks and of an error, which the operator's protocol defines. They are repeated here, so
+# that a test fails if `worker_frames` has a wrong one.
 HEALTH_CHECK = 3
+ERROR_ANSWER = 4
 READY_ANSWER = 6
 DRAINING_ANSWER = 7
 
@@ -30,6 +31,8 @@
         is_draining: Whether the worker rejects new work.
         is_unresponsive: Whether the worker neither reads nor answers anything.
         has_instances: Whether an instance is running; if not, the next request starts one.
+        fails_after_run: Whether the answer to a request is an error, after which the request may have run.
+        run_ids: The ids of the requests that have run, in order.
         new_work: The received new work, in order.
         health_checks: When health checks were read, in seconds on the monotonic clock.
     """
@@ -39,6 +42,8 @@
         self.is_draining = False
         self.is_unresponsive = False
         self.has_instances = False
+        self.fails_after_run = False
+        self.run_ids = []
         self.new_work = []
         self.health_checks = []
 
@@ -59,6 +64,19 @@
         self.is_draining = False
         self.has_instances = False
 
+    def replace(self):
+        """Stop, and let another worker serve at the same address, which fails after each run.
+
+        Returns:
+            The ids of the requests that have run before.
+        """
+        ids_before = self.run_ids
+        self.stop()
+        self.restart()
+        self.fails_after_run = True
+        self.run_ids = []
+        return ids_before
+
     def new_work_after(self, at_s):
         """Return the new work that was read after this time."""
         return [work for work in self.new_work if work.at_s > at_s]
@@ -81,7 +99,11 @@
             return
         start_kind = worker_frames.REUSED if self.has_instances else worker_frames.STARTED
         self.has_instances = True
-        self.answer(received, fields=f"res={start_kind},company=0", body=b"served")
+        self.run_ids.append(received.frame.exchange_id)
+        if self.fails_after_run:
+            self.answer(received, ERROR_ANSWER, fields="company=0")
+        else:
+            self.answer(received, fields=f"res={start_kind},company=0", body=b"served")
 
     def _answer_start_order(self, received, instances, now_s):
         if instances:
--- a/tests/net/test_endpoint_registry.py
+++ b/tests/net/test_endpoint_registry.py
@@ -30,6 +30,10 @@
         elif address is not None:
             self.addresses[worker_id] = address
 
+    def has_other_address(self, worker_id, address):
+        """Return whether the worker is at another address; None stands for any address."""
+        return address is not None and self.addresses.get(worker_id, address) != address
+
     def workers_at(self, address):
         """Return the ids of the workers at an address."""
         return [worker_id for worker_id, at in self.addresses.items() if at == address]
@@ -207,6 +211,38 @@
     ]
 
 
+@pytest.mark.parametrize("change", [{"cell": 2}, {"locality": "west"}], ids=["cell", "zone"])
+def test_worker_with_another_cell_or_zone_is_another_process(registry_harness, change):
+    # Guards against a repeat in the new cell of a request that ran in the old one.
+    worker_id = worker_id_of("s-1")
+    registry_harness.apply(record("s-1", cell=1), complete=True)
+    registry_harness.pool.updates.clear()
+
+    changed = registry_harness.apply(record("s-1", **({"cell": 1} | change)))
+
+    assert changed == [(worker_id, WorkerState.REMOVED), (worker_id, WorkerState.READY)]
+    assert [update[2] for update in registry_harness.pool.updates] == [WorkerState.REMOVED, WorkerState.READY]
+
+
+def test_worker_with_another_address_is_another_process_and_keeps_its_queued_exchanges(registry_harness):
+    worker_id = worker_id_of("s-1")
+    registry_harness.apply(record("s-1"), complete=True)
+    registry_harness.pool.updates.clear()
+
+    changed = registry_harness.apply(record("s-1", host_port="10.1.0.9:4199"))
+
+    assert changed == [(worker_id, WorkerState.REMOVED), (worker_id, WorkerState.READY)]
+    assert [update[2] for update in registry_harness.pool.updates] == [WorkerState.READY]
+
+
+def test_repeated_or_removed_record_is_no_other_process(registry_harness):
+    worker_id = worker_id_of("s-1")
+    registry_harness.apply(record("s-1", cell=1), complete=True)
+
+    assert registry_harness.apply(record("s-1", cell=1)) == [(worker_id, WorkerState.READY)]
+    assert registry_harness.apply(record("s-1", "terminated")) == [(worker_id, WorkerState.REMOVED)]
+
+
 # --- start times and a wall clock that may be wrong
 
 
--- a/tests/net/test_event_ordering_requests.py
+++ b/tests/net/test_event_ordering_requests.py
@@ -4,7 +4,6 @@
 established, or an attempt is about to be sent, before the router reads that the client has disconnected.
 """
 
-import math
 from unittest import mock
 
 import pytest
@@ -232,7 +231,7 @@
     harness.table.send(SendRequest(key, UNLISTED_WORKER_ID))
     harness.table.cancel_attempt(CancelAttempt(key, 0))
 
-    assert request.first_run_at_ms == math.inf
+    assert request.first_run is None
 
 
 @pytest.mark.parametrize(
@@ -252,7 +251,7 @@
     worker.answer(worker.requests[0], code=code)
     harness.run_until(lambda: not harness.table.attempts.by_key, "the attempt ends")
 
-    assert (request.first_run_at_ms < math.inf) == opens_window
+    assert (request.first_run is not None) == opens_window
 
 
 @pytest.mark.parametrize(
--- a/tests/net/test_health_checks.py
+++ b/tests/net/test_health_checks.py
@@ -64,7 +64,10 @@
 
 def has_lease(harness, worker):
     process = harness.router_process
-    return process.router.connection_cutoff_ms(worker.worker_id, process.loop.clock.now_ms()) > 0
+    return (
+        process.router.connection_policy.connection_cutoff_ms(worker.worker_id, process.loop.clock.now_ms())
+        > 0
+    )
 
 
 # --- the answers
--- a/tests/soak_test/test_checker.py
+++ b/tests/soak_test/test_checker.py
@@ -197,6 +197,30 @@
     assert check(unsettled, incarnation=killed) == set()
 
 
+@pytest.mark.parametrize(
+    ("cell", "violated"), [(1, set()), (2, {Rule.SCOPE})], ids=["same cell", "other cell"]
+)
+def test_repeat_at_a_worker_that_took_over_an_address_counts_by_its_own_cell(check, cell, violated):
+    replaced = WorkerIncarnation(WORKER, "s-0", 90.0, is_in_slow_start=False, cell=1)
+    successor = WorkerIncarnation(WORKER, "s-0x", 100.2, is_in_slow_start=False, cell=cell)
+    attempts = [attempt_at(100.1, class_name="save"), attempt_at(100.3, class_name="save")]
+
+    violations = check(SENT_SAVE, SERVED, *attempts, worker_incarnations=[replaced, successor])
+
+    assert violations == violated
+
+
+def test_first_run_of_a_keyed_request_may_be_in_another_cell_than_an_attempt_that_never_ran(check):
+    workers = [
+        WorkerIncarnation(number, f"s-{number}", 90.0, is_in_slow_start=False, cell=number)
+        for number in (0, 1)
+    ]
+    never_ran = answer_at(100.15, frames.QUEUE_FULL)
+    attempts = [attempt_at(100.1, class_name="save"), attempt_at(100.3, worker=1, class_name="save")]
+
+    assert check(SENT_SAVE, SERVED, never_ran, *attempts, worker_incarnations=workers) == set()
+
+
 @pytest.mark.parametrize(
     "successors", [[WorkerIncarnation(WORKER, "s-0x", 110.0, is_in_slow_start=False)], []]
 )
--- a/tests/soak_test/test_module_process.py
+++ b/tests/soak_test/test_module_process.py
@@ -25,7 +25,7 @@
 
 def test_process_prints_its_port_and_stops_listening_after_clean_up():
     async def start_and_clean_up():
-        process = await ModuleProcess.start("soak.worker")
+        process = await ModuleProcess.start("soak.worker", "0.0")
         try:
             port = int(await process.read_line())
             _, writer = await asyncio.open_connection("127.0.0.1", port)
--- a/tests/test_stale_endpoint_list.py
+++ b/tests/test_stale_endpoint_list.py
@@ -6,97 +6,25 @@
 """
 
 import math
-import signal
 import time
 
 import pytest
 from helpers.client_messages import AnswerKind
 from helpers.configuration import SETTINGS, endpoint_event
-from helpers.fake_client import FakeClient
-from helpers.faulty_endpoint_log import FaultyEndpointLog
-from helpers.serving_worker import ServingWorker
+from helpers.serving_cluster import DRAIN_GRACE_MS
 
 from soak.endpoint_log import EndpointLogFailure
 
-DRAIN_GRACE_MS = 1_000.0
 GRACE_S = DRAIN_GRACE_MS / 1000 + 0.05  # from the notification; with the protocol's allowance for sockets
 NOTIFIED_AFTER_BREAK_S = 2.0
 NOTIFIED_AFTER_SILENCE_S = 4.0
 
-FUNCTIONS = [f"{number:016x}" for number in range(8)]
-REQUEST_INTERVAL_S = 0.02
 BASELINE_S = 1.5  # duration of the traffic before the log fails
 OUTAGE_S = 7.0  # duration of the outage after the drain
 DRAIN_DELAY_S = 0.5  # between the failure of the log and the drain
 MAX_LOST_SHARE = 0.05  # maximum decrease of the served share of requests during the outage
-POLL_S = 0.001
 ANSWER_WAIT_S = 0.5  # wait for the answers to the last requests
 MAX_CHECKS_PER_S = 1.5  # for each worker
-TIMEOUT_MS = "400"
-
-
-class Cluster:
-    """A router process, its endpoint log, two workers, and a client that sends requests at a fixed rate."""
-
-    def __init__(self, launcher, exit_stack, log_fault=None, **settings):
-        """Start the router and its peers, and connect the client.
-
-        Args:
-            launcher: Starts the router process.
-            exit_stack: Closes the peers after the test.
-            log_fault: The failure of the endpoint log at startup.
-            settings: Sections that replace those of the default settings. The drain grace is kept, unless
-                `invariants` has one.
-        """
-        self.workers = [ServingWorker("s-1"), ServingWorker("s-2")]
-        self.endpoint_log = FaultyEndpointLog()
-        self.endpoint_log.fault = log_fault
-        for peer in (self.endpoint_log, *self.workers):
-            exit_stack.callback(peer.close)
-        config = launcher.make_config(*(worker.record() for worker in self.workers))
-        settings["invariants"] = {"drain_grace": DRAIN_GRACE_MS, **settings.get("invariants", {})}
-        config["settings"] = SETTINGS | settings
-        config["changelog"] = self.endpoint_log.host_port
-        self._launcher = launcher
-        self._config = config
-        self.program = launcher.launch(config)
-        host, port = self.program.stderr.readline().rsplit(" ", 1)[1].strip().split(":")
-        self.client = FakeClient((host, int(port)))
-        exit_stack.callback(self.client.close)
-        self.sent_at_s = {}  # when each request was sent, by sequence number
-
-    def reload(self, **changes):
-        """Change the configuration file, and make the router reload it."""
-        self._launcher.rewrite_config(self._config | changes)
-        self.program.send_signal(signal.SIGHUP)
-
-    def run(self, seconds, *, sends_requests=True):
-        """Run all peers for some time; the client sends requests unless `sends_requests` is false."""
-        end_s = time.monotonic() + seconds
-        next_request_s = time.monotonic()
-        while (now_s := time.monotonic()) < end_s:
-            if sends_requests and now_s >= next_request_s:
-                next_request_s += REQUEST_INTERVAL_S
-                self._send_request(now_s)
-            for peer in (self.endpoint_log, *self.workers, self.client):
-                peer.receive()
-            time.sleep(POLL_S)
-
-    def _send_request(self, now_s):
-        function = FUNCTIONS[len(self.sent_at_s) % len(FUNCTIONS)]
-        self.sent_at_s[self.client.send_request(row=function, ttl=TIMEOUT_MS)] = now_s
-
-    def served_share(self, since_s, until_s):
-        """Return the served share of the requests that were sent in this interval."""
-        kinds = self.client.answer_kinds()
-        sent = [seqid for seqid, at_s in self.sent_at_s.items() if since_s <= at_s < until_s]
-        return sum(kinds.get(seqid) is AnswerKind.ANSWER for seqid in sent) / len(sent)
-
-
-@pytest.fixture
-def make_cluster(launcher, exit_stack):
-    """A function that creates a cluster; it takes the keyword arguments of `Cluster`."""
-    return lambda **options: Cluster(launcher, exit_stack, **options)
 
 
 @pytest.fixture
