Give a list that the endpoint log has never confirmed no lease

Cause: EndpointLeases.record_interrupted took the first connect of a process for an interruption of a list that had been current, and granted it the rest of the grace from then on. The list of the configuration was written before the process started, so nobody in it knows its age.

A single router on an idle machine, started with a list whose worker has drained before, sends to it at once.

Change: a list that the log has never confirmed has no lease, so that new work needs a health check of its worker, orders as well as requests. The run-time check counts by the same time, and the log says "endpoint list is not confirmed yet" where it used to state a confirmation that never was. The fake endpoint log of the tests confirms the first request, as a real one does.

Why it works: a lease now starts with an observation of this process only, either a heartbeat or the send of a health check.

Tests: test_worker_that_drained_before_the_router_started_during_a_log_outage_gets_no_new_work failed before in all three cases: "assert [NewWork(at_s...ttempt=False)] == []". test_list_that_was_never_confirmed_has_no_lease takes the place of test_list_that_was_never_confirmed_is_current_for_one_lease, which expected the fault; test_lease_follows_the_drain_grace_of_the_settings now confirms the list first and checks both sides of the bound.

--- a/function_router/decisions/endpoint_leases.py
+++ b/function_router/decisions/endpoint_leases.py
@@ -1,7 +1,8 @@
 """Leases on the endpoint list and on single workers, which decide whether a worker may get new work.
 
 The endpoint log reports past states. While the router is connected to the log, the log's heartbeats renew a
-lease on the whole list. Once that lease has expired, a worker may have drained or restarted unnoticed. New
+lease on the whole list. The first heartbeat starts this lease, as nobody knows how old the list in the
+configuration of a new process is. Without the lease, a worker may have drained or restarted unnoticed. New
 work then goes only to workers with a lease of their own, which they get by answering a health check with
 ready. A lease starts when the health check is sent. It ends before the drain grace, which is how long new
 work may still go to a worker after its drain is announced. (Leases: Gray and Cheriton, "Leases: An Efficient
@@ -85,7 +86,7 @@
         # Latest time at which the list is known to have been complete; None before the first confirmation.
         self._confirmed_ms: float | None = None
         self._interrupted_ms = math.inf  # time of the first interruption since the last confirmation
-        self._first_interrupted_ms = math.inf  # time of the first interruption, reported at startup
+        self._follows_since_ms = math.inf  # time of the first interruption, which is reported at startup
         # By id, the workers with results of health checks that the list has not superseded yet.
         self._checked: dict[int, Worker] = {}
 
@@ -93,11 +94,14 @@
 
     @property
     def list_expires_ms(self) -> float:
-        """The time at which the lease on the list ends unless it is renewed."""
-        expires_ms = self._interrupted_ms + self._lease_ms
+        """The time at which the lease on the list ends unless it is renewed.
+
+        A list that the log has never confirmed has no lease.
+        """
         if self._confirmed_ms is None:
-            return expires_ms
-        return min(expires_ms, self._confirmed_ms + MAX_LOG_SILENCE_MS + self._lease_ms)
+            return -math.inf if self._follows_since_ms < math.inf else math.inf
+        silent_from_ms = self._confirmed_ms + MAX_LOG_SILENCE_MS
+        return min(self._interrupted_ms, silent_from_ms) + self._lease_ms
 
     def is_list_current(self, now_ms: float) -> bool:
         """Return whether the lease on the list is valid."""
@@ -131,7 +135,7 @@
         Its remaining time counts from the first interruption since the last confirmation.
         """
         self._interrupted_ms = min(self._interrupted_ms, now_ms)
-        self._first_interrupted_ms = min(self._first_interrupted_ms, now_ms)
+        self._follows_since_ms = min(self._follows_since_ms, now_ms)
 
     # --- workers --------------------------------------------------------------------------------
 
@@ -255,7 +259,7 @@
         connection since that evidence.
         """
         lease = worker.lease
-        list_as_of_ms = self._first_interrupted_ms if self._confirmed_ms is None else self._confirmed_ms
+        list_as_of_ms = self._follows_since_ms if self._confirmed_ms is None else self._confirmed_ms
         process_seen_ms = max(list_as_of_ms, lease.process_seen_ms)
         if event.connected_at_ms <= process_seen_ms:
             return False
--- a/function_router/net/endpoint_list_status.py
+++ b/function_router/net/endpoint_list_status.py
@@ -19,7 +19,7 @@
         read_last_sequence: Callable[[], int],
         log: Callable[[str], None],
     ) -> None:
-        """Create the status of a list that counts as current until the first check.
+        """Create the status of a list that the log has not confirmed yet.
 
         Args:
             router: The decision module, which decides whether the list is current.
@@ -33,7 +33,8 @@
         self._start_times = start_times
         self._read_last_sequence = read_last_sequence
         self._log = log
-        self._confirmed_at_ms = loop.clock.now_ms()
+        self._created_at_ms = loop.clock.now_ms()
+        self._confirmed_at_ms: float | None = None
         self._is_stale = False
 
     def on_confirmed(self) -> None:
@@ -44,25 +45,27 @@
         earlier poll.
         """
         self._start_times.on_caught_up()
-        self._confirmed_at_ms = self._loop.clock.from_monotonic_ms(self._loop.previous_poll_ms)
-        self._loop.submit(EndpointListConfirmed(self._confirmed_at_ms))
+        confirmed_at_ms = self._loop.clock.from_monotonic_ms(self._loop.previous_poll_ms)
+        self._confirmed_at_ms = confirmed_at_ms
+        self._loop.submit(EndpointListConfirmed(confirmed_at_ms))
 
     def on_interrupted(self) -> None:
         """Report that the router currently does not follow the log."""
         self._loop.submit(EndpointListInterrupted())
 
     def check(self) -> None:
-        """Log whether the list has gone out of date, or is current again, since the last check."""
+        """Log whether the list has gone out of date, or is current, since the last check."""
         now_ms = self._loop.clock.now_ms()
         is_stale = not self._router.is_endpoint_list_current(now_ms)
         if is_stale is self._is_stale:
             return
         self._is_stale = is_stale
-        sequence = self._read_last_sequence()
-        if is_stale:
-            age_ms = now_ms - self._confirmed_at_ms
-            self._log(
-                f"endpoint list is out of date: last confirmed {age_ms:.0f} ms ago, at event {sequence}"
-            )
+        event = f"at event {self._read_last_sequence()}"
+        if not is_stale:
+            self._log(f"endpoint list is current again, {event}")
+        elif self._confirmed_at_ms is None:
+            age_ms = now_ms - self._created_at_ms
+            self._log(f"endpoint list is not confirmed yet: router started {age_ms:.0f} ms ago, {event}")
         else:
-            self._log(f"endpoint list is current again, at event {sequence}")
+            age_ms = now_ms - self._confirmed_at_ms
+            self._log(f"endpoint list is out of date: last confirmed {age_ms:.0f} ms ago, {event}")
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -15,16 +15,13 @@
 from soak.cluster import Cluster
 from soak.log_outage import inject_endpoint_log_outage
 from soak.plan import Fault, FaultKind
+from soak.router_changes import kill_and_restart, terminate_and_restart
 from soak.router_slot import RouterSlot
 from soak.worker_changes import drain_and_replace, publish_ready
 from soak.worker_slot import WorkerSlot
 
 BURST_FACTOR = 2.5  # factor on the plan's request rate
 BAD_CLIENTS_PER_S = 20.0
-ROUTER_DOWNTIME_S = 0.3  # from the exit of a router to the start of its next process
-SIGTERM_DETECTION_S = 0.3  # from SIGTERM until clients open no more connections to the router
-# From a kill until clients avoid the router; has to be below MAX_KILL_DETECTION_S of soak/request_rules.py.
-KILL_DETECTION_S = 0.8
 SIGHUP_COUNT = 4
 MAX_SIGNAL_INTERVAL_S = 0.2
 MAX_INTENSITY_WITHOUT_ROLL = 0.5  # above this, a series of signals includes a rolling restart
@@ -58,32 +55,13 @@
 
 
 async def roll_router(cluster: Cluster, router: RouterSlot, _fault: Fault) -> None:
-    """Restart a router with SIGTERM, as a rolling deployment does.
-
-    Clients open connections for a short time after SIGTERM, and use open ones until the process has exited.
-    """
-    ending = asyncio.create_task(router.terminate())
-    await asyncio.sleep(SIGTERM_DETECTION_S)
-    await cluster.traffic.stop_connecting_to(router.number)
-    await ending
-    await cluster.traffic.avoid_router(router.number)
-    await _restart_router(cluster, router)
+    """Restart a router with SIGTERM."""
+    await terminate_and_restart(cluster, router)
 
 
 async def kill_router(cluster: Cluster, router: RouterSlot, _fault: Fault) -> None:
-    """Kill a router with SIGKILL, which clients notice only later, then start a new process."""
-    ending = asyncio.create_task(router.kill())
-    await asyncio.sleep(KILL_DETECTION_S)
-    await cluster.traffic.avoid_router(router.number)
-    await ending
-    await _restart_router(cluster, router)
-
-
-async def _restart_router(cluster: Cluster, router: RouterSlot) -> None:
-    await asyncio.sleep(ROUTER_DOWNTIME_S)
-    await cluster.start_router(router)
-    if router.incarnation.ready_at:
-        await cluster.traffic.use_router(router.number, router.config.port)
+    """Kill a router, and start a new process."""
+    await kill_and_restart(cluster, router)
 
 
 async def pause_router(_cluster: Cluster, router: RouterSlot, fault: Fault) -> None:
@@ -251,9 +229,12 @@
 
 @dataclass(frozen=True, slots=True)
 class EndpointLogFault:
-    """A fault of all endpoint logs. It also replaces workers, and excludes worker faults of their slots."""
+    """A fault of all endpoint logs. It also replaces workers and restarts routers.
+
+    It excludes worker faults of their slots, and exclusive faults of the routers.
+    """
 
-    inject: Callable[[Cluster, list[WorkerSlot], Fault], Awaitable[None]]
+    inject: Callable[[Cluster, list[WorkerSlot], list[RouterSlot], Fault], Awaitable[None]]
 
 
 FAULTS: Final[dict[FaultKind, RouterFault | WorkerFault | ClientFault | EndpointLogFault]] = {
--- a/soak/injector.py
+++ b/soak/injector.py
@@ -36,13 +36,19 @@
                 await client_fault.inject(self._cluster, fault)
 
     async def _inject_into_endpoint_logs(self, endpoint_log_fault: EndpointLogFault, fault: Fault) -> None:
-        """Inject a fault of all endpoint logs unless one is active; reserve the workers that it replaces."""
+        """Inject a fault of all endpoint logs unless one is active; reserve the workers and the routers."""
         if self._is_endpoint_log_outage_active:
             return
         self._is_endpoint_log_outage_active = True
-        with _reserve(fault.workers, self._busy_workers) as workers:
+        with (
+            _reserve(fault.workers, self._busy_workers) as workers,
+            _reserve(fault.routers, self._busy_routers) as routers,
+        ):
             await endpoint_log_fault.inject(
-                self._cluster, [self._cluster.workers[number] for number in workers], fault
+                self._cluster,
+                [self._cluster.workers[number] for number in workers],
+                [self._cluster.routers[number] for number in routers],
+                fault,
             )
         self._is_endpoint_log_outage_active = False
 
--- a/soak/log_outage.py
+++ b/soak/log_outage.py
@@ -1,4 +1,4 @@
-"""A long outage of all endpoint logs, during which workers drain and restart without instances."""
+"""A long outage of all endpoint logs, during which workers drain and restart, and routers restart."""
 
 import asyncio
 import time
@@ -6,6 +6,8 @@
 from soak.cluster import Cluster
 from soak.endpoint_log import EndpointLogFailure
 from soak.plan import Fault
+from soak.router_changes import KILL_DETECTION_S, ROUTER_DOWNTIME_S, kill_and_restart
+from soak.router_slot import RouterSlot
 from soak.run_record import EndpointLogOutage
 from soak.worker_changes import drain_and_replace
 from soak.worker_slot import WorkerSlot
@@ -17,17 +19,54 @@
 MAX_DRAINED_AT_ONCE = 2
 
 
-async def inject_endpoint_log_outage(cluster: Cluster, slots: list[WorkerSlot], fault: Fault) -> None:
-    """Fail all endpoint logs in the same way, and meanwhile drain and replace workers."""
+# From the start of the outage to the kill of routers. Events that are published when these have started again
+# count as notified at once.
+KILL_DELAY_S = 3.2
+RESTART_DELAY_S = KILL_DETECTION_S + ROUTER_DOWNTIME_S  # from the kill to the start of the next process
+CONFIGURATION_S = 0.1  # from the start of a process until its configuration has been written
+MIN_OUTAGE_WITH_RESTARTS_S = 6.0
+
+
+async def inject_endpoint_log_outage(
+    cluster: Cluster, slots: list[WorkerSlot], routers: list[RouterSlot], fault: Fault
+) -> None:
+    """Fail all endpoint logs in the same way, and meanwhile replace workers and restart routers."""
     failures = list(EndpointLogFailure)
     failure = failures[int(fault.intensity * len(failures))]
     outage_s = cluster.plan.log_outage_s or LOG_OUTAGE_FACTOR * fault.duration_s
     began = time.monotonic()
     outages = [server.fail(failure, outage_s) for server in cluster.endpoints.servers]
-    await asyncio.gather(*outages, _replace_workers(cluster, slots, outage_s))
+    last_slots: list[WorkerSlot] = []
+    if outage_s >= MIN_OUTAGE_WITH_RESTARTS_S:
+        last_slots = slots[-1:]
+        slots = slots[:-1]
+    else:
+        routers = []
+    await asyncio.gather(
+        *outages,
+        _replace_workers(cluster, slots, outage_s),
+        _restart_routers(cluster, routers, last_slots, outage_s),
+    )
     cluster.endpoint_log_outages.append(EndpointLogOutage(failure.name, began, time.monotonic()))
 
 
+async def _restart_routers(
+    cluster: Cluster, routers: list[RouterSlot], slots: list[WorkerSlot], outage_s: float
+) -> None:
+    """Kill and restart the routers; drain and replace the workers while the new processes start.
+
+    The configuration of the new processes shows the workers as ready, and so do their endpoint logs.
+    """
+    await asyncio.sleep(KILL_DELAY_S)
+    restarts = [asyncio.create_task(kill_and_restart(cluster, router)) for router in routers]
+    await asyncio.sleep(RESTART_DELAY_S + CONFIGURATION_S)
+    drain_s = DRAIN_SHARE * outage_s
+    replacements = [
+        drain_and_replace(cluster, slot, drain_s, new_name=f"{slot.incarnation.name}x") for slot in slots
+    ]
+    await asyncio.gather(*restarts, *replacements)
+
+
 async def _replace_workers(cluster: Cluster, slots: list[WorkerSlot], outage_s: float) -> None:
     """Drain and replace the workers, a few at a time; every other one keeps its name."""
     end = time.monotonic() + outage_s
--- a/soak/request_rules.py
+++ b/soak/request_rules.py
@@ -14,7 +14,7 @@
 MAX_AFTER_CLIENT_GONE_S = 0.1  # from a client's cancellation or close to the last attempt for it
 TIMEOUT_SLACK_S = 0.15  # by which the timeout sent to a worker may exceed the client's remaining time
 # Maximum time from a router's exit until clients stop sending requests to it. It has to be above
-# KILL_DETECTION_S of soak/faults.py, after which the clients stop.
+# KILL_DETECTION_S of soak/router_changes.py, after which the clients stop.
 MAX_KILL_DETECTION_S = 1.0
 KILL_MARGIN_S = 0.01  # tolerance between the recorded kill and the deadline of a request
 
--- a/tests/decisions/test_endpoint_leases.py
+++ b/tests/decisions/test_endpoint_leases.py
@@ -3,7 +3,7 @@
 import math
 
 import pytest
-from helpers.decision_harness import DecisionHarness, actions_of, start_orders
+from helpers.decision_harness import TIMER_STEP_MS, DecisionHarness, actions_of, start_orders
 from helpers.lease_harness import DRAIN_GRACE_MS, LEASE_MS, LeaseHarness, checked, sent_to
 
 from function_router.decisions.actions import LogMessage, NoteWithheld, SendRequest
@@ -46,12 +46,35 @@
     assert not harness.router.is_endpoint_list_current(until_ms)
 
 
-def test_list_that_was_never_confirmed_is_current_for_one_lease():
+def test_list_that_was_never_confirmed_has_no_lease():
+    # Guards against new work for workers that drained before the router started during a log outage.
     harness = DecisionHarness(drain_grace_ms=DRAIN_GRACE_MS)
     harness.feed(EndpointListInterrupted())
 
-    assert harness.router.is_endpoint_list_current(LEASE_MS - 1)
-    assert not harness.router.is_endpoint_list_current(LEASE_MS)
+    assert not harness.router.is_endpoint_list_current(harness.now_ms)
+    assert not harness.router.connection_policy.is_within_drain_grace(1, harness.now_ms)
+
+
+def test_first_confirmation_starts_the_lease_on_the_list():
+    harness = DecisionHarness(drain_grace_ms=DRAIN_GRACE_MS)
+    harness.feed(EndpointListInterrupted())
+
+    harness.feed(EndpointListConfirmed(harness.now_ms))
+
+    assert harness.router.is_endpoint_list_current(MAX_LOG_SILENCE_MS + LEASE_MS - 1)
+    assert not harness.router.is_endpoint_list_current(MAX_LOG_SILENCE_MS + LEASE_MS)
+
+
+def test_router_that_starts_during_a_log_outage_checks_each_worker_before_new_work():
+    # Guards against requests and start orders for workers that drained before the router started.
+    harness = DecisionHarness(drain_grace_ms=DRAIN_GRACE_MS)
+    harness.feed(EndpointListInterrupted())
+
+    actions = harness.answer_probes(harness.request("r1"))
+    actions += harness.run_timer_until(harness.now_ms + 2 * TIMER_STEP_MS)
+
+    assert len(checked(harness.all_actions())) == 1
+    assert (start_orders(actions), sent_to(actions)) == ([], [])
 
 
 def test_old_confirmation_does_not_renew_the_lease(harness):
@@ -65,9 +88,11 @@
 
 def test_lease_follows_the_drain_grace_of_the_settings():
     harness = LeaseHarness()
+    harness.feed(EndpointListInterrupted())
     short = DecisionHarness(drain_grace_ms=300.0)
-    short.feed(EndpointListInterrupted())
+    short.feed(EndpointListConfirmed(0.0), EndpointListInterrupted())
 
+    assert short.router.is_endpoint_list_current(199.0)
     assert not short.router.is_endpoint_list_current(200.0)
     assert harness.leases.is_list_current(harness.now_ms + 200.0)
 
--- a/tests/helpers/faulty_endpoint_log.py
+++ b/tests/helpers/faulty_endpoint_log.py
@@ -20,7 +20,7 @@
     """
 
     def __init__(self, last_sequence=1):
-        super().__init__()
+        super().__init__(confirms_first_request=False)
         self.fault = None
         self.last_sequence = last_sequence
         self._next_at_s = {}  # by connection: when the next bytes are due
--- a/tests/helpers/process_harness.py
+++ b/tests/helpers/process_harness.py
@@ -36,7 +36,9 @@
         log_lines: The log lines of the router.
     """
 
-    def __init__(self, *workers, settings=None, limits=None, wait_for_log_request=True):
+    def __init__(
+        self, *workers, settings=None, limits=None, wait_for_log_request=True, is_list_confirmed=True
+    ):
         """Start a router.
 
         Args:
@@ -44,8 +46,9 @@
             settings: Sections of the settings that replace those of `SETTINGS`.
             limits: The section `limits` of the configuration.
             wait_for_log_request: Whether to run the router until it has sent its request to the endpoint log.
+            is_list_confirmed: Whether the endpoint log confirms the list then.
         """
-        self.endpoint_log = FakeEndpointLog()
+        self.endpoint_log = FakeEndpointLog(confirms_first_request=is_list_confirmed)
         self.clients = []
         self.log_lines = []
         self._listeners = [self.endpoint_log, *workers]
@@ -60,6 +63,12 @@
         self.router_process.start()
         if wait_for_log_request:
             self.run_until(self.endpoint_log.requests, "the endpoint log has received a request")
+        if wait_for_log_request and is_list_confirmed:
+            self.run_until(self._is_list_current, "the endpoint list is confirmed")
+
+    def _is_list_current(self):
+        now_ms = self.router_process.loop.clock.now_ms()
+        return self.router_process.router.is_endpoint_list_current(now_ms)
 
     def _log(self, text, _source=""):
         self.log_lines.append(text)
--- a/tests/helpers/program_launcher.py
+++ b/tests/helpers/program_launcher.py
@@ -77,9 +77,13 @@
         return inherited | {"ROUTER_CONFIG": str(config_path), "PYTHONPATH": str(ROOT)}
 
     def receive_until(self, client, condition, *others):
-        """Let the client and other peers receive until a condition holds; fail the test after a timeout."""
+        """Let the peers receive until a condition holds; fail the test after a timeout.
+
+        The peers are the client, the endpoint log that was opened last, and others.
+        """
+        peers = [peer for peer in (self.endpoint_log, client, *others) if peer is not None]
         for _ in range(MAX_POLLS):
-            for peer in (client, *others):
+            for peer in peers:
                 peer.receive()
             if condition():
                 return
--- a/tests/net/test_endpoint_list_status.py
+++ b/tests/net/test_endpoint_list_status.py
@@ -12,8 +12,8 @@
 
 @pytest.fixture
 def harness(start_router, worker):
-    """A router whose lease on the endpoint list is short, so that the list is soon out of date."""
-    return start_router(worker, settings={"invariants": {"drain_grace": GRACE_MS}})
+    """A router whose endpoint list has never been confirmed, and whose lease on the list is short."""
+    return start_router(worker, settings={"invariants": {"drain_grace": GRACE_MS}}, is_list_confirmed=False)
 
 
 def is_current(harness):
--- a/tests/net/test_health_checks.py
+++ b/tests/net/test_health_checks.py
@@ -38,11 +38,12 @@
 
 @pytest.fixture
 def stale_harness(start_router, worker):
-    """A router whose endpoint list was never confirmed and is out of date."""
-    harness = start_router(worker, settings={"invariants": {"drain_grace": GRACE_MS}})
+    """A router whose endpoint list was never confirmed and has no lease."""
+    harness = start_router(
+        worker, settings={"invariants": {"drain_grace": GRACE_MS}}, is_list_confirmed=False
+    )
     harness.round_trip(harness.connect_client())
     process = harness.router_process
-    process.router.fleet.leases._interrupted_ms -= GRACE_MS  # as if the router had started this long ago
     assert not process.router.is_endpoint_list_current(process.loop.clock.now_ms())
     return harness
 
--- a/tests/test_stale_endpoint_list.py
+++ b/tests/test_stale_endpoint_list.py
@@ -122,6 +122,30 @@
     assert cluster.served_share(since_s, time.monotonic() - ANSWER_WAIT_S) > 1 - MAX_LOST_SHARE
 
 
+@pytest.mark.parametrize(
+    "fault",
+    [
+        pytest.param(EndpointLogFailure.REFUSES, id="refused"),
+        pytest.param(EndpointLogFailure.IS_SILENT, id="silent"),
+        pytest.param(EndpointLogFailure.IS_BEHIND, id="behind"),
+    ],
+)
+def test_worker_that_drained_before_the_router_started_during_a_log_outage_gets_no_new_work(
+    make_cluster, fault
+):
+    # Guards against a lease on the list of the configuration, which is older than the process.
+    cluster = make_cluster(log_fault=fault)
+    [draining, _] = cluster.workers
+    draining.is_draining = True
+
+    cluster.run(2 * GRACE_S)
+    ended_s = time.monotonic()
+    cluster.run(ANSWER_WAIT_S, sends_requests=False)
+
+    assert draining.new_work == []
+    assert cluster.served_share(ended_s - GRACE_S, ended_s) > 1 - MAX_LOST_SHARE
+
+
 def test_events_received_after_an_outage_do_not_override_newer_health_check_answers(make_cluster):
     cluster = make_cluster()
     [draining, _] = cluster.workers
