--- a/soak/module_process.py
+++ b/soak/module_process.py
@@ -61,15 +61,19 @@
         self._process.stdin.write(msgspec.json.encode(command) + b"\n")
         await self._process.stdin.drain()
 
-    async def finish(self, timeout_s: float) -> None:
-        """Close the standard input, and wait for the process to exit; kill it if that takes too long."""
+    async def finish(self, timeout_s: float) -> int:
+        """Close the standard input, and wait for the process to exit; kill it if that takes too long.
+
+        Returns:
+            The exit status, or the negative number of the signal that ended the process.
+        """
         assert self._process.stdin
         self._process.stdin.close()
         try:
-            await asyncio.wait_for(self._process.wait(), timeout_s)
+            return await asyncio.wait_for(self._process.wait(), timeout_s)
         except TimeoutError:
             self._process.kill()
-            await self._process.wait()
+            return await self._process.wait()
 
     def pause(self) -> None:
         """Suspend the process with SIGSTOP."""
--- a/soak/worker_rules.py
+++ b/soak/worker_rules.py
@@ -10,7 +10,8 @@
 from soak.rules import MEASUREMENT_SLACK_S, Rule, Violation
 from soak.run_record import RouterIncarnation, WorkerIncarnation
 
-DRAIN_GRACE_S = 1.0 + 0.05  # from the notification of a drain to the last new work
+# From the notification of a drain to the last new work, with the 50 ms that the protocol adds on sockets.
+DRAIN_GRACE_S = 1.0 + 0.05
 START_ORDER_TOLERANCE = 1.15  # factor on the rate limit, plus one start order
 
 # An overload is a violation only if more than this share of the requests came from routers that had been
--- a/tests/decisions/test_process_identity.py
+++ b/tests/decisions/test_process_identity.py
@@ -8,7 +8,6 @@
 
 from function_router.decisions.actions import FailRequest
 from function_router.decisions.events import (
-    AttemptEnded,
     Endpoint,
     EndpointListConfirmed,
     EndpointsChanged,
@@ -109,20 +108,9 @@
         """Confirm the list so late that it identifies connections established at this time."""
         self.feed(EndpointListConfirmed(connected_ms + MAX_PUBLICATION_DELAY_MS))
 
-    def fail_after_run(self, send, connected_ms, attempt_number=0, outcome=Outcome.ERROR):
-        """Report that an attempt has ended on a connection from `connected_ms`, and may have run."""
-        transmission = Transmission(self.now_ms, connected_ms)
-        return self.feed(
-            AttemptEnded(
-                send.request_id,
-                attempt_number,
-                send.worker_id,
-                outcome,
-                1.0,
-                is_answered=False,
-                transmission=transmission,
-            )
-        )
+    def fail_after_run(self, send, connected_ms):
+        """Report that an attempt has failed on a connection from `connected_ms`, and may have run."""
+        return self.end_attempt(send, Outcome.ERROR, transmission=Transmission(self.now_ms, connected_ms))
 
     def send_keyed(self, request_id="keyed"):
         """Let a request with an idempotency key arrive, and return its first send."""
@@ -180,9 +168,7 @@
     harness.confirm_connections(harness.now_ms)
     [repeat] = actions_of(harness.fail_after_run(send, harness.now_ms), type(send))
 
-    actions = harness.feed(
-        AttemptEnded("keyed", 1, repeat.worker_id, Outcome.NOT_SENT, 0.0, is_answered=False)
-    )
+    actions = harness.end_attempt(repeat, Outcome.NOT_SENT, attempt_number=1)
 
     assert repeat.worker_id not in sent_to(actions)
 
--- a/tests/helpers/decision_harness.py
+++ b/tests/helpers/decision_harness.py
@@ -135,6 +135,7 @@
         is_answered=None,
         start_kind=StartKind.WARM,
         in_flight=None,
+        transmission=None,
     ):
         """Report the end of an attempt; by default, only an answer that is OK is passed to the client."""
         if is_answered is None:
@@ -149,6 +150,7 @@
                 is_answered,
                 start_kind,
                 in_flight,
+                transmission=transmission,
             )
         )
 
--- a/tests/soak_test/test_module_process.py
+++ b/tests/soak_test/test_module_process.py
@@ -8,6 +8,7 @@
 from soak.module_process import ModuleProcess
 
 SILENT_MODULE = "soak.errors"  # exits without output
+RUNNING_S = 0.5  # the process has to run at least this long while its input is open
 FINISH_TIMEOUT_S = 60.0  # far longer than an exit takes on a busy machine
 
 
@@ -40,10 +41,13 @@
 
 def test_process_exits_after_its_input_is_closed(tmp_path):
     async def start_and_finish():
-        process = await ModuleProcess.start("soak.clients", "1", "1", str(tmp_path / "clients.jsonl"))
+        process = await ModuleProcess.start("soak.clients", "1", "1", "1", str(tmp_path / "clients.jsonl"))
         try:
+            with pytest.raises(TimeoutError):
+                await asyncio.wait_for(process.read_line(), RUNNING_S)
             # `finish` kills the process after its timeout, so an exit in half of that is the process's own.
-            await asyncio.wait_for(process.finish(FINISH_TIMEOUT_S), FINISH_TIMEOUT_S / 2)
+            status = await asyncio.wait_for(process.finish(FINISH_TIMEOUT_S), FINISH_TIMEOUT_S / 2)
+            assert status == 0
         finally:
             await process.clean_up()
 
