Remove an unreachable scope, name a default after its answer, share a test's setup

Reading the change since once more: _is_in_scope kept a branch for the scope all, which its only caller no longer reaches; it shared its name with a method, and is _share_keys now. The default of Exchange.is_scoped_repeat returned False and was called _is_first_run. The two tests of test_deduplication_scope.py began an outage with the same lines.

--- a/function_router/decisions/retry_policy.py
+++ b/function_router/decisions/retry_policy.py
@@ -63,7 +63,7 @@
 
         A worker that could not be sent the request before has no connection that leads to it for certain.
         """
-        if not _is_in_scope(request.request_class.deduplication_scope, first.endpoint, worker.endpoint):
+        if not _share_keys(request.request_class.deduplication_scope, first.endpoint, worker.endpoint):
             return False
         if any(attempt.worker is worker and attempt.is_unsent for attempt in request.attempts):
             return False
@@ -78,10 +78,8 @@
         return has_key and request_class.deduplication_scope is DeduplicationScope.ALL
 
 
-def _is_in_scope(scope: DeduplicationScope, first: Endpoint, second: Endpoint) -> bool:
-    """Return whether the second worker deduplicates a request that the first one may have run."""
+def _share_keys(scope: DeduplicationScope, first: Endpoint, second: Endpoint) -> bool:
+    """Return whether two workers share the idempotency keys of a class whose scope is a zone or a cell."""
     if scope is DeduplicationScope.ZONE:
         return first.zone == second.zone
-    if scope is DeduplicationScope.CELL:
-        return first.cell == second.cell
-    return True
+    return first.cell == second.cell
--- a/function_router/net/worker_messages.py
+++ b/function_router/net/worker_messages.py
@@ -84,7 +84,7 @@
     return None
 
 
-def _is_first_run() -> bool:
+def _is_never_repeat() -> bool:
     return False
 
 
@@ -123,7 +123,7 @@
     worker_id: int
     exchange_id: bytes = b""
     reason_not_to_send: Callable[[], NotSentReason | None] = _always_sendable
-    is_scoped_repeat: Callable[[], bool] = _is_first_run
+    is_scoped_repeat: Callable[[], bool] = _is_never_repeat
     not_sent_reason: NotSentReason | None = field(default=None, init=False)
     created_at_ms: float = field(default_factory=monotonic_ms, init=False)
     holder: ExchangeHolder | None = field(default=None, init=False)
--- a/tests/test_deduplication_scope.py
+++ b/tests/test_deduplication_scope.py
@@ -33,13 +33,18 @@
     return cluster
 
 
+def begin_outage(cluster, fault):
+    """Let the endpoint log fail in a way, if any, and run the cluster until the endpoint list is stale."""
+    if fault is not None:
+        cluster.endpoint_log.fail(fault)
+        cluster.run(STALE_AFTER_S)
+
+
 @pytest.mark.parametrize("fault", [EndpointLogFailure.REFUSES, None], ids=["log refused", "list late"])
 def test_request_that_ran_at_a_replaced_worker_is_not_repeated_in_another_cell(cluster, fault):
     # Guards against a keyed request that runs in two cells because an address has changed hands.
     [replaced, other] = cluster.workers
-    if fault is not None:
-        cluster.endpoint_log.fail(fault)
-        cluster.run(STALE_AFTER_S)
+    begin_outage(cluster, fault)
 
     replaced.replace()
     other.is_draining = True
@@ -56,9 +61,7 @@
 def test_request_that_ran_at_a_known_worker_is_repeated_in_its_cell(cluster, fault):
     # Guards against a loss of service if repeats were given up whose cell is known.
     [failing, other] = cluster.workers
-    if fault is not None:
-        cluster.endpoint_log.fail(fault)
-        cluster.run(STALE_AFTER_S)
+    begin_outage(cluster, fault)
 
     since_s = time.monotonic()
     failing.fails_after_run = True
