Let the test of connections in an outage send one request at a time

It expects that health checks open no connection, but its client sends a request each 20 ms whatever is unanswered. If the thread of the test, which also runs both workers, is late, several requests arrive at once; two attempts in flight at one worker then open a spare connection, with or without an outage. The count said nothing of health checks in that case.

Change: the client of this test has at most one request in flight, so that no attempt needs a further connection. Two tests of the router in the test's thread check the same without any clock: an attempt beside an unanswered health check, and a health check on a connection in use, open no connection.

--- a/tests/helpers/serving_cluster.py
+++ b/tests/helpers/serving_cluster.py
@@ -1,5 +1,6 @@
 """Runs a router process with an endpoint log, workers that serve, and a client that sends at a fixed rate."""
 
+import math
 import signal
 import time
 
@@ -63,12 +64,20 @@
         self._launcher.rewrite_config(self._config | changes)
         self.program.send_signal(signal.SIGHUP)
 
-    def run(self, seconds, *, sends_requests=True):
-        """Run all peers for some time; the client sends requests unless `sends_requests` is false."""
+    def run(self, seconds, *, sends_requests=True, max_unanswered=math.inf):
+        """Run all peers for some time.
+
+        Args:
+            seconds: How long to run the peers.
+            sends_requests: Whether the client sends requests.
+            max_unanswered: The maximum number of unanswered requests. The client delays requests that would
+                exceed it, so that with 1 it has at most one request in flight, however late this thread runs.
+        """
         end_s = time.monotonic() + seconds
         next_request_s = time.monotonic()
         while (now_s := time.monotonic()) < end_s:
-            if sends_requests and now_s >= next_request_s:
+            unanswered = len(self.sent_at_s) - len(self.client.answers)
+            if sends_requests and now_s >= next_request_s and unanswered < max_unanswered:
                 next_request_s += REQUEST_INTERVAL_S
                 self._send_request(now_s)
             for peer in (self.endpoint_log, *self.workers, self.client):
--- a/tests/net/test_health_checks.py
+++ b/tests/net/test_health_checks.py
@@ -13,6 +13,7 @@
 from function_router.net.not_sent_reason import NotSentReason
 
 GRACE_MS = 5_000.0  # a lease lasts almost this long, which is enough even on a slow machine
+COSTLY_HANDSHAKE = {"costs": {"handshake": 0.08}}  # a connection is opened only once requests share one
 
 
 class HealthCheckRecorder:
@@ -56,6 +57,11 @@
     return worker.received(HEALTH_CHECK)[-1]
 
 
+def connects(harness):
+    """Return how many connections to workers the router has begun to open."""
+    return harness.router_process.telemetry.counters["connects"]
+
+
 def obtain_lease(harness, worker):
     """Send a health check to a worker, and let the worker answer that it is ready."""
     worker.answer(check_health(harness, worker), READY_ANSWER, fields="")
@@ -134,6 +140,30 @@
     assert len(worker.connections) == connections_before
 
 
+def test_attempt_beside_an_unanswered_health_check_opens_no_connection(harness, worker, results):
+    # Guards against a spare connection for each health check, which does not count as use of its connection.
+    harness.pool.ensure_instances(start_order(worker.worker_id, results))
+    harness.run_until(lambda: results and len(worker.connections) == 2, "two connections are idle")
+    check = check_health(harness, worker)
+    connects_before = connects(harness)
+
+    harness.deliver_attempt(worker, results)
+
+    assert worker.requests[-1].connection is not check.connection
+    assert connects(harness) == connects_before
+
+
+def test_health_check_on_a_connection_in_use_opens_no_connection(start_router, worker, results):
+    # A second attempt in place of the health check would open a connection.
+    harness = start_router(worker, settings=COSTLY_HANDSHAKE)
+    harness.deliver_attempt(worker, results)
+    connects_before = connects(harness)
+
+    check_health(harness, worker)
+
+    assert connects(harness) == connects_before == 1
+
+
 # --- new work while the list is out of date
 
 
--- a/tests/test_stale_endpoint_list.py
+++ b/tests/test_stale_endpoint_list.py
@@ -216,13 +216,14 @@
 
 
 def test_health_checks_are_sent_about_once_a_second_and_only_during_an_outage(make_cluster):
+    # With one request at a time, no attempt needs a further connection: only a health check could open one.
     cluster = make_cluster()
-    cluster.run(BASELINE_S)
+    cluster.run(BASELINE_S, max_unanswered=1)
     checks_before = sum(len(worker.health_checks) for worker in cluster.workers)
     connections_before = [len(worker.connections) for worker in cluster.workers]
 
     cluster.endpoint_log.fail(EndpointLogFailure.REFUSES)
-    cluster.run(OUTAGE_S)
+    cluster.run(OUTAGE_S, max_unanswered=1)
 
     assert checks_before == 0
     checks = [len(worker.health_checks) for worker in cluster.workers]
