Take a time of 0.0 for a time in the decisions, not for none

Cause: `time or default` treats 0.0 like None, so that an event at time 0.0 of the decision module's clock, which is where the simulator begins, counted as one that never happened: the start of a worker's process, its drain, its removal, a ping and the confirmation of the list. Change: these places ask for None.

--- a/function_router/decisions/endpoint_leases.py
+++ b/function_router/decisions/endpoint_leases.py
@@ -114,7 +114,8 @@
             Whether the set of ready workers has changed.
         """
         ready = self._workers.ready
-        self._confirmed_ms = max(as_of_ms, self._confirmed_ms or as_of_ms)
+        if self._confirmed_ms is None or as_of_ms > self._confirmed_ms:
+            self._confirmed_ms = as_of_ms
         self._interrupted_ms = math.inf
         if self.is_list_current(now_ms):
             self._clear_outdated_answers(now_ms)
--- a/function_router/decisions/health.py
+++ b/function_router/decisions/health.py
@@ -143,7 +143,8 @@
         """Ping silent workers, and yield each worker that becomes unresponsive."""
         for worker in list(self._watched.values()):
             if worker.unresponsive_since_ms is not None:
-                if now_ms - (worker.pinged_ms or worker.unresponsive_since_ms) >= PING_INTERVAL_MS:
+                pinged_ms = worker.unresponsive_since_ms if worker.pinged_ms is None else worker.pinged_ms
+                if now_ms - pinged_ms >= PING_INTERVAL_MS:
                     self._ping(worker, now_ms)
             elif worker.pinged_ms is not None:
                 if now_ms - worker.pinged_ms >= PING_TIMEOUT_MS and self.mark_unresponsive(worker, now_ms):
--- a/function_router/decisions/instances.py
+++ b/function_router/decisions/instances.py
@@ -4,7 +4,6 @@
 instances without announcing that, so an instance is presumed to exist only for a limited time.
 """
 
-import math
 from enum import Enum
 
 from function_router.decisions.capacity import Capacity
@@ -45,7 +44,8 @@
 
         With many routers, the idle time is longer, as requests of other routers keep the instances alive.
         """
-        if pool.last_seen_ms <= (worker.latest_start_ms or -math.inf):
+        started_ms = worker.latest_start_ms
+        if started_ms is not None and pool.last_seen_ms <= started_ms:
             return 0
         if pool.in_flight == 0:
             ttl_ms = SHARED_INSTANCE_TTL_MS if self._capacity.many_routers else self._instance_keep_alive_ms
--- a/function_router/decisions/records.py
+++ b/function_router/decisions/records.py
@@ -102,7 +102,9 @@
         """The latest time at which the worker may have started; None if that is too long ago to matter."""
         if self.assumed_started_ms is None:
             return self.started_ms
-        return max(self.assumed_started_ms, self.started_ms or -math.inf)
+        if self.started_ms is None:
+            return self.assumed_started_ms
+        return max(self.assumed_started_ms, self.started_ms)
 
     def recount_slow_start_sends(self) -> None:
         """Recompute the sends since the worker's start, which may be announced after those sends."""
--- a/function_router/decisions/workers.py
+++ b/function_router/decisions/workers.py
@@ -1,7 +1,5 @@
 """The table of workers, which follows the endpoint list."""
 
-import math
-
 from msgspec import structs
 
 from function_router.decisions.events import Endpoint, EndpointsChanged
@@ -80,11 +78,8 @@
         worker.machine_size = max(endpoint.size, MIN_MACHINE_SIZE) if self._are_sizes_known else 1.0
         worker.removed_since_ms = None
         started_ms = endpoint.started_at_ms
-        if started_ms is not None and started_ms > (worker.started_ms or -math.inf):
-            worker.started_ms = started_ms
-            if started_ms > (worker.lease.drain_reported_ms or math.inf):
-                worker.lease.drain_reported_ms = None
-            worker.recount_slow_start_sends()
+        if started_ms is not None and (worker.started_ms is None or started_ms > worker.started_ms):
+            _record_start(worker, started_ms)
 
     def evict_removed(self, now_ms: float) -> list[Worker]:
         """Evict and return the workers that were removed long ago and have no attempts in flight."""
@@ -93,9 +88,19 @@
         for worker in self.by_id.values():
             if worker.endpoint.state is not WorkerState.REMOVED:
                 continue
-            worker.removed_since_ms = worker.removed_since_ms or now_ms
+            if worker.removed_since_ms is None:
+                worker.removed_since_ms = now_ms
             if worker.removed_since_ms < expired_ms and not worker.in_flight:
                 evicted.append(worker)
         for worker in evicted:
             del self.by_id[worker.id]
         return evicted
+
+
+def _record_start(worker: Worker, started_ms: float) -> None:
+    """Record the start of a worker's process; the drain of an earlier process has ended."""
+    worker.started_ms = started_ms
+    drain_reported_ms = worker.lease.drain_reported_ms
+    if drain_reported_ms is not None and started_ms > drain_reported_ms:
+        worker.lease.drain_reported_ms = None
+    worker.recount_slow_start_sends()
--- a/function_router/net/connection.py
+++ b/function_router/net/connection.py
@@ -68,7 +68,7 @@
         now_ms = monotonic_ms()
         self.loop = loop
         self.handler = handler
-        self.reader = SocketReader(loop, sock, unread_since_ms or now_ms)
+        self.reader = SocketReader(loop, sock, now_ms if unread_since_ms is None else unread_since_ms)
         self.is_connected = is_connected
         self.is_closed = False
         self.last_received_ms = now_ms
--- a/tests/decisions/test_fleet.py
+++ b/tests/decisions/test_fleet.py
@@ -50,3 +50,13 @@
     assert "g" not in harness.fleet.functions.by_name
     functions = harness.fleet.functions.by_name.values()
     assert not [function for function in functions if warm_worker in function.pools]
+
+
+def test_earlier_start_does_not_replace_a_start_at_time_zero():
+    # Guards against a time of 0.0 that counts as no time.
+    harness = DecisionHarness(workers=1)
+    harness.feed(EndpointsChanged([Endpoint(1, started_at_ms=0.0)], is_complete=False))
+
+    harness.feed(EndpointsChanged([Endpoint(1, started_at_ms=-1_000.0)], is_complete=False))
+
+    assert harness.worker(1).latest_start_ms == 0.0
