--- a/function_router/decisions/endpoint_leases.py
+++ b/function_router/decisions/endpoint_leases.py
@@ -20,7 +20,7 @@
 from function_router.decisions.actions import CheckHealth, LogMessage
 from function_router.decisions.events import HealthChecked
 from function_router.decisions.outbox import Outbox
-from function_router.decisions.records import Worker
+from function_router.decisions.records import RECHECK_INTERVAL_MS, Worker
 from function_router.decisions.settings import Settings
 from function_router.decisions.types import Readiness, WorkerState
 from function_router.decisions.workers import WorkerTable
@@ -54,9 +54,8 @@
 # because an exception has prevented that.
 CHECK_EXPIRY_MS = 5_000.0
 
-# Initial and maximum interval between health checks of a worker that doesn't answer or is draining. The
-# interval doubles with each check.
-RECHECK_INTERVAL_MS = 1_000.0
+# Maximum interval between health checks of a worker that doesn't answer or is draining. The interval begins
+# at RECHECK_INTERVAL_MS and doubles with each check.
 MAX_RECHECK_INTERVAL_MS = 4_000.0
 
 # How long a worker's own report of its drain remains valid, even if a current list contradicts it. The log
--- a/function_router/decisions/records.py
+++ b/function_router/decisions/records.py
@@ -30,6 +30,9 @@
 # Number of most recent arrivals whose rate is also measured separately, so that a burst takes effect at once.
 ARRIVAL_BURST = 3
 
+# Initial interval between health checks of a worker that doesn't answer or is draining.
+RECHECK_INTERVAL_MS = 1_000.0
+
 
 def new_median() -> SlidingMedian:
     """Create a median over the statistics window."""
@@ -44,7 +47,7 @@
     drain_reported_ms: float | None = None  # when the worker last reported a drain; None if ready since
     pending_check_ms: float | None = None  # when the pending health check was decided; None if there is none
     next_check_ms: float = -math.inf  # earliest time of the next health check
-    recheck_interval_ms: float = 1_000.0  # time to the next check if the worker is draining or doesn't answer
+    recheck_interval_ms: float = RECHECK_INTERVAL_MS  # time to the next check of a silent or draining worker
 
 
 class WorkerIdentity(Struct, eq=False):
--- a/tests/decisions/test_endpoint_leases.py
+++ b/tests/decisions/test_endpoint_leases.py
@@ -11,10 +11,10 @@
     CHECK_LEAD_MS,
     CHECK_WAIT_MS,
     MAX_LOG_SILENCE_MS,
-    RECHECK_INTERVAL_MS,
     RENEWAL_LEAD_MS,
 )
 from function_router.decisions.events import EndpointListConfirmed, EndpointListInterrupted
+from function_router.decisions.records import RECHECK_INTERVAL_MS
 from function_router.decisions.types import Outcome, Readiness
 
 # --- the lease on the list
