--- a/function_router/cli.py
+++ b/function_router/cli.py
@@ -25,12 +25,12 @@
     try:
         router_config = config.load(path)
     except config.ConfigurationError as error:
-        typer.echo(f"function_router: {error}", err=True)
+        typer.echo(f"{server.MESSAGE_PREFIX}{error}", err=True)
         raise typer.Exit(server.EXIT_INVALID_CONFIGURATION) from None
     name = router_config.name or "no name"
     host, port = router_config.listen
     class_names = ", ".join(router_config.settings.classes) or "none"
-    typer.echo(f"function_router: good: {name} on {host}:{port}, classes: {class_names}")
+    typer.echo(f"{server.MESSAGE_PREFIX}good: {name} on {host}:{port}, classes: {class_names}")
 
 
 @app.command()
--- a/function_router/server.py
+++ b/function_router/server.py
@@ -14,6 +14,8 @@
 
 EXIT_OK = 0
 EXIT_INVALID_CONFIGURATION = 2
+# Prefix of messages on standard output and standard error that are not log lines.
+MESSAGE_PREFIX = "function-router: "
 
 
 def serve(path: str | None = None) -> int:
@@ -31,7 +33,7 @@
     try:
         router = _create_router(path)
     except configuration.ConfigurationError as error:
-        print(f"function-router: {error}", file=sys.stderr)
+        print(f"{MESSAGE_PREFIX}{error}", file=sys.stderr)
         return EXIT_INVALID_CONFIGURATION
     gc.freeze()  # startup objects live until exit; exclude them from garbage collection
     router.serve()
