--- a/function_router/decisions/records.py
+++ b/function_router/decisions/records.py
@@ -160,9 +160,7 @@
     is_lost: bool = False  # presumed lost, and counted as a failure of its worker
     may_have_run: bool = True  # False once the outcome proves that the request did not run
     is_unsent: bool = False  # True once it has ended without a byte sent
-    connected_at_ms: float | None = (
-        None  # establishment of its connection, once it has ended; None if unknown
-    )
+    connected_at_ms: float | None = None  # when its connection was established; None while unknown
 
 
 class Request(Struct, eq=False):
