Review: drained workers get new work while the path of the change log is slow

Case 9: the lines of the log come up to 3.6 s late, and heartbeats still renew the lease on the list. The stand-in for the log can delay its lines now.

--- a/review/parts/changelog.py
+++ b/review/parts/changelog.py
@@ -14,6 +14,8 @@
     def __init__(self) -> None:
         self.events: list[dict[str, Any]] = []
         self.port = 0
+        self.delay_s = 0.0  # how late each line leaves; later lines never overtake earlier ones
+        self._leaves_at: dict[asyncio.StreamWriter, float] = {}
         self._server: asyncio.Server | None = None
         self._writers: dict[asyncio.StreamWriter, int] = {}
 
@@ -44,12 +46,22 @@
             self._writers[writer] = int((await reader.readline()).split()[1])
             while writer in self._writers and not writer.is_closing():
                 self._send_events(writer)
-                writer.write(b"%d\n" % len(self.events))
+                self._write(writer, b"%d\n" % len(self.events))
                 await asyncio.sleep(HEARTBEAT_S)
         self._writers.pop(writer, None)
         writer.close()
 
     def _send_events(self, writer: asyncio.StreamWriter) -> None:
         lines = [json.dumps(event).encode() + b"\n" for event in self.events[self._writers[writer] :]]
-        writer.write(b"".join(lines))
+        self._write(writer, b"".join(lines))
         self._writers[writer] = len(self.events)
+
+    def _write(self, writer: asyncio.StreamWriter, data: bytes) -> None:
+        """Write lines now, or as late as the delay says."""
+        loop = asyncio.get_running_loop()
+        leaves_at = max(loop.time() + self.delay_s, self._leaves_at.get(writer, 0.0))
+        if leaves_at <= loop.time():
+            writer.write(data)
+            return
+        self._leaves_at[writer] = leaves_at
+        loop.call_at(leaves_at, writer.write, data)
