Bound the input of a turn, and drop requests that are withdrawn before they are handled

Cause: nothing bounded the work of one turn. Each ready connection was read up to four times 64 KiB, and every message in it was parsed, admitted and decided on before a timer fired or an answer was written; the limit of 32 open requests does not count requests that are withdrawn. Evidence, on a copy that logs the parts of a turn: one turn of 1,613 ms, of which reading 20 sockets 1,030 ms, decisions on 36,000 events 568 ms, writing 1 ms.

Change: a turn reads 256 KiB and handles 64 messages of clients; the rest waits unparsed, and clients share the turns like the flows of FQ-CoDel. A cancellation is handled when it is read and takes its request out of the queue. Deadlines still count from the arrival of the bytes; drain, idle close and eviction know of messages that wait. The log names a long turn from its first poll on, with its parts, and the longest turn of each 5 s.

Why it works: the time until others get their turn no longer depends on how much a client sends.

test_requests_that_clients_cancel_do_not_raise_the_limit relied on one id for all its requests to undo what one that had been answered before its cancellation had left; it writes each request together with its cancellation now, and has a second case. Tests that call a connection's callback by hand run the input of the turn as well.

--- a/function_router/net/client_connection.py
+++ b/function_router/net/client_connection.py
@@ -1,4 +1,4 @@
-"""One client connection: reads messages, limits unwritten answers, and closes on timeouts."""
+"""One client connection: queues messages, limits unwritten answers, and closes on timeouts."""
 
 import socket
 from typing import Protocol
@@ -6,10 +6,12 @@
 from function_router.net.client_messages import ClientMessages
 from function_router.net.client_session import ClientService, ClientSession
 from function_router.net.close_reason import CloseReason
+from function_router.net.codecs import thrift
 from function_router.net.connection import Connection
 from function_router.net.event_loop import EventLoop
 from function_router.net.invariants import Invariant
 from function_router.net.sockets import MAY_HOLD_DATA
+from function_router.net.unhandled_messages import ReceivedMessage, UnhandledMessages
 
 # Close reasons after which the client no longer waits for answers: it has closed the connection, or does not
 # read its answers.
@@ -22,6 +24,8 @@
 # read may differ in age. Otherwise all messages of a read are treated as equally old.
 MIN_STALL_MS = 100.0
 
+# Maximum size of the messages of one client that are read and not handled yet; above it, reading pauses.
+MAX_UNHANDLED_BYTES = 128 * 1024
 # High-water mark: reading from a client pauses once the unwritten answers to it reach this size.
 HIGH_WATER_BYTES = 64 * 1024
 # Maximum size of the unwritten answers to one client; above it, the client is disconnected.
@@ -50,18 +54,24 @@
 class ClientConnection:
     """One client connection, which passes the client's messages to its session.
 
+    Messages are queued when they are read, and handled when the event loop's `InputScheduler` gives the
+    client its share of a turn. Cancellations are handled as soon as they are read, whatever is queued before
+    them.
+
     Attributes:
         connection: The TCP connection.
         messages: Splits the received bytes into messages.
+        unhandled: The messages that are not handled yet.
         session: Handles the messages and owns the client's pending requests.
     """
 
-    __slots__ = ("__weakref__", "_owner", "connection", "messages", "session")
+    __slots__ = ("__weakref__", "_owner", "connection", "messages", "session", "unhandled")
 
     def __init__(self, owner: ClientConnectionOwner, sock: socket.socket, earliest_connect_ms: float) -> None:
         """Serve an accepted socket whose client connected at `earliest_connect_ms` (monotonic) or later."""
         self._owner = owner
         self.messages = ClientMessages()
+        self.unhandled = UnhandledMessages()
         self.connection = Connection.accepted(owner.loop, sock, self, earliest_connect_ms)
         self.session = ClientSession(owner, self.connection)
 
@@ -71,18 +81,36 @@
         """Do nothing, as an accepted connection is established already."""
 
     def on_data(self, data: bytes) -> None:
-        """Handle the messages that the received bytes complete."""
-        messages = self.messages.feed(data)
-        for number, message in enumerate(messages, 1):
-            if self.connection.is_closed or self.connection.is_closing:
-                return
-            is_last = number == len(messages) and not self.messages.has_partial_message
-            self.session.on_message(message, self._age_ms(is_last=is_last))
+        """Queue the messages that the received bytes complete, and handle the cancellations among them."""
+        frames = self.messages.feed(data)
+        read_at_ms = self._owner.loop.turn_started_ms
+        for number, frame in enumerate(frames, 1):
+            if self._withdraw_at_once(frame):
+                continue
+            is_last = number == len(frames) and not self.messages.has_partial_message
+            self.unhandled.append(ReceivedMessage(frame, read_at_ms - self._unread_ms(is_last=is_last)))
+        if self.unhandled:
+            self._owner.loop.input.add(self)
+        self._update_reading()
+
+    def _withdraw_at_once(self, frame: thrift.Frame) -> bool:
+        """Handle a cancellation before the messages queued in front of it, and return whether it was one.
+
+        A cancellation is left in the queue if two requests have used its sequence number, which is an error
+        of the client that has to be detected first.
+        """
+        seqid = frame.withdrawn_seqid()
+        if seqid is None:
+            return False
+        if not self.unhandled.has_request(seqid):
+            self.session.withdraw(seqid)
+            return True
+        return seqid not in self.session.pending and self.unhandled.withdraw(seqid)
 
-    def _age_ms(self, *, is_last: bool) -> float:
-        """Return how long a message was unread.
+    def _unread_ms(self, *, is_last: bool) -> float:
+        """Return how long a message of the last read was unread when the turn began.
 
-        The age is exact if the message ends with the last byte of the read. Earlier messages of the read may
+        The time is exact if the message ends with the last byte of the read. Earlier messages of the read may
         be older, which matters after a stall of the process; they are then given the maximum possible age.
         """
         max_age_ms = self.connection.reader.max_receive_delay_ms
@@ -90,13 +118,38 @@
             return self.connection.reader.receive_delay_ms
         return max_age_ms
 
-    def on_flushed(self) -> None:
-        """Pause reading from a client that does not read its answers; disconnect it above the limits.
+    def has_input(self) -> bool:
+        """Return whether a message is not handled yet."""
+        return bool(self.unhandled)
+
+    def handle_input(self, max_messages: int) -> int:
+        """Handle at most `max_messages` messages, and return how many were handled."""
+        handled = 0
+        while self.unhandled and handled < max_messages:
+            message = self.unhandled.take_first()
+            handled += 1
+            age_ms = self._owner.loop.turn_started_ms - message.received_at_ms
+            if not self._owner.loop.call_safely(self.session.on_message, message.frame.parse(), age_ms):
+                self.connection.close(CloseReason.PROTOCOL_ERROR)
+            if self.connection.is_closed or self.connection.is_closing:
+                self.unhandled.clear()
+        self._update_reading()
+        return handled
+
+    def _update_reading(self) -> None:
+        """Pause reading from a client whose messages or answers pile up; resume it once they don't.
 
-        Reading does not pause while the client has pending requests, as it may cancel them or disconnect.
+        Unwritten answers don't pause it while the client has pending requests, as it may cancel them or
+        disconnect.
         """
+        has_capacity = self.unhandled.size_bytes < MAX_UNHANDLED_BYTES
+        reads_answers = self.connection.pending_bytes < HIGH_WATER_BYTES or bool(self.session.pending)
+        self.connection.set_reading(enabled=has_capacity and reads_answers)
+
+    def on_flushed(self) -> None:
+        """Pause reading from a client that does not read its answers; disconnect it above the limits."""
+        self._update_reading()
         unwritten_bytes = self.connection.pending_bytes
-        self.connection.set_reading(enabled=unwritten_bytes < HIGH_WATER_BYTES or bool(self.session.pending))
         if unwritten_bytes > MAX_UNWRITTEN_BYTES or (
             unwritten_bytes > HIGH_WATER_BYTES and self._owner.unwritten_bytes() > MAX_TOTAL_UNWRITTEN_BYTES
         ):
@@ -112,13 +165,15 @@
             detail = f"{reason.name} with {pending_count} requests pending"
             self._owner.telemetry.invariants.record(Invariant.ANSWERED_BEFORE_CLOSE, detail)
         self.session.cancel_pending()
+        self.unhandled.clear()
+        self._owner.loop.input.discard(self)
         self._owner.on_client_closed(self, reason)
 
     # --- timeouts -----------------------------------------------------------------------------
 
     def check_timeouts(self, now_ms: float) -> None:
         """Close the connection if it has been idle for too long, or its next message is overdue."""
-        if self.session.pending:
+        if self.session.pending or self.unhandled:
             return
         if now_ms - self.connection.last_used_ms > IDLE_TIMEOUT_MS:
             self.close_unless_data_arrived()
@@ -142,17 +197,19 @@
     # --- state for the listener ---------------------------------------------------------------
 
     def is_idle(self) -> bool:
-        """Return whether no request is pending and all answers are written."""
-        return not self.session.pending and not self.connection.pending_bytes
+        """Return whether all messages are handled, no request is pending and all answers are written."""
+        return not (self.unhandled or self.session.pending or self.connection.pending_bytes)
 
     def is_silent_since(self, time_ms: float) -> bool:
         """Return whether the client connected before a time (monotonic) and has sent no byte yet."""
         return not self.messages.has_received_data and self.connection.last_used_ms < time_ms
 
     def has_unread_data(self) -> bool:
-        """Return whether data from the client may be unread, or a message has been received in part."""
+        """Return whether data from the client may be unread, not handled, or a message received in part."""
         return not self.connection.is_closing and (
-            self.messages.has_partial_message or self.connection.peek() in MAY_HOLD_DATA
+            bool(self.unhandled)
+            or self.messages.has_partial_message
+            or self.connection.peek() in MAY_HOLD_DATA
         )
 
     def eviction_order(self) -> tuple[bool, bool, float]:
--- a/function_router/net/client_messages.py
+++ b/function_router/net/client_messages.py
@@ -49,21 +49,18 @@
         """Whether any data has been received from the client."""
         return self.has_received_message or self._frames.has_partial_frame
 
-    def feed(self, data: bytes) -> list[thrift.MessageOrError]:
-        """Add received bytes; return the messages that they complete, in order.
-
-        A message that is malformed is returned as an error.
-        """
+    def feed(self, data: bytes) -> list[thrift.Frame]:
+        """Add received bytes; return the messages that they complete, in order and not parsed yet."""
         had_partial_message = self._frames.has_partial_frame
-        messages = self._frames.feed(data)
-        if messages or (self.has_received_message and not had_partial_message):
+        frames = self._frames.feed(data)
+        if frames or (self.has_received_message and not had_partial_message):
             self._waiting_since_ms = monotonic_ms()
-        if messages:
+        if frames:
             self.has_received_message = True
             self._chunk_count = 1
         else:
             self._chunk_count += 1
-        return messages
+        return frames
 
     def is_overdue(self, now_ms: float, last_received_ms: float) -> bool:
         """Return whether the first message, or the rest of a partial message, has taken too long.
--- a/function_router/net/client_request.py
+++ b/function_router/net/client_request.py
@@ -71,7 +71,7 @@
 
     Attributes:
         invocation: The function call that the client requests.
-        age_ms: How long the last bytes of the request were unread.
+        age_ms: How long ago the last bytes of the request arrived when it was admitted.
         reply: Sends the answer to the client; must be called only once.
         is_client_connected: Returns whether the client still waits. If this call detects that the client has
             disconnected, it closes the connection.
@@ -84,5 +84,5 @@
 
     @property
     def timeout_ms(self) -> float:
-        """How long the client still waits for the answer after the request was read."""
+        """How long the client still waits for the answer after the request was admitted."""
         return max(0.0, self.invocation.timeout_ms - self.age_ms)
--- a/function_router/net/client_session.py
+++ b/function_router/net/client_session.py
@@ -60,17 +60,23 @@
         self._connection = connection
 
     def on_message(self, message: thrift.MessageOrError, age_ms: float) -> None:
-        """Handle a message that was unread for `age_ms`, or the error of a malformed message."""
+        """Handle a message that arrived `age_ms` before this turn, or the error of a malformed message."""
         match message:
             case thrift.Handle():
                 self._on_handle(message, age_ms)
             case thrift.Withdraw():
-                self._on_withdraw(message)
+                self.withdraw(message.seqid)
             case thrift.Status():
                 self._on_status(message)
             case thrift.MalformedMessageError():
                 self._on_malformed_message(message)
 
+    def withdraw(self, seqid: int) -> None:
+        """Cancel a pending request whose client no longer waits; do nothing if it is not pending."""
+        key = self.pending.pop(seqid, None)
+        if key is not None:
+            self._service.table.cancel_request(key)
+
     def fail_pending_and_close(self, reason: CloseReason) -> None:
         """Answer the pending requests with a failure, and close once all answers are written."""
         for seqid, key in list(self.pending.items()):
@@ -126,11 +132,6 @@
             raise InvalidFieldError(FIELD_REQUEST_ID, "the id of an open request")
         return invocation
 
-    def _on_withdraw(self, message: thrift.Withdraw) -> None:
-        key = self.pending.pop(message.seqid, None)
-        if key is not None:
-            self._service.table.cancel_request(key)
-
     def _on_status(self, message: thrift.Status) -> None:
         is_ready = self._service.is_ready
         self._connection.write(thrift.encode_reply(thrift.METHOD_STATUS, message.seqid, b"", is_ok=is_ready))
--- a/function_router/net/codecs/thrift.py
+++ b/function_router/net/codecs/thrift.py
@@ -28,6 +28,7 @@
 from function_router.net.codecs.thrift_reader import (
     MAX_BODY_BYTES,
     MAX_FRAME_BYTES,
+    Frame,
     FrameReader,
     parse_header,
 )
@@ -57,6 +58,7 @@
     "STRING",
     "STRUCT",
     "VERSION",
+    "Frame",
     "FrameReader",
     "Handle",
     "MalformedMessageError",
--- a/function_router/net/codecs/thrift_reader.py
+++ b/function_router/net/codecs/thrift_reader.py
@@ -4,17 +4,21 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
+from msgspec import Struct
+
 from function_router.net.codecs.thrift_arguments import ArgumentReader, Arguments
 from function_router.net.codecs.thrift_protocol import (
     CALL,
     HANDLE_BODY_ID,
     HANDLE_FIELDS_ID,
+    I32,
     INVALID_MESSAGE_TYPE,
     MESSAGE_TYPE_MASK,
     METHOD_HANDLE,
     METHOD_STATUS,
     METHOD_WITHDRAW,
     ONEWAY,
+    STOP,
     UNKNOWN_METHOD,
     VERSION,
     VERSION_MASK,
@@ -36,6 +40,8 @@
 MAX_BODY_BYTES = 16 * 1024
 # Maximum length of a method name; those of the service have at most 8 bytes.
 MAX_METHOD_NAME_BYTES = 64
+# Minimum size of a message: the version, the length of the method name, and the sequence number.
+MIN_MESSAGE_BYTES = 12
 # Frame sizes are signed 32-bit integers. Bytes that state a size of at least this limit are not Thrift.
 FRAME_SIZE_LIMIT = 2**31
 
@@ -44,13 +50,70 @@
 _METHOD_START = _U32.size + _I32.size  # the method name follows the version and the length of the name
 
 
+def _header_starts(method: str) -> tuple[bytes, ...]:
+    """Return how a call of a method and a one-way message to it begin, up to the sequence number."""
+    name = method.encode("ascii")
+    return tuple(
+        _U32.pack(VERSION | message_type) + _I32.pack(len(name)) + name for message_type in (CALL, ONEWAY)
+    )
+
+
+_HANDLE_STARTS = _header_starts(METHOD_HANDLE)
+_WITHDRAW_STARTS = _header_starts(METHOD_WITHDRAW)
+_HANDLE_SEQID_START = len(_HANDLE_STARTS[0])
+# The arguments of a cancellation: a field with the sequence number, and the end of the struct.
+_WITHDRAW_ARGUMENTS = struct.Struct(">bhib")
+_WITHDRAW_ARGUMENTS_START = len(_WITHDRAW_STARTS[0]) + _I32.size
+_WITHDRAW_BYTES = _WITHDRAW_ARGUMENTS_START + _WITHDRAW_ARGUMENTS.size
+
+
+class Frame(Struct, frozen=True):
+    """A frame that has been received and is not parsed yet.
+
+    Attributes:
+        payload: The message; empty for a frame of an invalid size.
+        error: The error of a frame of an invalid size.
+    """
+
+    payload: bytes
+    error: MalformedMessageError | None = None
+
+    def parse(self) -> MessageOrError:
+        """Return the message, or the error of a malformed one."""
+        return self.error or parse_message(self.payload)
+
+    def requested_seqid(self) -> int | None:
+        """Return the sequence number of a request without parsing the rest; None for other messages."""
+        if not self.payload.startswith(_HANDLE_STARTS):
+            return None
+        if len(self.payload) < _HANDLE_SEQID_START + _I32.size:
+            return None
+        seqid: int
+        (seqid,) = _I32.unpack_from(self.payload, _HANDLE_SEQID_START)
+        return seqid
+
+    def withdrawn_seqid(self) -> int | None:
+        """Return the sequence number that a cancellation withdraws; None for other messages.
+
+        The result is also None for a cancellation in an unusual encoding, which only `parse` recognizes.
+        """
+        if len(self.payload) != _WITHDRAW_BYTES or not self.payload.startswith(_WITHDRAW_STARTS):
+            return None
+        field_type, field_id, seqid, stop = _WITHDRAW_ARGUMENTS.unpack_from(
+            self.payload, _WITHDRAW_ARGUMENTS_START
+        )
+        is_usual = (field_type, field_id, stop) == (I32, WITHDRAW_SEQID_ID, STOP)
+        return int(seqid) if is_usual else None
+
+
 class FrameReader:
     """Splits a byte stream into frames; buffers at most one incomplete frame."""
 
-    __slots__ = ("_buffer", "_bytes_to_skip")
+    __slots__ = ("_buffer", "_bytes_to_skip", "_is_broken")
 
     def __init__(self) -> None:
         self._buffer = bytearray()
+        self._is_broken = False  # whether the connection must be closed
         self._bytes_to_skip = 0  # bytes of an oversized frame that are still to be discarded
 
     @property
@@ -63,30 +126,28 @@
         """Whether the rest of an oversized frame, which is discarded, has not been received yet."""
         return self._bytes_to_skip > 0
 
-    def feed(self, data: bytes) -> list[MessageOrError]:
-        """Add received bytes; return the messages that they complete, in order.
+    def feed(self, data: bytes) -> list[Frame]:
+        """Add received bytes; return the frames that they complete, in order.
 
-        A frame that is not a valid message is returned as an error. After an error without a sequence number,
-        the connection must be closed, as the rest of the stream cannot be parsed.
+        A frame of an invalid size is returned as an error. After one without a sequence number, the
+        connection must be closed, and all further bytes are discarded.
         """
-        self._buffer += data
-        found: list[MessageOrError] = []
+        self._buffer += b"" if self._is_broken else data
+        found: list[Frame] = []
         start = self._skip_oversized_frame(0)
-        while (size := self._frame_size(start)) is not None:
+        while not self._is_broken and (size := self._frame_size(start)) is not None:
             payload_start = start + _U32.size
             payload_end = payload_start + size
-            if size > MAX_FRAME_BYTES:
-                error = self._oversized_frame_error(payload_start, size)
-                if error is None:
-                    break
-                found.append(error)
-                if error.seqid is None:
+            if MIN_MESSAGE_BYTES <= size <= MAX_FRAME_BYTES:
+                if payload_end > len(self._buffer):
                     break
+                found.append(Frame(bytes(self._buffer[payload_start:payload_end])))
+                start = payload_end
+            elif error := self._size_error(payload_start, size):
+                found.append(Frame(b"", error))
+                self._is_broken = error.seqid is None
                 self._bytes_to_skip = size
                 start = payload_start + self._skip_oversized_frame(payload_start)
-            elif payload_end <= len(self._buffer):
-                found.append(parse_message(bytes(self._buffer[payload_start:payload_end])))
-                start = payload_end
             else:
                 break
         del self._buffer[:start]
@@ -106,8 +167,14 @@
         self._bytes_to_skip -= skipped
         return skipped
 
-    def _oversized_frame_error(self, start: int, size: int) -> MalformedMessageError | None:
-        """Return the error of an oversized frame; None until enough of its header has been received."""
+    def _size_error(self, start: int, size: int) -> MalformedMessageError | None:
+        """Return the error of a frame of an invalid size.
+
+        For an oversized frame, this is None until enough of its header has been received.
+        """
+        if size < MIN_MESSAGE_BYTES:
+            reason = "the message is cut short"
+            return TruncatedMessageError(reason)
         error = MalformedMessageError(f"a frame of {size} bytes")
         if size >= FRAME_SIZE_LIMIT:
             return error
--- a/function_router/net/connection.py
+++ b/function_router/net/connection.py
@@ -15,9 +15,9 @@
 from function_router.net.timer_wheel import Timer
 from function_router.net.write_queue import PendingWrite
 
-# Maximum number of reads from one connection in one turn. The limit keeps one peer from starving the others.
-# It is above 1 so that a cancellation, which arrives after the request that it cancels, can be read in the
-# same turn, before the request is sent to a worker.
+# Maximum number of reads from one connection in one turn. Together with the event loop's share of the bytes,
+# the limit keeps one peer from starving the others. It is above 1 so that a cancellation, which arrives after
+# the request that it cancels, can be read in the same turn, before the request is sent to a worker.
 MAX_READS_PER_TURN = 4
 # How long after `close_after_flush` the peer may read the last data and close the connection itself.
 LINGER_MS = 1_000.0
@@ -219,25 +219,25 @@
 
     def _read(self) -> None:
         self.reader.on_reported_readable()
+        left_bytes = self.loop.read_share_bytes
         for _ in range(MAX_READS_PER_TURN):
-            received = self.reader.receive()
+            if left_bytes <= 0 or self.is_closed or not self._is_reading:
+                return
+            received = self.reader.receive(left_bytes)
             if isinstance(received, CloseReason):
                 self.close(received)
-                return
-            if received is None:
+            if not isinstance(received, bytes):
                 return
             if not self._close_reason_after_flush:
                 self._deliver(received)
-            if self.is_closed or not self._is_reading or not self.reader.should_read_again(received):
+            left_bytes -= len(received)
+            if not self.reader.should_read_again(received):
                 return
 
     def _deliver(self, data: bytes) -> None:
         self.last_received_ms = monotonic_ms()
         self.last_used_ms = self.last_received_ms
-        try:
-            self.handler.on_data(data)
-        except Exception:  # noqa: BLE001 - bytes from one peer must not affect other connections
-            self.loop.report_exception("a connection handler")
+        if not self.loop.call_safely(self.handler.on_data, data):
             self.close(CloseReason.PROTOCOL_ERROR)
 
     # --- closing ------------------------------------------------------------------------------
--- a/function_router/net/event_loop.py
+++ b/function_router/net/event_loop.py
@@ -1,7 +1,9 @@
 """The event loop of the router.
 
 Each turn, which is one iteration of the loop, polls the sockets, calls the callbacks of those that are ready,
-fires due timers, passes a batch of events to the decision module, and flushes queued writes.
+handles messages that were read, fires due timers, passes a batch of events to the decision module, and
+flushes queued writes. The bytes that a turn reads and the messages that it handles are limited, so that it
+stays short whatever the clients send.
 """
 
 import selectors
@@ -12,11 +14,17 @@
 
 from function_router.decisions.events import Event
 from function_router.net.clock import Clock, monotonic_ms, unix_ms
+from function_router.net.input_scheduler import InputScheduler
 from function_router.net.signal_wakeup import SignalWakeup
 from function_router.net.timer_wheel import TimerWheel
+from function_router.net.turn_times import TurnPart, TurnTimes
 
-# A turn that takes longer than this after its last poll is logged, as answers may miss their deadlines.
+# A turn that takes longer than this after its first poll is logged, as answers may miss their deadlines.
 SLOW_TURN_MS = 80.0
+# Number of bytes that all connections together may read in one turn; each ready socket gets an equal share.
+MAX_READ_BYTES_PER_TURN = 256 * 1024
+# Minimum share of a connection, which holds the requests of a usual client.
+MIN_READ_SHARE_BYTES = 4 * 1024
 # A turn that takes longer than this after its poll polls the sockets again before it writes: the client of a
 # request may have disconnected, and an attempt must not start more than 100 ms after a disconnect.
 MAX_POLL_AGE_MS = 40.0
@@ -50,6 +58,8 @@
 
     Attributes:
         timers: The timer wheel, which each turn advances.
+        input: Shares the messages that a turn handles among the clients.
+        times: Measures the turns and their parts.
         clock: The decision module's clock.
         is_running: Whether `run` continues after the current turn.
         turn_started_ms: When the last poll returned, on the monotonic clock. Everything that the turn handles
@@ -59,6 +69,7 @@
             did not report arrived later.
         wall_clock_step_ms: By how much the wall clock was set between the last two polls.
         poll_count: Number of polls since the start.
+        read_share_bytes: How many bytes each connection may read after the last poll.
     """
 
     def __init__(self, decide: Callable[[float, list[Event]], None], log: Callable[[str], None]) -> None:
@@ -69,6 +80,8 @@
             log: Called with the text of each log line.
         """
         self.timers = TimerWheel()
+        self.input = InputScheduler(self.report_exception)
+        self.times = TurnTimes()
         self.clock = Clock()
         self.is_running = True
         self.turn_started_ms = monotonic_ms()
@@ -77,6 +90,7 @@
         self._last_poll_ms = self.turn_started_ms
         self.wall_clock_step_ms = 0.0
         self.poll_count = 0
+        self.read_share_bytes = MAX_READ_BYTES_PER_TURN
         self._decide = decide
         self._log = log
         self._selector = selectors.DefaultSelector()
@@ -121,10 +135,11 @@
     def run_once(self, max_wait_s: float | None = None) -> None:
         """Wait for a socket or a timer, for at most `max_wait_s`, and run one turn."""
         ready = self._poll(self._wait_s(max_wait_s))
+        self.times.start_turn()
         self._run_turn(ready, self.clock.now_ms())
-        took_ms = monotonic_ms() - self.turn_started_ms
-        if took_ms > SLOW_TURN_MS:
-            self._log(f"slow turn: {took_ms:.0f} ms for {len(ready)} sockets")
+        turn = self.times.end_turn()
+        if turn.took_ms > SLOW_TURN_MS:
+            self._log(f"slow turn: {turn.describe()}")
 
     def _poll(self, wait_s: float | None) -> ReadySockets:
         """Wait until a socket is ready or the wait is over, and record the time of the poll.
@@ -145,6 +160,7 @@
         self.previous_poll_ms = self._last_poll_ms
         self._last_poll_ms = polled_at_ms
         self.poll_count += 1
+        self.read_share_bytes = max(MIN_READ_SHARE_BYTES, MAX_READ_BYTES_PER_TURN // max(1, len(ready)))
         self._start_turn()
         return ready
 
@@ -162,7 +178,7 @@
 
     def _wait_s(self, max_wait_s: float | None) -> float | None:
         """Return how long the next poll may wait for a socket; None without a limit."""
-        if self._pending_events or self._to_flush:
+        if self._pending_events or self._to_flush or self.input.has_input():
             return 0.0
         until_timer_s = self.timers.seconds_until_next()
         if until_timer_s is None:
@@ -173,17 +189,30 @@
 
     def _run_turn(self, ready: ReadySockets, now_ms: float) -> None:
         self._call_ready(ready)
-        self.timers.advance(self.turn_started_ms)
-        if self._pending_events:
-            events = self._pending_events
-            self._pending_events = []
-            self.call_safely(self._decide, now_ms, events)
+        self.times.end_part(TurnPart.READ, len(ready))
+        message_count = self.input.run_turn()
+        self.times.end_part(TurnPart.MESSAGES, message_count)
+        timer_count = self.timers.advance(self.turn_started_ms)
+        self.times.end_part(TurnPart.TIMERS, timer_count)
+        self._handle_pending_events(now_ms)
         if self._to_flush and monotonic_ms() - self.turn_started_ms > MAX_POLL_AGE_MS:
             self._poll_again()
+        self._flush_all()
+
+    def _handle_pending_events(self, now_ms: float) -> None:
+        """Pass the events that were submitted since the previous batch to the decision module."""
+        events = self._pending_events
+        if events:
+            self._pending_events = []
+            self.call_safely(self._decide, now_ms, events)
+            self.times.end_part(TurnPart.DECISIONS, len(events))
+
+    def _flush_all(self) -> None:
         to_flush = self._to_flush
         self._to_flush = {}
         for flushable in to_flush:
             self.call_safely(flushable.flush)
+        self.times.end_part(TurnPart.WRITE, len(to_flush))
 
     def _call_ready(self, ready: ReadySockets) -> None:
         for key, mask in ready:
@@ -198,18 +227,26 @@
 
         A cancellation or disconnect that is read here still removes requests that are not written yet.
         """
-        self._call_ready(self._poll(0.0))
+        ready = self._poll(0.0)
+        self._call_ready(ready)
         for flushable in list(self._to_flush):
             self.call_safely(flushable.on_delayed)
+        self.times.end_part(TurnPart.SECOND_READ, len(ready))
 
     # --- exceptions ---------------------------------------------------------------------------
 
-    def call_safely(self, callback: Callable[..., None], *arguments: object) -> None:
-        """Call a callback; log an exception that it raises instead of propagating it."""
+    def call_safely(self, callback: Callable[..., None], *arguments: object) -> bool:
+        """Call a callback; log an exception that it raises instead of propagating it.
+
+        Returns:
+            Whether it has raised none.
+        """
         try:
             callback(*arguments)
         except Exception:  # noqa: BLE001 - an error in one callback must not affect other connections
             self.report_exception(getattr(callback, "__qualname__", "a callback"))
+            return False
+        return True
 
     def report_exception(self, where: str) -> None:
         """Log the exception that is being handled, as one line that names its source."""
--- a/function_router/net/router_process.py
+++ b/function_router/net/router_process.py
@@ -25,6 +25,8 @@
 
 # Interval between log lines with the counters.
 COUNTERS_INTERVAL_MS = 5_000.0
+# The longest turn of the event loop is logged with the counters if it took longer than this.
+MIN_LOGGED_TURN_MS = 20.0
 # Interval between checks for connections that are idle or have timed out.
 TIMEOUT_CHECK_INTERVAL_MS = 250.0
 
@@ -199,4 +201,7 @@
     def _log_counters(self) -> None:
         if counters := self.telemetry.take_counters():
             self.log(f"counters: {counters}")
+        longest_turn = self.loop.times.take_longest()
+        if longest_turn is not None and longest_turn.took_ms > MIN_LOGGED_TURN_MS:
+            self.log(f"longest turn: {longest_turn.describe()}")
         self.loop.timers.call_later(COUNTERS_INTERVAL_MS, self._log_counters)
--- a/function_router/net/socket_reader.py
+++ b/function_router/net/socket_reader.py
@@ -41,15 +41,15 @@
         """
         self._unread_since.on_watch_changed()
 
-    def receive(self) -> bytes | CloseReason | None:
-        """Read up to MAX_READ_BYTES.
+    def receive(self, max_bytes: int = MAX_READ_BYTES) -> bytes | CloseReason | None:
+        """Read up to `max_bytes`, and not more than MAX_READ_BYTES.
 
         Returns:
             The bytes; None if there is nothing to read now; the reason to close the connection if the peer
             has closed it or it is broken.
         """
         try:
-            data, ancillary, _, _ = self._sock.recvmsg(MAX_READ_BYTES, ANCILLARY_BYTES)
+            data, ancillary, _, _ = self._sock.recvmsg(min(max_bytes, MAX_READ_BYTES), ANCILLARY_BYTES)
         except BlockingIOError:
             self._unread_since.on_read_empty()
             return None
--- a/function_router/net/timer_wheel.py
+++ b/function_router/net/timer_wheel.py
@@ -54,14 +54,21 @@
         self._slots[timer.due_tick % SLOT_COUNT].append(timer)
         return timer
 
-    def advance(self, at_ms: float | None = None) -> None:
-        """Fire the timers that are due at a time on the monotonic clock (default: now), in order of ticks."""
+    def advance(self, at_ms: float | None = None) -> int:
+        """Fire the timers that are due at a time on the monotonic clock (default: now), in order of ticks.
+
+        Returns:
+            How many timers have fired.
+        """
         now_ms = self._read_monotonic_ms() if at_ms is None else at_ms
+        fired_count = 0
         for timer in self._take_due(math.floor(now_ms / TICK_MS)):
             callback = timer.callback
             if callback is not None:
                 timer.callback = None
+                fired_count += 1
                 self._call(callback)
+        return fired_count
 
     def _take_due(self, now_tick: int) -> list[Timer]:
         """Remove and return the due timers, in order of ticks."""
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -52,7 +52,7 @@
 
 
 def _report(plan: Plan, check_result: CheckResult, took_s: float) -> None:
-    kinds = sorted({fault.kind for fault in plan.faults})
+    kinds = sorted({fault.kind for fault in plan.faults_and_loads})
     figures = ", ".join(f"{name} {count}" for name, count in sorted(check_result.figures.items()) if count)
     outcome = "broken" if check_result.violations else "kept"
     typer.echo(f"seed {plan.seed}: {outcome} in {took_s:.0f} s; {', '.join(kinds) or 'no faults'}; {figures}")
--- a/soak/clients.py
+++ b/soak/clients.py
@@ -11,6 +11,7 @@
 from pathlib import Path
 
 from soak.bad_clients import run_bad_client
+from soak.bulk_clients import encode_withdrawn_requests, run_bulk_client
 from soak.client_connections import ClientConnections
 from soak.commands import ClientsCommand, read_commands
 from soak.records import Recorder
@@ -30,14 +31,19 @@
         self._rng = random.Random(seed)
         self._functions = [f"{self._rng.getrandbits(64):016x}" for _ in range(function_count)]
         self._weights = [1 / (rank + 1) for rank in range(function_count)]  # Zipf's law
+        # Encoded once and before the traffic, as encoding takes long enough to delay the other clients.
+        self._withdrawn_requests = encode_withdrawn_requests(self._functions, random.Random(seed))
         self._command = ClientsCommand([], 0.0)
         self._connections = ClientConnections(self._rng, connections_per_router)
         self._requests = RequestClient(self._connections, recorder, self._rng)
         self._tasks: set[asyncio.Task[None]] = set()
 
     def apply(self, command: ClientsCommand) -> None:
-        """Replace the current command."""
+        """Replace the current command, and start the clients that it asks for once."""
         self._command = command
+        for router in command.bulk_withdrawals_at:
+            if port := command.ports[router]:
+                self._start(run_bulk_client(port, self._withdrawn_requests))
 
     async def run_requests(self) -> None:
         """Start requests at random times until the task is cancelled."""
@@ -63,9 +69,13 @@
             await asyncio.sleep(self._rng.expovariate(rate) if rate else RATE_POLL_S)
             routers = [router for router, port in enumerate(self._command.ports) if port]
             if rate and routers:
-                task = asyncio.create_task(start(self._rng.choice(routers)))
-                self._tasks.add(task)
-                task.add_done_callback(self._tasks.discard)
+                self._start(start(self._rng.choice(routers)))
+
+    def _start(self, work: Coroutine[None, None, None]) -> None:
+        """Run work in a task, for which `finish` waits."""
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
 
     async def _request(self, router: int) -> None:
         """Send a request; retry it once if its connection closed right after the request was sent."""
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -1,9 +1,9 @@
 """The faults: a function for each kind, and a registry of their targets and mutual exclusion.
 
 Each function injects its fault, and returns when the fault is over. Most faults last for their planned
-duration. Restarts and kills of processes, replacements of workers, reloads, series of signals, resets and
-clock steps ignore that duration, and a clock step is never undone. An outage of all endpoint logs lasts for a
-multiple of it, or for the plan's `log_outage_s`.
+duration. Restarts and kills of processes, replacements of workers, reloads, series of signals, resets, bulk
+withdrawals and clock steps ignore that duration, and a clock step is never undone. An outage of all endpoint
+logs lasts for a multiple of it, or for the plan's `log_outage_s`.
 """
 
 import asyncio
@@ -22,6 +22,8 @@
 
 BURST_FACTOR = 2.5  # factor on the plan's request rate
 BAD_CLIENTS_PER_S = 20.0
+MIN_BULK_CLIENTS = 20  # clients that withdraw in bulk at one router
+MAX_EXTRA_BULK_CLIENTS = 20  # added to MIN_BULK_CLIENTS at full intensity
 SIGHUP_COUNT = 4
 MAX_SIGNAL_INTERVAL_S = 0.2
 MAX_INTENSITY_WITHOUT_ROLL = 0.5  # above this, a series of signals includes a rolling restart
@@ -199,6 +201,12 @@
     await cluster.traffic.set_bad_client_rate(0.0)
 
 
+async def withdraw_in_bulk(cluster: Cluster, fault: Fault) -> None:
+    """Start clients at one router that each withdraw hundreds of requests at once."""
+    count = MIN_BULK_CLIENTS + round(MAX_EXTRA_BULK_CLIENTS * fault.intensity)
+    await cluster.traffic.withdraw_in_bulk(fault.routers[:1] * count)
+
+
 # --- the registry
 
 
@@ -257,4 +265,5 @@
     FaultKind.BAD_CLIENTS: ClientFault(add_bad_clients),
     FaultKind.ENDPOINT_LOGS_OUT: EndpointLogFault(inject_endpoint_log_outage),
     FaultKind.SIGNAL_SERIES: RouterFault(send_signal_series),
+    FaultKind.BULK_WITHDRAWALS: ClientFault(withdraw_in_bulk),
 }
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -1,7 +1,7 @@
 """The plan of a run, drawn from a seed: the size of the cluster, and the time and targets of each fault.
 
-The same seed and options give the same plan in every version, so that recorded seeds remain useful. Neither
-the random draws nor their order may change.
+The same seed and options give the same faults in every version, so that recorded seeds remain useful. Neither
+the random draws nor their order may change. The loads are drawn from a random generator of their own.
 """
 
 import random
@@ -21,6 +21,8 @@
 MAX_WORKER_SHARE = 0.34  # maximum share of the worker slots that one fault hits
 MANY_CONNECTIONS_SHARE = 0.3  # share of the runs in which clients hold many connections
 MANY_CONNECTIONS = 40  # minimum per router in such a run
+MIN_LOAD_INTERVAL_S = 3.0  # from the start of a load to the next one
+MAX_LOAD_INTERVAL_S = 7.0
 MIN_FUNCTIONS = 8
 MAX_FUNCTIONS = 24
 
@@ -47,6 +49,11 @@
     BAD_CLIENTS = "bad-clients"
     ENDPOINT_LOGS_OUT = "endpoint-logs-out"
     SIGNAL_SERIES = "signal-series"
+    BULK_WITHDRAWALS = "bulk-withdrawals"
+
+
+LOAD_KINDS = (FaultKind.BULK_WITHDRAWALS,)
+"""The kinds that are loads: they hit single routers, and are drawn separately from the other kinds."""
 
 
 class Fault(Struct, frozen=True):
@@ -79,7 +86,8 @@
         duration_s: Duration of the traffic.
         requests_per_s: Request rate of all clients together.
         function_count: Number of functions that clients call.
-        faults: The faults, ordered by start time.
+        faults: The faults without the loads, ordered by start time.
+        loads: The loads, ordered by start time.
         connections_per_router: Minimum number of connections that clients open to each router in use.
         log_outage_s: Duration of an outage of all endpoint logs; if 0, a multiple of its fault's duration.
     """
@@ -93,6 +101,12 @@
     faults: list[Fault]
     connections_per_router: int
     log_outage_s: float = 0.0
+    loads: list[Fault] = []
+
+    @property
+    def faults_and_loads(self) -> list[Fault]:
+        """All faults and loads, ordered by start time."""
+        return sorted([*self.faults, *self.loads], key=lambda fault: fault.start_s)
 
 
 def draw_plan(
@@ -104,27 +118,53 @@
     requests_per_s: float,
     kinds: Sequence[FaultKind],
 ) -> Plan:
-    """Draw a plan that injects up to three faults of the given kinds together every few seconds."""
+    """Draw a plan that injects up to three faults of the given kinds together every few seconds.
+
+    Loads among the kinds come in addition, one every few seconds.
+    """
     rng = random.Random(seed)
-    faults: list[Fault] = []
-    injection_s = WARM_UP_S
-    while kinds and injection_s < duration_s - COOL_DOWN_S:
-        count = rng.randint(1, min(MAX_SIMULTANEOUS_FAULTS, len(kinds)))
-        for kind in rng.sample(kinds, count):
-            faults.append(_draw_fault(rng, kind, injection_s, router_count, worker_count))
-        injection_s += INJECTION_INTERVAL_S
+    load_kinds = [kind for kind in kinds if kind in LOAD_KINDS]
+    fault_kinds = [kind for kind in kinds if kind not in LOAD_KINDS]
     return Plan(
         seed=seed,
         router_count=router_count,
         worker_count=worker_count,
         duration_s=duration_s,
         requests_per_s=requests_per_s,
+        faults=_draw_faults(rng, router_count, worker_count, duration_s, fault_kinds),
         function_count=rng.randint(MIN_FUNCTIONS, MAX_FUNCTIONS),
-        faults=sorted(faults, key=lambda fault: fault.start_s),
         connections_per_router=MANY_CONNECTIONS if rng.random() < MANY_CONNECTIONS_SHARE else 1,
+        loads=_draw_loads(seed, router_count, worker_count, duration_s, load_kinds),
     )
 
 
+def _draw_faults(
+    rng: random.Random, router_count: int, worker_count: int, duration_s: float, kinds: Sequence[FaultKind]
+) -> list[Fault]:
+    """Draw up to three faults of the given kinds together every few seconds."""
+    faults: list[Fault] = []
+    injection_s = WARM_UP_S
+    while kinds and injection_s < duration_s - COOL_DOWN_S:
+        count = rng.randint(1, min(MAX_SIMULTANEOUS_FAULTS, len(kinds)))
+        for kind in rng.sample(kinds, count):
+            faults.append(_draw_fault(rng, kind, injection_s, router_count, worker_count))
+        injection_s += INJECTION_INTERVAL_S
+    return sorted(faults, key=lambda fault: fault.start_s)
+
+
+def _draw_loads(
+    seed: int, router_count: int, worker_count: int, duration_s: float, kinds: Sequence[FaultKind]
+) -> list[Fault]:
+    """Draw loads of the given kinds, one after the other."""
+    rng = random.Random(f"loads of {seed}")
+    loads: list[Fault] = []
+    start_s = WARM_UP_S
+    while kinds and start_s < duration_s - COOL_DOWN_S:
+        loads.append(_draw_fault(rng, rng.choice(kinds), start_s, router_count, worker_count))
+        start_s += rng.uniform(MIN_LOAD_INTERVAL_S, MAX_LOAD_INTERVAL_S)
+    return loads
+
+
 def _draw_fault(
     rng: random.Random, kind: FaultKind, injection_s: float, router_count: int, worker_count: int
 ) -> Fault:
--- a/soak/run.py
+++ b/soak/run.py
@@ -36,7 +36,7 @@
     """Inject each fault at its start time, then wait for the end of the traffic and of all faults."""
     started = time.monotonic()
     tasks: list[asyncio.Task[None]] = []
-    for fault in plan.faults:
+    for fault in plan.faults_and_loads:
         await asyncio.sleep(max(0.0, started + fault.start_s - time.monotonic()))
         tasks.append(asyncio.create_task(injector.inject(fault)))
     await asyncio.sleep(max(0.0, started + plan.duration_s - time.monotonic()))
--- a/soak/traffic.py
+++ b/soak/traffic.py
@@ -31,6 +31,11 @@
         """Set the rate of clients that violate the protocol."""
         await self._change(bad_clients_per_s=bad_clients_per_s)
 
+    async def withdraw_in_bulk(self, routers: Sequence[int]) -> None:
+        """Start a client at each of these routers that withdraws hundreds of requests at once."""
+        await self._change(bulk_withdrawals_at=list(routers))
+        self._command = msgspec.structs.replace(self._command, bulk_withdrawals_at=[])
+
     async def use_router(self, router: int, port: int) -> None:
         """Send requests to a router, at the given port."""
         await self._set_port(router, port)
--- a/tests/helpers/fake_client.py
+++ b/tests/helpers/fake_client.py
@@ -68,6 +68,11 @@
         """Send the cancellation of a request."""
         self.sock.sendall(encode_cancellation(seqid, CANCELLATION_SEQID))
 
+    def send_cancelled_request(self, seqid, **fields):
+        """Send a request and its cancellation in one write, so that they arrive together."""
+        request = encode_request(seqid, REQUEST_FIELDS | fields)
+        self.sock.sendall(request + encode_cancellation(seqid, CANCELLATION_SEQID))
+
     def request_status(self, seqid=500):
         """Send a status request, which the router answers immediately."""
         self.sock.sendall(encode_status_request(seqid))
--- a/tests/net/test_client_messages.py
+++ b/tests/net/test_client_messages.py
@@ -26,7 +26,8 @@
 
 
 def test_complete_messages_are_returned_in_order_and_a_partial_one_is_kept(messages):
-    found = messages.feed(FRAME + encode_request(2, REQUEST_FIELDS) + FRAME[:9])
+    frames = messages.feed(FRAME + encode_request(2, REQUEST_FIELDS) + FRAME[:9])
+    found = [frame.parse() for frame in frames]
 
     assert [(type(message), message.seqid) for message in found] == [(thrift.Handle, 1), (thrift.Handle, 2)]
     assert messages.has_received_message
@@ -63,10 +64,10 @@
 
 
 def test_rest_of_an_oversized_message_has_a_timeout_of_its_own(messages):
-    [error] = messages.feed(OVERSIZED_FRAME[:1_000])
+    [oversized] = messages.feed(OVERSIZED_FRAME[:1_000])
     deadline_ms = CONNECTED_AT_MS + SKIP_TIMEOUT_MS
 
-    assert isinstance(error, thrift.MalformedMessageError)
+    assert isinstance(oversized.parse(), thrift.MalformedMessageError)
     assert not messages.is_overdue(deadline_ms, CONNECTED_AT_MS)
     assert messages.is_overdue(deadline_ms + 1.0, CONNECTED_AT_MS)
 
--- a/tests/net/test_decision_host.py
+++ b/tests/net/test_decision_host.py
@@ -115,6 +115,7 @@
     [client_connection] = process.listener.connections
     assert wait_readable(client_connection.connection._sock)
     client_connection.connection._on_ready(READ)
+    process.loop.input.run_turn()
     process.loop.submit(TimerFired(1))  # in the same batch as the request, and after it
     harness.run_until(lambda: len(worker.requests) == 2, "the second request runs")
 
--- a/tests/net/test_event_ordering_requests.py
+++ b/tests/net/test_event_ordering_requests.py
@@ -196,6 +196,7 @@
     third.send_request(call=REPEATED_ID)
     assert wait_readable(third_connection.connection._sock)
     third_connection.connection._on_ready(READ)  # before the close of the second client is read
+    harness.router_process.loop.input.run_turn()
 
     assert second_connection.connection.is_closed
     assert list(third_connection.session.pending) == [1]
@@ -212,6 +213,7 @@
     close_client_unread(client, client_connection)
     with mock.patch.object(connection, "MAX_READS_PER_TURN", 1):
         client_connection.connection._on_ready(READ)
+    harness.router_process.loop.input.run_turn()
 
     assert (harness.table.pending, harness.table._requests._keys_by_client_request_id) == ({}, {})
 
--- a/tests/net/test_start_order_limit.py
+++ b/tests/net/test_start_order_limit.py
@@ -59,13 +59,15 @@
     return filler
 
 
-def test_requests_that_clients_cancel_do_not_raise_the_limit(start_router):
+@pytest.mark.parametrize(
+    "ttl", [pytest.param("52", id="rejected at once"), pytest.param("1500", id="pending until cancelled")]
+)
+def test_requests_that_clients_cancel_do_not_raise_the_limit(start_router, ttl):
     harness = start_router(FakeWorker(instances=None), settings=LIMITED_START_ORDERS)
     client = harness.connect_client()
 
     for seqid in range(1, 41):
-        client.send_request(call=CLIENT_ID, seqid=seqid, ttl="52")
-        client.cancel(seqid)
+        client.send_cancelled_request(call=CLIENT_ID, seqid=seqid, ttl=ttl)
     harness.round_trip(client)
 
     assert harness.router_process.router.fleet.arrivals.recent == {}
--- a/tests/net/test_thrift.py
+++ b/tests/net/test_thrift.py
@@ -13,6 +13,11 @@
     return struct.pack(">I", len(message)) + message
 
 
+def parse_in_chunks(data, chunk_size):
+    """Split data that arrives in chunks of this size into frames, and parse each of them."""
+    return [received.parse() for received in feed_in_chunks(thrift.FrameReader(), data, chunk_size)]
+
+
 def header(name=b"handle", seqid=7, kind=thrift.CALL, version=thrift.VERSION):
     return struct.pack(">Ii", version | kind, len(name)) + name + struct.pack(">i", seqid)
 
@@ -26,7 +31,7 @@
     withdraw = frame(header(b"withdraw", 3, thrift.ONEWAY) + struct.pack(">bhib", thrift.I32, 1, 1, 0))
     status = frame(header(b"status", 4) + struct.pack(">bhbb", thrift.BOOL, 1, 1, 0))
 
-    messages = feed_in_chunks(thrift.FrameReader(), plain + with_unknown_list + withdraw + status, chunk_size)
+    messages = parse_in_chunks(plain + with_unknown_list + withdraw + status, chunk_size)
 
     handle = thrift.Handle(1, REQUEST_FIELDS, body)
     assert messages == [handle, handle, thrift.Withdraw(1), thrift.Status(4)]
@@ -66,7 +71,7 @@
 def test_malformed_frame_has_its_sequence_number_where_it_can_be_read(data, seqid, in_single_bytes):
     chunk_size = 1 if in_single_bytes else len(data)
 
-    messages = feed_in_chunks(thrift.FrameReader(), data, chunk_size)
+    messages = parse_in_chunks(data, chunk_size)
 
     assert isinstance(messages[0], thrift.MalformedMessageError)
     assert messages[0].seqid == seqid
@@ -78,9 +83,9 @@
 
     messages = []
     for start in range(0, len(oversized), 65536):
-        messages += reader.feed(oversized[start : start + 65536])
+        messages += [frame.parse() for frame in reader.feed(oversized[start : start + 65536])]
         assert len(reader._buffer) < thrift.MAX_FRAME_BYTES
-    messages += reader.feed(encode_request(8, REQUEST_FIELDS))
+    messages += [frame.parse() for frame in reader.feed(encode_request(8, REQUEST_FIELDS))]
 
     assert [message.seqid for message in messages] == [7, 8]
     assert isinstance(messages[1], thrift.Handle)
@@ -110,8 +115,8 @@
 
 @pytest.mark.parametrize("method", [b"handle", b"status", b"withdraw", b"explode"])
 def test_application_exception_names_the_method_that_was_called(method):
-    [error] = thrift.FrameReader().feed(frame(header(method, kind=thrift.CALL) + b"\x63\0\1\0"))
+    [malformed] = thrift.FrameReader().feed(frame(header(method, kind=thrift.CALL) + b"\x63\0\1\0"))
 
-    answer = thrift.encode_application_exception(error)
+    answer = thrift.encode_application_exception(malformed.parse())
 
     assert thrift.parse_header(answer[4:])[:3] == (thrift.EXCEPTION, method.decode(), 7)
--- a/tests/soak_test/test_command_line.py
+++ b/tests/soak_test/test_command_line.py
@@ -48,7 +48,7 @@
 
 
 def kinds_of(plan):
-    return {fault.kind for fault in plan.faults}
+    return {fault.kind for fault in plan.faults_and_loads}
 
 
 def test_requested_number_of_seeds_is_run_from_the_first(invoke, runs):
@@ -74,7 +74,7 @@
 def test_no_faults_option_draws_none(invoke, runs):
     invoke("--no-faults")
 
-    assert runs.plans[0].faults == []
+    assert runs.plans[0].faults_and_loads == []
 
 
 @pytest.mark.parametrize(("arguments", "uses_shim"), [([], True), (["--no-shim"], False)])
--- a/tests/soak_test/test_faults.py
+++ b/tests/soak_test/test_faults.py
@@ -93,7 +93,7 @@
     on_clients = {kind for kind, each in FAULTS.items() if isinstance(each, ClientFault)}
 
     assert shared == {FaultKind.CLOCK_STEP, FaultKind.CALLS_FAIL, FaultKind.ENDPOINT_LOG_SILENT}
-    assert on_clients == {FaultKind.BURST, FaultKind.BAD_CLIENTS}
+    assert on_clients == {FaultKind.BURST, FaultKind.BAD_CLIENTS, FaultKind.BULK_WITHDRAWALS}
     assert sum(isinstance(each, WorkerFault) for each in FAULTS.values()) == 6
 
 
--- a/tests/soak_test/test_plan.py
+++ b/tests/soak_test/test_plan.py
@@ -5,7 +5,7 @@
 import msgspec
 import pytest
 
-from soak.plan import FaultKind, draw_plan
+from soak.plan import LOAD_KINDS, FaultKind, draw_plan
 
 ROUTERS = 9
 WORKERS = 7
@@ -45,8 +45,20 @@
     assert {fault.kind for fault in plan.faults} == {FaultKind.ROUTER_PAUSE, FaultKind.CALLS_FAIL}
 
 
+def test_loads_are_drawn_in_addition_and_leave_the_faults_as_they_are():
+    plan = draw(1)
+    without_loads = draw(1, [kind for kind in FaultKind if kind not in LOAD_KINDS])
+
+    assert {load.kind for load in plan.loads} == set(LOAD_KINDS)
+    assert plan.faults == without_loads.faults
+    assert without_loads.loads == []
+    assert [fault.start_s for fault in plan.faults_and_loads] == sorted(
+        fault.start_s for fault in plan.faults + plan.loads
+    )
+
+
 def test_plan_without_kinds_has_no_faults():
-    assert draw(1, []).faults == []
+    assert draw(1, []).faults_and_loads == []
 
 
 @pytest.mark.parametrize("seed", range(1, 6))
--- a/tests/soak_test/test_thrift_messages.py
+++ b/tests/soak_test/test_thrift_messages.py
@@ -13,7 +13,7 @@
 @pytest.fixture
 def read():
     """Return a function that decodes a frame with the router's codec."""
-    return lambda frame: thrift.FrameReader().feed(frame)
+    return lambda data: [frame.parse() for frame in thrift.FrameReader().feed(data)]
 
 
 @pytest.mark.parametrize(
--- a/tests/soak_test/test_traffic.py
+++ b/tests/soak_test/test_traffic.py
@@ -44,14 +44,26 @@
         (lambda traffic: traffic.use_router(1, 3), ClientsCommand([1, 3], 50.0)),
         (lambda traffic: traffic.set_request_rate(70.0), ClientsCommand([1, 2], 70.0)),
         (lambda traffic: traffic.set_bad_client_rate(5.0), ClientsCommand([1, 2], 50.0, 5.0)),
+        (
+            lambda traffic: traffic.withdraw_in_bulk([1, 1]),
+            ClientsCommand([1, 2], 50.0, bulk_withdrawals_at=[1, 1]),
+        ),
         (lambda traffic: traffic.stop(), ClientsCommand([1, 2], 0.0)),
     ],
-    ids=["avoid a router", "stop connecting", "use a router", "request rate", "bad clients", "stop"],
+    ids=["avoid a router", "stop connecting", "use a router", "request rate", "bad clients", "bulk", "stop"],
 )
 def test_change_leaves_all_else_as_it_was(command_after, change, command):
     assert command_after(change) == command
 
 
+def test_bulk_withdrawals_are_not_repeated_by_the_next_change(command_after):
+    async def withdraw_then_change(traffic):
+        await traffic.withdraw_in_bulk([1])
+        await traffic.set_request_rate(70.0)
+
+    assert command_after(withdraw_then_change).bulk_withdrawals_at == []
+
+
 @pytest.mark.parametrize(
     "change",
     [lambda traffic: traffic.avoid_router(1), lambda traffic: traffic.use_router(1, 2)],
