Keep queued requests in order of service: an event costs the same at any length

Cause, first half: each event did work on whole queues. An arrival sorted its function's queue with a key that looks up medians, and counted requests that need a start; the end of an attempt searched the queue twice and took the minimum over it; a timer looked at each open request. So an event costs in the order of n log n, and a burst, which makes the queues long, makes each of its own events dearer.

Change: RequestQueue keeps the requests of one objective, within or over the quota, in order of arrival. Those that will miss their objective are always the first of such a group, so that a binary search finds where they end, whatever the time and the median. Requests wait in priority queues for the time at which they may be given up and for their deadlines. Trace steps of a function go to its 32 oldest requests only.

Failing before: test_event_costs_about_the_same_with_ten_times_as_many_queued_requests, eight of its ten cases, for example "assert 6338 < (1.5 * 938)" function calls for an arrival.

The list of modules that the decision module may import has the two new ones, and bisect, heapq and typing, which have neither a clock nor randomness nor sockets.

--- a/function_router/decisions/__init__.py
+++ b/function_router/decisions/__init__.py
@@ -26,6 +26,7 @@
     workers, functions, requests        tables that own the records; the first two evict old ones
     process_identity                    which connections lead to the listed workers
     records                             workers, functions, instances, requests and attempts
+    request_queue, timed_requests       requests in the order of service, and by the time of their next check
     outbox                              actions that are decided but not returned yet
 
 Names with "own" refer to the requests, attempts, sends and rates of this router alone, as opposed to those of
--- a/function_router/decisions/dispatch.py
+++ b/function_router/decisions/dispatch.py
@@ -1,7 +1,7 @@
 """The queues of functions, and the only place that sends requests."""
 
 from function_router.decisions.actions import NoteWithheld, SendRequest
-from function_router.decisions.admission import Admission, Urgency
+from function_router.decisions.admission import Admission
 from function_router.decisions.endpoint_leases import LeaseStatus
 from function_router.decisions.fleet import Fleet
 from function_router.decisions.outbox import Outbox
@@ -37,15 +37,15 @@
         self._outbox = outbox
         self._waiting: dict[str, Function] = {}  # functions that may have queued requests, by name
 
-    def has_waiting_functions(self) -> bool:
-        """Return whether any function may have queued requests."""
-        return bool(self._waiting)
+    def waiting_functions(self) -> list[Function]:
+        """Return the functions with queued requests."""
+        return [function for function in self._waiting.values() if function.queue]
 
     def enqueue(self, request: Request, now_ms: float) -> None:
         """Queue a request, which is sent when its function is dispatched."""
         function = request.function
         request.queued_ms = now_ms
-        function.queue.append(request)
+        function.queue.add(request, self._admission.overdue_at_ms(request))
         self._waiting[function.name] = function
 
     def dispatch(self, function: Function, now_ms: float) -> None:
@@ -58,27 +58,22 @@
 
     def dispatch_all(self, now_ms: float) -> None:
         """Dispatch all functions with queued requests, the one with the most urgent request first."""
-        self._dispatch_by_urgency([function for function in self._waiting.values() if function.queue], now_ms)
+        self._dispatch_by_urgency(self.waiting_functions(), now_ms)
 
     def dispatch_for(self, worker: Worker, now_ms: float) -> None:
         """Dispatch the functions that may have instances at a worker which can now take more requests."""
-        waiting = self._waiting.values()
-        queued = [function for function in waiting if function.queue and worker.id in function.pools]
+        queued = [function for function in self.waiting_functions() if worker.id in function.pools]
         self._dispatch_by_urgency(queued, now_ms)
 
     def _dispatch_by_urgency(self, functions: list[Function], now_ms: float) -> None:
         """Dispatch functions, ordered by their most urgent requests."""
-
-        def urgency(function: Function) -> Urgency:
-            return min(self._admission.urgency(request, now_ms) for request in function.queue)
-
-        for function in sorted(functions, key=urgency):
+        for function in sorted(functions, key=lambda function: self._admission.urgency(function, now_ms)):
             self.dispatch(function, now_ms)
 
     def send_at_once(self, request: Request, now_ms: float) -> None:
         """Send another attempt only if a slot is free now. Don't queue the request or start an instance."""
         queue = request.function.queue
-        queue.append(request)
+        queue.add(request, self._admission.overdue_at_ms(request))
         self._serve_queue(request.function, now_ms)
         if request in queue:
             queue.remove(request)
@@ -89,11 +84,10 @@
         If a request finds no slot, the requests after it won't find one either, so the loop ends. Retries are
         an exception, as they may be restricted to some of the workers.
         """
-        queue = function.queue
         function.awaits_check = False
-        if len(queue) > 1:
-            queue.sort(key=lambda request: self._admission.urgency(request, now_ms))
-        for request in list(queue):
+        if not function.queue:
+            return
+        for request in self._admission.in_order(function, now_ms):
             worker = self._find_worker(function, request, now_ms)
             if worker is not None:
                 self._send(request, worker, now_ms)
--- a/function_router/decisions/records.py
+++ b/function_router/decisions/records.py
@@ -9,6 +9,7 @@
 from msgspec import Struct, field
 
 from function_router.decisions.events import Endpoint, InstancesReported
+from function_router.decisions.request_queue import RequestQueue
 from function_router.decisions.settings import RequestClass
 from function_router.decisions.types import Outcome, WorkerState
 from function_router.limits import CircuitBreaker
@@ -173,6 +174,7 @@
     deadline_ms: float
     over_quota: bool
     queued_ms: float  # when it was last added to the queue
+    number: int  # counts the requests of the router in the order of their arrival
     random_bits: int  # select the preferred worker that is tried first
     concurrency: int  # slots of an instance, according to this request
     attempts: list[Attempt] = []
@@ -199,7 +201,7 @@
     concurrency: int  # slots of an instance, according to its newest request
     hinted_start_ms: float | None  # typical start time, according to its requests
     hash: int  # hash of its name, for rendezvous hashing
-    queue: list[Request] = []
+    queue: RequestQueue[Request] = field(default_factory=RequestQueue)
     pools: dict[int, InstancePool] = {}  # by worker id
     last_probed_ms: float = -math.inf  # time of the last probe at any worker
     awaits_check: bool = False  # the health check of a worker with a free slot is pending
--- a/function_router/decisions/retries.py
+++ b/function_router/decisions/retries.py
@@ -65,7 +65,13 @@
                 self.retry_or_finish(request, now_ms)
                 self._dispatcher.dispatch(attempt.function, now_ms)
 
-    def hedge_if_overdue(self, request: Request, now_ms: float) -> None:
+    def hedge_overdue_requests(self, now_ms: float) -> None:
+        """Queue the requests in flight for a hedge whose last attempts are overdue, the earliest first."""
+        for request in self._requests.in_flight():
+            if request not in request.function.queue:
+                self._hedge_if_overdue(request, now_ms)
+
+    def _hedge_if_overdue(self, request: Request, now_ms: float) -> None:
         """Queue a request for a hedge if its last attempt is overdue and the hedge budget allows it."""
         runs_ms = OVERDUE_AFTER_RUNS * self._durations.median_run_ms(request.function, now_ms)
         objective_ms = request.request_class.latency_objective_ms
--- a/function_router/decisions/router.py
+++ b/function_router/decisions/router.py
@@ -48,6 +48,7 @@
         """Create the components, the lower layers first."""
         self.settings = settings
         self._next_seed = seed
+        self._request_count = 0  # since the start
         self._is_timer_set = False
         self._evicted_ms = -math.inf
         self._outbox = Outbox()
@@ -161,7 +162,7 @@
         function = request.function
         self.fleet.placement.record_arrival(function, now_ms)
         self._retries.record_arrival()
-        self.requests.by_id[request.id] = request
+        self.requests.add(request)
         self._dispatcher.enqueue(request, now_ms)
         if self._admission.is_due_on_arrival(request, now_ms):
             self._answers.finish(request)
@@ -177,6 +178,7 @@
         function = functions.get_or_add(event)
         random_bits = mix64(mix64(self._next_seed))
         self._next_seed += 1
+        self._request_count += 1
         return Request(
             event.request_id,
             function,
@@ -185,6 +187,7 @@
             deadline_ms=now_ms + event.timeout_ms,
             over_quota=self._admission.charge_quota(event.tenant, now_ms),
             queued_ms=now_ms,
+            number=self._request_count,
             random_bits=random_bits,
             concurrency=function.concurrency,
         )
@@ -245,11 +248,10 @@
         """Do the periodic checks: due requests, hedges, lost attempts, silent workers and limits."""
         self._is_timer_set = False
         capacity = self.fleet.capacity
-        for request in list(self.requests.by_id.values()):
-            if self._admission.is_due_on_timer(request, now_ms):
-                self._answers.finish(request)
-            elif capacity.many_routers and request.attempts and request not in request.function.queue:
-                self._retries.hedge_if_overdue(request, now_ms)
+        for request in self._admission.take_due(self._dispatcher.waiting_functions(), now_ms):
+            self._answers.finish(request)
+        if capacity.many_routers:
+            self._retries.hedge_overdue_requests(now_ms)
         self._retries.retry_lost_attempts(now_ms)
         self.requests.expire_recent_attempts(capacity.latency_objective_ms, now_ms)
         self.fleet.leases.recheck_draining(now_ms)
@@ -257,13 +259,14 @@
             self._retries.retry_elsewhere(worker, now_ms)
         if capacity.is_refresh_due(now_ms):
             self._refresh(now_ms)
-        if self._dispatcher.has_waiting_functions() and not self._admission.is_at_limit():
+        if not self._admission.is_at_limit():
             self._dispatcher.dispatch_all(now_ms)
 
     def _on_drain_started(self, event: events.DrainStarted, now_ms: float) -> None:
         """Shorten all deadlines so that each request is answered before the process exits."""
-        for request in self.requests.by_id.values():
-            request.deadline_ms = min(request.deadline_ms, now_ms + event.within_ms)
+        self.requests.limit_deadlines(now_ms + event.within_ms)
+        for function in self._dispatcher.waiting_functions():
+            function.queue.reschedule(self._admission.overdue_at_ms)
 
     def _refresh(self, now_ms: float) -> None:
         """Recompute the limits, and evict unused records at longer intervals."""
--- a/function_router/decisions/scaling.py
+++ b/function_router/decisions/scaling.py
@@ -61,8 +61,12 @@
         waiting = self._count_requests_needing_start(function, now_ms, is_warm=is_warm)
         if is_warm and (self._admission.is_at_limit() or not self._speculation.update(function, now_ms)):
             return
-        for _ in range(math.ceil(waiting / function.concurrency) - pending):
-            worker = self._start_orders.choose_worker(function, now_ms, is_speculative=is_warm)
+        missing_count = math.ceil(waiting / function.concurrency) - pending
+        if missing_count <= 0:
+            return
+        first = self._admission.first_in_queue(function, now_ms)
+        for _ in range(missing_count):
+            worker = self._start_orders.choose_worker(first, now_ms, is_speculative=is_warm)
             if worker is None:
                 return
             if not self._start_orders.order_if_lease_valid(function, worker, now_ms, is_speculative=is_warm):
@@ -85,12 +89,10 @@
         if not is_warm:
             return len(function.queue)
         count = 0
-        for request in function.queue:
-            if request.over_quota:
-                continue
-            if self._capacity.many_routers and self._admission.will_miss_objective(request, now_ms):
-                continue
-            count += 1
+        for group in function.queue.groups(over_quota=False):
+            count += len(group.requests)
+            if self._capacity.many_routers:
+                count -= self._admission.count_missing(function, group, group.requests, now_ms)
         return count
 
     def find_instances(self, function: Function, request: Request, now_ms: float) -> None:
--- a/function_router/decisions/speculation.py
+++ b/function_router/decisions/speculation.py
@@ -41,8 +41,9 @@
 
     def _queue_wait_ms(self, function: Function, now_ms: float) -> float:
         """Return Td, or the wait so far of the request that was queued first, if that is longer."""
-        oldest_ms = min((request.queued_ms for request in function.queue), default=now_ms)
-        return max(now_ms - oldest_ms, function.queue_waits.median(now_ms) or 0.0)
+        oldest_ms = function.queue.first_queued_ms
+        waited_ms = 0.0 if oldest_ms is None else now_ms - oldest_ms
+        return max(waited_ms, function.queue_waits.median(now_ms) or 0.0)
 
     def _toggle(self, function: Function) -> None:
         """Toggle speculation, and reset the times that led to it."""
--- a/function_router/decisions/start_orders.py
+++ b/function_router/decisions/start_orders.py
@@ -4,7 +4,7 @@
 from function_router.decisions.endpoint_leases import LeaseStatus
 from function_router.decisions.fleet import Fleet
 from function_router.decisions.outbox import Outbox
-from function_router.decisions.records import Function, InstancePool, Worker
+from function_router.decisions.records import Function, InstancePool, Request, Worker
 from function_router.decisions.requests import OpenRequests
 from function_router.decisions.start_order_limits import StartOrderLimits
 from function_router.decisions.types import Outcome
@@ -54,17 +54,18 @@
             return False
         return self._limits.allows_order(now_ms)
 
-    def choose_worker(self, function: Function, now_ms: float, *, is_speculative: bool) -> Worker | None:
-        """Choose the worker that starts an instance for the queue; None if no worker can now.
+    def choose_worker(self, first: Request, now_ms: float, *, is_speculative: bool) -> Worker | None:
+        """Choose the worker that starts an instance for the queue of `first`; None if no worker can now.
 
         This is the first worker that can start an instance, has none yet and is below its load bound, or else
-        the first one that can start an instance. Workers are tried in the order of preference of the request
-        at the head of the queue, and then in hash order. A worker without a valid lease is skipped, unless
-        its health check is pending.
+        the first one that can start an instance. Workers are tried in the order of preference of `first`, the
+        request at the head of the queue, and then in hash order. A worker without a valid lease is skipped,
+        unless its health check is pending.
         """
         if not self._limits.allows_order(now_ms):
             return None
-        preferred = self._placement.preferred_workers(function, function.queue[0], now_ms)
+        function = first.function
+        preferred = self._placement.preferred_workers(function, first, now_ms)
         order = preferred + self._placement.hash_order(function)
         eligible = (
             worker
--- a/function_router/net/pending_requests.py
+++ b/function_router/net/pending_requests.py
@@ -1,10 +1,14 @@
 """The pending requests, with their limits, and the requests that have finished recently."""
 
+from itertools import islice
+
 from function_router.net.client_request import Invocation
 from function_router.net.pending_request import PendingRequest
 
 # Maximum total size of the bodies of all pending requests, which is a part of the memory limit.
 MAX_TOTAL_BODY_BYTES = 32 * 1024 * 1024
+# A step of a function is recorded in the traces of at most this many of its requests, the oldest ones.
+MAX_TRACED_REQUESTS = 32
 
 
 class PendingRequests:
@@ -14,13 +18,14 @@
         by_key: The requests by key, oldest first.
     """
 
-    __slots__ = ("_body_bytes", "_keys_by_client_request_id", "_max_requests", "by_key")
+    __slots__ = ("_body_bytes", "_by_function", "_keys_by_client_request_id", "_max_requests", "by_key")
 
     def __init__(self, max_requests: int) -> None:
         self.by_key: dict[str, PendingRequest] = {}
         self._max_requests = max_requests
         self._body_bytes = 0
         self._keys_by_client_request_id: dict[bytes, str] = {}
+        self._by_function: dict[str, dict[str, PendingRequest]] = {}  # by function and key, oldest first
 
     def has_capacity_for(self, invocation: Invocation) -> bool:
         """Return whether the limits allow one more request, with the body of this invocation."""
@@ -33,6 +38,7 @@
         self.by_key[request.key] = request
         self._body_bytes += len(invocation.body)
         self._keys_by_client_request_id[invocation.request_id] = request.key
+        self._by_function.setdefault(invocation.function, {})[request.key] = request
 
     def remove(self, key: str) -> PendingRequest | None:
         """Remove and return a request; None if it is not pending."""
@@ -41,6 +47,10 @@
             invocation = request.invocation
             self._body_bytes -= len(invocation.body)
             self._keys_by_client_request_id.pop(invocation.request_id, None)
+            of_function = self._by_function[invocation.function]
+            del of_function[key]
+            if not of_function:
+                del self._by_function[invocation.function]
         return request
 
     def find_by_client_request_id(self, client_request_id: bytes) -> PendingRequest | None:
@@ -49,10 +59,10 @@
         return None if key is None else self.by_key[key]
 
     def add_trace_step(self, function: str, text: str) -> None:
-        """Record a step, such as a start order, in the traces of all requests for a function."""
-        for request in self.by_key.values():
-            if request.invocation.function == function:
-                request.add_trace_step(text)
+        """Record a step, such as a start order, in the traces of the oldest requests for a function."""
+        of_function = self._by_function.get(function, {})
+        for request in islice(of_function.values(), MAX_TRACED_REQUESTS):
+            request.add_trace_step(text)
 
 
 class RecentlyFinishedRequests:
--- a/tests/decisions/test_admission.py
+++ b/tests/decisions/test_admission.py
@@ -1,9 +1,14 @@
 """Tests of admission: deadlines, requests that are given up, quotas, and the limit on attempts in flight."""
 
+import random
+
+import pytest
 from helpers.decision_harness import DecisionHarness, actions_of, one_of_many_routers
 
 from function_router.decisions.actions import FailRequest, RejectRequest, SendRequest
-from function_router.decisions.events import RequestCancelled
+from function_router.decisions.admission import ANSWER_LEAD_MS, TIMER_INTERVAL_MS
+from function_router.decisions.events import DrainStarted, RequestCancelled, TimerFired
+from function_router.decisions.settings import RequestClass
 from function_router.decisions.types import Outcome
 
 # --- deadlines and requests that are given up ------------------------------------------------------
@@ -88,6 +93,79 @@
     assert not actions_of(actions, FailRequest)
 
 
+def test_drain_shortens_the_deadlines_of_queued_requests():
+    harness = DecisionHarness(workers=0)
+    harness.request("r1", timeout_ms=700.0)
+    harness.request("r2", timeout_ms=200.0)
+
+    harness.feed(DrainStarted(500.0))
+    harness.run_timer_until(1000.0)
+
+    answered_ms = {entry.action.request_id: entry.time_ms for entry in harness.logged(RejectRequest)}
+    assert answered_ms["r2"] <= 200.0 < answered_ms["r1"] <= 500.0
+
+
+# --- the order of queued requests -------------------------------------------------------------------
+
+QUEUE_CLASSES = ("idempotent", "short")
+
+
+@pytest.fixture
+def queued_harness():
+    """A router without workers and with queued requests of two objectives, some over quota."""
+    short = RequestClass("short", latency_objective_ms=300.0)
+    harness = DecisionHarness(
+        workers=0, tenant_quotas_rps={"big": 5.0, "small": 1000.0}, more_classes=[short]
+    )
+    draw = random.Random(3)
+    for number in range(200):
+        harness.now_ms += draw.choice((0.0, 3.0))
+        harness.request(
+            f"r{number}",
+            class_name=draw.choice(QUEUE_CLASSES),
+            timeout_ms=draw.uniform(200.0, 2500.0),
+            tenant=draw.choice(("big", "small")),
+        )
+    return harness
+
+
+def plain_sort_key(harness, request):
+    admission = harness.router._admission
+    will_miss = admission.will_miss_objective(request, harness.now_ms)
+    return request.over_quota, will_miss, request.arrived_ms, request.id
+
+
+@pytest.mark.parametrize("waited_ms", [0.0, 100.0, 200.0, 400.0, 1000.0])
+def test_queued_requests_have_the_order_of_a_plain_sort(queued_harness, waited_ms):
+    harness = queued_harness
+    function = harness.function("f")
+    harness.now_ms += waited_ms
+
+    order = list(harness.router._admission.in_order(function, harness.now_ms))
+
+    assert order == sorted(function.queue, key=lambda request: plain_sort_key(harness, request))
+    assert len({request.over_quota for request in order}) == 2
+
+
+def test_timer_answers_the_requests_that_a_check_of_each_of_them_finds(queued_harness):
+    harness = queued_harness
+    admission = harness.router._admission
+    for _ in range(60):
+        harness.now_ms += TIMER_INTERVAL_MS
+        due_by = harness.now_ms + TIMER_INTERVAL_MS + ANSWER_LEAD_MS
+        expected = [
+            request.id
+            for request in harness.router.requests.by_id.values()
+            if due_by >= request.deadline_ms or admission._should_give_up(request, harness.now_ms)
+        ]
+
+        actions = harness.feed(TimerFired(0))
+
+        answers = [action for action in actions if isinstance(action, RejectRequest | FailRequest)]
+        assert [answer.request_id for answer in answers] == expected
+    assert not harness.router.requests.by_id
+
+
 # --- quotas and limits -----------------------------------------------------------------------------
 
 
--- a/tests/decisions/test_event_cost.py
+++ b/tests/decisions/test_event_cost.py
@@ -1,8 +1,33 @@
-"""Test that the cost of an event does not grow with the number of workers."""
+"""Tests that the cost of an event does not grow with the number of workers or of queued requests."""
 
 import sys
 
-from helpers.decision_harness import MANY_ROUTERS_TENANT, DecisionHarness
+import pytest
+from helpers.decision_harness import MANY_ROUTERS_TENANT, DecisionHarness, actions_of
+
+from function_router.decisions.actions import SendRequest
+from function_router.decisions.events import RequestCancelled, TimerFired
+
+CONCURRENCY = 4
+
+
+def count_calls(run):
+    """Count the function calls that Python makes while `run` is called."""
+    call_count = 0
+
+    def count_call(_frame, event, _arg):
+        nonlocal call_count
+        call_count += event in ("call", "c_call")
+
+    sys.setprofile(count_call)
+    try:
+        run()
+    finally:
+        sys.setprofile(None)
+    return call_count
+
+
+# --- number of workers ----------------------------------------------------------------------------
 
 
 def serve_one_request(harness, request_id):
@@ -24,22 +49,15 @@
         router_count=100,
         tenant_quotas_rps={MANY_ROUTERS_TENANT: 5.0 * workers},
     )
-    call_count = 0
 
-    def count_call(_frame, event, _arg):
-        nonlocal call_count
-        call_count += event in ("call", "c_call")
+    def serve():
+        for number in range(1, 20):
+            serve_one_request(harness, f"r{number}")
 
     serve_one_request(harness, "r0")
     # The sums over all workers are computed once a second and not at each event, so they are left out.
     harness.fleet.capacity.refreshed_ms = harness.now_ms + 1e9
-    sys.setprofile(count_call)
-    try:
-        for number in range(1, 20):
-            serve_one_request(harness, f"r{number}")
-    finally:
-        sys.setprofile(None)
-    return call_count
+    return count_calls(serve)
 
 
 def test_event_costs_about_the_same_with_ten_times_as_many_workers():
@@ -47,3 +65,71 @@
     calls_of_many_workers = count_calls_while_serving(1000)
 
     assert calls_of_many_workers < 1.5 * calls_of_few_workers
+
+
+# --- number of queued requests --------------------------------------------------------------------
+
+
+def harness_with_queue(length):
+    """Return a router whose only instance is busy, with queued requests, and the sends in flight."""
+    harness = DecisionHarness(workers=4, max_retry_after_ms=1000.0)
+    harness.warm_up(concurrency=CONCURRENCY)
+    return harness, fill_queue(harness, length)
+
+
+def many_routers_harness_with_queue(length):
+    """Return the same for one of many routers, most of whose queued requests are over quota."""
+    harness = DecisionHarness(
+        workers=20,
+        tenant=MANY_ROUTERS_TENANT,
+        router_count=100,
+        tenant_quotas_rps={MANY_ROUTERS_TENANT: 4000.0},
+    )
+    harness.warm_up(concurrency=CONCURRENCY)
+    return harness, fill_queue(harness, length)
+
+
+def fill_queue(harness, length):
+    """Send requests until no slot is free, and queue further ones; return the sends."""
+    sends = []
+    number = 0
+    while len(harness.function("f").queue) < length:
+        actions = harness.request(f"q{number}", concurrency=CONCURRENCY)
+        actions += harness.answer_probes(actions)
+        sends += actions_of(actions, SendRequest)
+        number += 1
+    return sends
+
+
+def arrive(harness, _sends):
+    harness.request("new", concurrency=CONCURRENCY)
+
+
+def cancel(harness, _sends):
+    request = next(iter(harness.function("f").queue))
+    harness.feed(RequestCancelled(request.id))
+
+
+def end_attempt(harness, sends):
+    harness.end_attempt(sends[0])
+
+
+def report_instances(harness, sends):
+    harness.report_instances(sends[0].worker_id, 1)
+
+
+def fire_timer(harness, _sends):
+    harness.feed(TimerFired(0))
+
+
+# Guards against a burst whose queues make each event cost so much that the router answers seconds too late.
+@pytest.mark.parametrize("make_harness", [harness_with_queue, many_routers_harness_with_queue])
+@pytest.mark.parametrize("event", [arrive, cancel, end_attempt, report_instances, fire_timer])
+def test_event_costs_about_the_same_with_ten_times_as_many_queued_requests(make_harness, event):
+    calls = {}
+    for length in (100, 1000):
+        harness, sends = make_harness(length)
+        harness.now_ms += 1.0
+        calls[length] = count_calls(lambda harness=harness, sends=sends: event(harness, sends))
+
+    assert calls[1000] < 1.5 * calls[100]
--- a/tests/decisions/test_retry_policy.py
+++ b/tests/decisions/test_retry_policy.py
@@ -24,7 +24,9 @@
 def request_after_one_attempt(request_class, *, in_flight=False, may_have_run=True):
     """Return a request with one attempt at the first worker, sent at 0 ms."""
     function = Function("f", request_class.name, 1, None, hash=5)
-    request = Request("r", function, request_class, 0.0, 2500.0, False, 0.0, 0, 1)
+    request = Request(
+        "r", function, request_class, 0.0, 2500.0, False, 0.0, number=1, random_bits=0, concurrency=1
+    )
     attempt = Attempt(
         "r", FIRST, FIRST.endpoint, function, request_class.name, 0.0, True, 1, in_flight=in_flight
     )
--- a/tests/helpers/decision_harness.py
+++ b/tests/helpers/decision_harness.py
@@ -45,10 +45,11 @@
     Each method that passes an event to the router returns the resulting actions.
     """
 
-    def __init__(self, workers=4, zones=("a",), seed=1, tenant="", **settings):
+    def __init__(self, workers=4, zones=("a",), seed=1, tenant="", more_classes=(), **settings):
         settings.setdefault("max_attempts", 4)
         classes = {
-            request_class.name: request_class for request_class in (IDEMPOTENT, IDEMPOTENCY_KEY, AT_MOST_ONCE)
+            request_class.name: request_class
+            for request_class in (IDEMPOTENT, IDEMPOTENCY_KEY, AT_MOST_ONCE, *more_classes)
         }
         self.router = Router(Settings(classes=classes, **settings), seed)
         self.now_ms = 0.0
--- a/tests/net/test_pending_requests.py
+++ b/tests/net/test_pending_requests.py
@@ -60,6 +60,19 @@
     assert other.trace == []
 
 
+def test_trace_step_goes_to_a_limited_number_of_requests_and_the_oldest_first():
+    requests = PendingRequests(max_requests=3)
+    pending = [pending_request(f"r{number}", request_id=b"abcdefg%d" % number) for number in range(3)]
+    for request in pending:
+        requests.add(request)
+    requests.remove("r0")
+
+    with mock.patch.object(pending_requests, "MAX_TRACED_REQUESTS", 1):
+        requests.add_trace_step(pending[0].invocation.function, "ensure 1 instances at 7")
+
+    assert [len(request.trace) for request in pending] == [0, 1, 0]
+
+
 def test_finished_request_is_known_in_the_batch_it_finished_in_and_the_one_after():
     finished = RecentlyFinishedRequests()
     request = pending_request("r1")
--- a/tests/test_repository.py
+++ b/tests/test_repository.py
@@ -18,13 +18,16 @@
 
 # Modules that the decision module may import. None of them has a clock, a random source or a socket.
 ALLOWED_IMPORTS = {
+    "bisect",
     "collections",
     "collections.abc",
     "enum",
     "hashlib",
+    "heapq",
     "itertools",
     "math",
     "msgspec",
+    "typing",
     "function_router.decisions",
     "function_router.decisions.actions",
     "function_router.decisions.admission",
@@ -46,6 +49,7 @@
     "function_router.decisions.placement",
     "function_router.decisions.process_identity",
     "function_router.decisions.records",
+    "function_router.decisions.request_queue",
     "function_router.decisions.requests",
     "function_router.decisions.retries",
     "function_router.decisions.retry_policy",
@@ -56,6 +60,7 @@
     "function_router.decisions.speculation",
     "function_router.decisions.start_order_limits",
     "function_router.decisions.start_orders",
+    "function_router.decisions.timed_requests",
     "function_router.decisions.types",
     "function_router.decisions.workers",
     *(f"function_router.{name}" for name in GENERAL_MODULES),
