--- a/function_router/decisions/dispatch.py
+++ b/function_router/decisions/dispatch.py
@@ -27,6 +27,7 @@
         scaling: Scaling,
         outbox: Outbox,
     ) -> None:
+        self._capacity = fleet.capacity
         self._health = fleet.health
         self._leases = fleet.leases
         self._placement = fleet.placement
@@ -60,10 +61,35 @@
         """Dispatch all functions with queued requests, the one with the most urgent request first."""
         self._dispatch_by_urgency(self.waiting_functions(), now_ms)
 
-    def dispatch_for(self, worker: Worker, now_ms: float) -> None:
-        """Dispatch the functions that may have instances at a worker which can now take more requests."""
-        queued = [function for function in self.waiting_functions() if worker.id in function.pools]
+    def dispatch_after_attempt(self, attempt: Attempt, now_ms: float) -> None:
+        """Dispatch the function of an attempt that has ended, and the others that may benefit from its end.
+
+        Those are the functions whose first request the worker can take now. Any other function has gained
+        nothing by the end of the attempt; what time alone changes for it, the next timer finds.
+
+        With many routers, they are all functions with a pool at the worker, as the limit on all attempts in
+        flight may have held them up. The function of the attempt is then dispatched again after them, as the
+        first time may have enabled speculation.
+        """
+        function = attempt.function
+        worker = attempt.worker
+        is_limited = self._capacity.many_routers
+        queued = [
+            other
+            for other in self.waiting_functions()
+            if worker.id in other.pools
+            and (is_limited or other is function or self._can_use(other, worker, now_ms))
+        ]
         self._dispatch_by_urgency(queued, now_ms)
+        if is_limited or function not in queued:
+            self.dispatch(function, now_ms)
+
+    def _can_use(self, function: Function, worker: Worker, now_ms: float) -> bool:
+        """Return whether a worker with a pool of a function may take the request that is served first."""
+        if not self._scaling.may_have_free_slot(next(iter(function.queue)), worker, now_ms):
+            return False
+        first = self._admission.first_in_queue(function, now_ms)
+        return self._may_send_to(first, worker, self._admission.limit_fraction(first, now_ms), now_ms)
 
     def _dispatch_by_urgency(self, functions: list[Function], now_ms: float) -> None:
         """Dispatch functions, ordered by their most urgent requests."""
--- a/function_router/decisions/router.py
+++ b/function_router/decisions/router.py
@@ -218,8 +218,7 @@
             self._answers.close(request)
         elif request is not None and request not in function.queue:
             self._retries.retry_or_finish(request, now_ms)
-        self._dispatcher.dispatch_for(attempt.worker, now_ms)
-        self._dispatcher.dispatch(function, now_ms)
+        self._dispatcher.dispatch_after_attempt(attempt, now_ms)
 
     def _on_instances_reported(self, event: events.InstancesReported, now_ms: float) -> None:
         """Update the estimates, end the start order or probe, and dispatch the function."""
--- a/function_router/decisions/scaling.py
+++ b/function_router/decisions/scaling.py
@@ -131,6 +131,10 @@
         elif may_start and self._start_orders.can_start_at(function, worker, now_ms, is_speculative=is_warm):
             self._start_orders.order_if_lease_valid(function, worker, now_ms, is_speculative=is_warm)
 
+    def may_have_free_slot(self, request: Request, worker: Worker, now_ms: float) -> bool:
+        """Return whether a worker has a free slot, or one that would have to be verified by a probe."""
+        return self._instances.slot_state(request, worker, now_ms) is not SlotState.UNAVAILABLE
+
     def check_free_slot(self, request: Request, worker: Worker, now_ms: float) -> bool:
         """Return whether a worker has a free slot. If this is uncertain, probe it and return False."""
         state = self._instances.slot_state(request, worker, now_ms)
--- a/soak/clients.py
+++ b/soak/clients.py
@@ -10,15 +10,19 @@
 from collections.abc import Callable, Coroutine
 from pathlib import Path
 
+import msgspec
+
 from soak.bad_clients import run_bad_client
 from soak.bulk_clients import encode_withdrawn_requests, run_bulk_client
-from soak.client_connections import ClientConnections
+from soak.client_connections import MAX_PENDING_REQUESTS, ClientConnections
 from soak.commands import ClientsCommand, read_commands
 from soak.records import Recorder
 from soak.request_client import RequestClient, Target, draw_request
 
 RATE_POLL_S = 0.05  # between checks for a new rate while the rate is 0
 CLEANUP_DELAY_S = 0.1  # for the tasks of closed connections to finish
+BURST_REQUESTS = 1_280  # sent at once to one router
+BURST_TIMEOUT_MS = 250
 
 
 class Clients:
@@ -44,6 +48,9 @@
         for router in command.bulk_withdrawals_at:
             if port := command.ports[router]:
                 self._start(run_bulk_client(port, self._withdrawn_requests))
+        for router in command.bursts_at:
+            if port := command.ports[router]:
+                self._start(self._send_burst(router, port))
 
     async def run_requests(self) -> None:
         """Start requests at random times until the task is cancelled."""
@@ -87,6 +94,17 @@
             other = router if router in routers else self._rng.choice(routers)
             await self._requests.send(request, Target(other, self._command.ports[other]), is_retry=True)
 
+    async def _send_burst(self, router: int, port: int) -> None:
+        """Send requests for one function with short timeouts at once, on connections of their own."""
+        function = self._functions[:1]
+        requests = [
+            msgspec.structs.replace(
+                draw_request(self._rng, function, [1.0]), class_name="view", timeout_ms=BURST_TIMEOUT_MS
+            )
+            for _ in range(BURST_REQUESTS)
+        ]
+        await self._requests.send_together(requests, Target(router, port), MAX_PENDING_REQUESTS)
+
     def _connectable_routers(self) -> list[int]:
         command = self._command
         return [
--- a/soak/commands.py
+++ b/soak/commands.py
@@ -20,6 +20,7 @@
     bad_clients_per_s: float = 0.0
     open_only: list[int] = []  # routers to which clients make no new connections, but use existing ones
     bulk_withdrawals_at: list[int] = []  # routers for `run_bulk_client`, once, when the command arrives
+    bursts_at: list[int] = []  # routers for a burst of requests, once, when the command arrives
 
 
 class ProxyCommand(Struct, frozen=True):
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -1,9 +1,9 @@
 """The faults: a function for each kind, and a registry of their targets and mutual exclusion.
 
 Each function injects its fault, and returns when the fault is over. Most faults last for their planned
-duration. Restarts and kills of processes, replacements of workers, reloads, series of signals, resets, bulk
-withdrawals and clock steps ignore that duration, and a clock step is never undone. An outage of all endpoint
-logs lasts for a multiple of it, or for the plan's `log_outage_s`.
+duration. Restarts and kills of processes, replacements of workers, reloads, series of signals, resets, loads
+and clock steps ignore that duration, and a clock step is never undone. An outage of all endpoint logs lasts
+for a multiple of it, or for the plan's `log_outage_s`.
 """
 
 import asyncio
@@ -207,6 +207,11 @@
     await cluster.traffic.withdraw_in_bulk(fault.routers[:1] * count)
 
 
+async def overload_router(cluster: Cluster, fault: Fault) -> None:
+    """Send one router hundreds of requests at once, more than the workers can serve in time."""
+    await cluster.traffic.send_burst(fault.routers[0])
+
+
 # --- the registry
 
 
@@ -266,4 +271,5 @@
     FaultKind.ENDPOINT_LOGS_OUT: EndpointLogFault(inject_endpoint_log_outage),
     FaultKind.SIGNAL_SERIES: RouterFault(send_signal_series),
     FaultKind.BULK_WITHDRAWALS: ClientFault(withdraw_in_bulk),
+    FaultKind.OVERLOAD: ClientFault(overload_router),
 }
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -50,9 +50,10 @@
     ENDPOINT_LOGS_OUT = "endpoint-logs-out"
     SIGNAL_SERIES = "signal-series"
     BULK_WITHDRAWALS = "bulk-withdrawals"
+    OVERLOAD = "overload"
 
 
-LOAD_KINDS = (FaultKind.BULK_WITHDRAWALS,)
+LOAD_KINDS = (FaultKind.BULK_WITHDRAWALS, FaultKind.OVERLOAD)
 """The kinds that are loads: they hit single routers, and are drawn separately from the other kinds."""
 
 
--- a/soak/request_client.py
+++ b/soak/request_client.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 import time
+from collections.abc import Sequence
 from dataclasses import dataclass
 from enum import Enum, auto
 
@@ -151,6 +152,36 @@
         self._record_surplus(sent)
         return False
 
+    async def send_together(
+        self, requests: Sequence[GeneratedRequest], target: Target, max_per_connection: int
+    ) -> None:
+        """Send requests at once on new connections, and wait until all of them are over."""
+        parts = [
+            requests[start : start + max_per_connection]
+            for start in range(0, len(requests), max_per_connection)
+        ]
+        try:
+            connections = [await ThriftConnection.open(target.port) for _ in parts]
+        except OSError:
+            return  # never sent
+        sent = [
+            self._write_request(request, target.router, connection)
+            for connection, part in zip(connections, parts, strict=True)
+            for request in part
+        ]
+        await asyncio.gather(*(self._await_burst_answer(each) for each in sent))
+        for connection in connections:
+            connection.close()
+
+    async def _await_burst_answer(self, sent: SentRequest) -> None:
+        """Wait for the answer to a request that shares its connection with others of a burst."""
+        try:
+            await self._await_answer(sent)
+        except ConnectionEndedError as error:
+            self._record_lost_connection(sent, error, is_retry=True)
+        sent.connection.pending.pop(sent.seqid, None)
+        self._record_surplus(sent)
+
     def _record_lost_connection(
         self, sent: SentRequest, error: ConnectionEndedError, *, is_retry: bool
     ) -> bool:
--- a/soak/traffic.py
+++ b/soak/traffic.py
@@ -36,6 +36,11 @@
         await self._change(bulk_withdrawals_at=list(routers))
         self._command = msgspec.structs.replace(self._command, bulk_withdrawals_at=[])
 
+    async def send_burst(self, router: int) -> None:
+        """Send hundreds of requests to a router at once."""
+        await self._change(bursts_at=[router])
+        self._command = msgspec.structs.replace(self._command, bursts_at=[])
+
     async def use_router(self, router: int, port: int) -> None:
         """Send requests to a router, at the given port."""
         await self._set_port(router, port)
--- a/tests/decisions/test_event_cost.py
+++ b/tests/decisions/test_event_cost.py
@@ -9,6 +9,8 @@
 from function_router.decisions.events import RequestCancelled, TimerFired
 
 CONCURRENCY = 4
+# Maximum number of function calls to find that a worker has no free slot for a function.
+MAX_CALLS_PER_FUNCTION = 20
 
 
 def count_calls(run):
@@ -133,3 +135,34 @@
         calls[length] = count_calls(lambda harness=harness, sends=sends: event(harness, sends))
 
     assert calls[1000] < 1.5 * calls[100]
+
+
+# --- number of functions with queues --------------------------------------------------------------
+
+
+def harness_with_queues(functions):
+    """Return a router with a busy instance and queued requests for each function, and the sends in flight."""
+    harness = DecisionHarness(workers=2, max_retry_after_ms=1000.0)
+    names = [f"f{number}" for number in range(functions)]
+    for name in names:
+        harness.warm_up(name)
+    for name in names:
+        for worker_id in (1, 2):
+            harness.report_instances(worker_id, 1, name)
+    sends = []
+    for name in names:
+        for number in range(5):
+            sends += actions_of(harness.request(f"{name}-{number}", name), SendRequest)
+    assert all(harness.function(name).queue for name in names)
+    return harness, sends
+
+
+# Guards against a burst of many functions in which each end of an attempt dispatches all of their queues.
+def test_end_of_an_attempt_dispatches_no_function_that_the_worker_cannot_serve():
+    calls = {}
+    for functions in (10, 100):
+        harness, sends = harness_with_queues(functions)
+        calls[functions] = count_calls(lambda harness=harness, sends=sends: end_attempt(harness, sends))
+
+    calls_per_function = (calls[100] - calls[10]) / 90
+    assert calls_per_function < MAX_CALLS_PER_FUNCTION
--- a/tests/soak_test/test_traffic.py
+++ b/tests/soak_test/test_traffic.py
@@ -48,20 +48,31 @@
             lambda traffic: traffic.withdraw_in_bulk([1, 1]),
             ClientsCommand([1, 2], 50.0, bulk_withdrawals_at=[1, 1]),
         ),
+        (lambda traffic: traffic.send_burst(1), ClientsCommand([1, 2], 50.0, bursts_at=[1])),
         (lambda traffic: traffic.stop(), ClientsCommand([1, 2], 0.0)),
     ],
-    ids=["avoid a router", "stop connecting", "use a router", "request rate", "bad clients", "bulk", "stop"],
+    ids=[
+        "avoid a router",
+        "stop connecting",
+        "use a router",
+        "request rate",
+        "bad clients",
+        "bulk",
+        "burst",
+        "stop",
+    ],
 )
 def test_change_leaves_all_else_as_it_was(command_after, change, command):
     assert command_after(change) == command
 
 
-def test_bulk_withdrawals_are_not_repeated_by_the_next_change(command_after):
-    async def withdraw_then_change(traffic):
+def test_loads_are_not_repeated_by_the_next_change(command_after):
+    async def load_then_change(traffic):
         await traffic.withdraw_in_bulk([1])
+        await traffic.send_burst(1)
         await traffic.set_request_rate(70.0)
 
-    assert command_after(withdraw_then_change).bulk_withdrawals_at == []
+    assert command_after(load_then_change) == ClientsCommand([1, 2], 70.0)
 
 
 @pytest.mark.parametrize(
