Account for the memory that peers can fill, and log it with its budget every 5 s

An engineer could not see from the log that a router was near its limit, nor what filled it: nobody read limits.memory_mb. config/memory.py divides it among the stores, net/memory_budget.py counts what each holds, and the log has the resident memory, the owners with their peaks, the function table and each threshold that a share reaches. Nothing is enforced yet.

--- a/function_router/config/__init__.py
+++ b/function_router/config/__init__.py
@@ -11,6 +11,7 @@
 
 from function_router.config.errors import ConfigurationError, UnreadableFileError
 from function_router.config.loader import load, parse_config, parse_endpoint_list, parse_settings
+from function_router.config.memory import MEBIBYTE, MemoryPlan
 from function_router.config.parsing import parse_address
 from function_router.config.schema import (
     INITIAL_EVENTS_KEY,
@@ -23,10 +24,12 @@
 __all__ = [
     "INITIAL_EVENTS_KEY",
     "LISTEN_KEY",
+    "MEBIBYTE",
     "Address",
     "ConfigurationError",
     "EndpointList",
     "EndpointRecord",
+    "MemoryPlan",
     "RouterConfig",
     "TransportSettings",
     "UnreadableFileError",
--- a/function_router/config/types.py
+++ b/function_router/config/types.py
@@ -4,6 +4,7 @@
 
 from msgspec import Struct
 
+from function_router.config.memory import MemoryPlan
 from function_router.decisions.settings import Settings
 
 Address = tuple[str, int]
@@ -37,3 +38,8 @@
     initial_events: list[dict[str, Any]]  # events of the endpoint log known at startup, as decoded JSON
     settings: Settings
     transport: TransportSettings
+
+    @property
+    def memory(self) -> MemoryPlan:
+        """The division of the memory among the stores that peers can fill."""
+        return MemoryPlan.for_limits(self.memory_mb, self.max_sockets)
--- a/function_router/decisions/functions.py
+++ b/function_router/decisions/functions.py
@@ -20,6 +20,10 @@
     def __init__(self) -> None:
         self.by_name: dict[str, Function] = {}
 
+    def describe(self) -> str:
+        """Return how full the table is, for the log."""
+        return f"functions {len(self.by_name)} of {MAX_FUNCTIONS}"
+
     def is_full(self) -> bool:
         """Return whether other functions must be evicted before one is added."""
         return len(self.by_name) >= MAX_FUNCTIONS
--- a/function_router/net/attempts_in_flight.py
+++ b/function_router/net/attempts_in_flight.py
@@ -10,6 +10,7 @@
 from function_router.net.client_request import Served
 from function_router.net.clock import monotonic_ms
 from function_router.net.event_loop import EventLoop
+from function_router.net.memory_budget import MemoryAccount, MemoryShare
 from function_router.net.not_sent_reason import NotSentReason
 from function_router.net.pending_request import PendingRequest, PossibleRun
 from function_router.net.pending_requests import PendingRequests
@@ -30,12 +31,13 @@
         classes: The request classes by name.
         requests: The pending requests.
         on_served: Called with a request's key and the worker's answer once a worker has served the request.
+        memory: The share of the memory that the attempts use together with the pending requests.
 
     Attributes:
         by_key: The attempts by request key and attempt number, oldest first.
     """
 
-    __slots__ = ("_classes", "_loop", "_on_served", "_pool", "_requests", "_transport", "by_key")
+    __slots__ = ("_classes", "_loop", "_memory", "_on_served", "_pool", "_requests", "_transport", "by_key")
 
     def __init__(
         self,
@@ -45,6 +47,7 @@
         classes: Mapping[str, RequestClass],
         requests: PendingRequests,
         on_served: Callable[[str, Served], None],
+        memory: MemoryShare,
     ) -> None:
         self.by_key: dict[tuple[str, int], Attempt] = {}
         self._loop = loop
@@ -53,11 +56,13 @@
         self._classes = classes
         self._requests = requests
         self._on_served = on_served
+        self._memory = MemoryAccount(memory)
 
     def send(self, request: PendingRequest, number: int, worker_id: int) -> None:
         """Send attempt `number` of a pending request to a worker."""
         attempt = self._create(request, number, worker_id)
         self.by_key[request.key, number] = attempt
+        self._memory.charge(attempt.size_bytes)
         request.add_trace_step(f"sent to {worker_id}")
         self._pool.send(attempt)
 
@@ -124,6 +129,7 @@
     def _on_done(self, key: str, number: int, attempt: Attempt, result: Result) -> None:
         """Record and report the result of an attempt; the first successful one answers the request."""
         del self.by_key[key, number]
+        self._memory.charge(-attempt.size_bytes)
         report = AttemptReport.from_result(
             attempt, result, workers_report_in_flight=self._transport.workers_report_in_flight
         )
--- a/function_router/net/client_connection.py
+++ b/function_router/net/client_connection.py
@@ -10,6 +10,7 @@
 from function_router.net.connection import Connection
 from function_router.net.event_loop import EventLoop
 from function_router.net.invariants import Invariant
+from function_router.net.memory_budget import MemoryAccount
 from function_router.net.sockets import MAY_HOLD_DATA
 from function_router.net.unhandled_messages import ReceivedMessage, UnhandledMessages
 
@@ -65,11 +66,22 @@
         session: Handles the messages and owns the client's pending requests.
     """
 
-    __slots__ = ("__weakref__", "_owner", "connection", "messages", "session", "unhandled")
+    __slots__ = (
+        "__weakref__",
+        "_input_memory",
+        "_output_memory",
+        "_owner",
+        "connection",
+        "messages",
+        "session",
+        "unhandled",
+    )
 
     def __init__(self, owner: ClientConnectionOwner, sock: socket.socket, earliest_connect_ms: float) -> None:
         """Serve an accepted socket whose client connected at `earliest_connect_ms` (monotonic) or later."""
         self._owner = owner
+        self._input_memory = MemoryAccount(owner.memory.client_input)
+        self._output_memory = MemoryAccount(owner.memory.client_output)
         self.messages = ClientMessages()
         self.unhandled = UnhandledMessages()
         self.connection = Connection.accepted(owner.loop, sock, self, earliest_connect_ms)
@@ -142,12 +154,14 @@
         Unwritten answers don't pause it while the client has pending requests, as it may cancel them or
         disconnect.
         """
+        self._input_memory.resize(self.unhandled.size_bytes + self.messages.buffered_bytes)
         has_capacity = self.unhandled.size_bytes < MAX_UNHANDLED_BYTES
         reads_answers = self.connection.pending_bytes < HIGH_WATER_BYTES or bool(self.session.pending)
         self.connection.set_reading(enabled=has_capacity and reads_answers)
 
     def on_flushed(self) -> None:
         """Pause reading from a client that does not read its answers; disconnect it above the limits."""
+        self._output_memory.resize(self.connection.writer.queue.size_bytes)
         self._update_reading()
         unwritten_bytes = self.connection.pending_bytes
         if unwritten_bytes > MAX_UNWRITTEN_BYTES or (
@@ -166,6 +180,8 @@
             self._owner.telemetry.invariants.record(Invariant.ANSWERED_BEFORE_CLOSE, detail)
         self.session.cancel_pending()
         self.unhandled.clear()
+        self._input_memory.close()
+        self._output_memory.close()
         self._owner.loop.input.discard(self)
         self._owner.on_client_closed(self, reason)
 
--- a/function_router/net/client_listener.py
+++ b/function_router/net/client_listener.py
@@ -22,6 +22,7 @@
         loop: The event loop that all connections share.
         table: The request table, which admits the clients' requests.
         telemetry: The log, the counters and the run-time checks.
+        memory: The memory that clients can fill.
         classes: The request classes by name.
         tenants: Names of the tenants that may send requests; empty if any tenant may.
         is_ready: Whether the router is ready, which is the answer to status requests.
@@ -46,6 +47,7 @@
         self.loop = loop
         self.table = table
         self.telemetry = telemetry
+        self.memory = table.memory
         self.classes = classes
         self.tenants = tenants
         self.is_ready = False
--- a/function_router/net/client_messages.py
+++ b/function_router/net/client_messages.py
@@ -44,6 +44,11 @@
         """Whether a message has been received in part."""
         return self._frames.has_partial_frame
 
+    @property
+    def buffered_bytes(self) -> int:
+        """The size of the part of a message that has been received."""
+        return self._frames.buffered_bytes
+
     @property
     def has_received_data(self) -> bool:
         """Whether any data has been received from the client."""
--- a/function_router/net/client_request.py
+++ b/function_router/net/client_request.py
@@ -9,6 +9,11 @@
 
 from msgspec import Struct
 
+from function_router.net.memory_budget import MemoryAccount
+
+# Memory of a pending request in all parts of the router, with its trace and without its body.
+REQUEST_BYTES = 4 * 1024
+
 
 class Served(Struct, frozen=True):
     """A worker has run the request."""
@@ -75,12 +80,19 @@
         reply: Sends the answer to the client; must be called only once.
         is_client_connected: Returns whether the client still waits. If this call detects that the client has
             disconnected, it closes the connection.
+        memory: The memory that the client uses for its pending requests.
     """
 
     invocation: Invocation
     age_ms: float
     reply: Callable[[FinalAnswer], None]
     is_client_connected: Callable[[], bool]
+    memory: MemoryAccount
+
+    @property
+    def size_bytes(self) -> int:
+        """The memory that the pending request takes, about, apart from its attempts."""
+        return REQUEST_BYTES + len(self.invocation.body)
 
     @property
     def timeout_ms(self) -> float:
--- a/function_router/net/client_session.py
+++ b/function_router/net/client_session.py
@@ -16,6 +16,7 @@
 from function_router.net.codecs import thrift
 from function_router.net.connection import Connection
 from function_router.net.invariants import Invariant
+from function_router.net.memory_budget import MemoryAccount, MemoryBudget
 from function_router.net.request_parser import FIELD_REQUEST_ID, InvalidFieldError, parse_invocation
 from function_router.net.request_table import RequestTable
 from function_router.net.telemetry import Telemetry
@@ -32,6 +33,7 @@
     Attributes:
         table: Admits the requests.
         telemetry: The log, the counters and the run-time checks.
+        memory: The memory that clients can fill.
         classes: The request classes by name.
         tenants: Names of the tenants that may send requests; empty if any tenant may.
         is_ready: Whether the router is ready, which is the answer to status requests.
@@ -39,6 +41,7 @@
 
     table: RequestTable
     telemetry: Telemetry
+    memory: MemoryBudget
     classes: dict[str, RequestClass]
     tenants: frozenset[str]
     is_ready: bool
@@ -51,13 +54,14 @@
         pending: The request-table key of each pending request, by sequence number.
     """
 
-    __slots__ = ("_connection", "_service", "pending")
+    __slots__ = ("_connection", "_memory", "_service", "pending")
 
     def __init__(self, service: ClientService, connection: Connection) -> None:
         """Create a session without requests, which writes answers to `connection`."""
         self.pending: dict[int, str] = {}
         self._service = service
         self._connection = connection
+        self._memory = MemoryAccount(service.memory.requests)
 
     def on_message(self, message: thrift.MessageOrError, age_ms: float) -> None:
         """Handle a message that arrived `age_ms` before this turn, or the error of a malformed message."""
@@ -106,7 +110,11 @@
             return
         seqid = message.seqid
         client_request = ClientRequest(
-            invocation, age_ms, lambda answer: self._reply(seqid, answer), self._is_client_connected
+            invocation,
+            age_ms,
+            lambda answer: self._reply(seqid, answer),
+            self._is_client_connected,
+            self._memory,
         )
         admitted = self._service.table.admit(client_request)
         if isinstance(admitted, Rejected):
--- a/function_router/net/codecs/thrift_reader.py
+++ b/function_router/net/codecs/thrift_reader.py
@@ -121,6 +121,11 @@
         """Whether a frame has been received in part."""
         return bool(self._buffer or self._bytes_to_skip)
 
+    @property
+    def buffered_bytes(self) -> int:
+        """The size of the incomplete frame."""
+        return len(self._buffer)
+
     @property
     def is_skipping(self) -> bool:
         """Whether the rest of an oversized frame, which is discarded, has not been received yet."""
--- a/function_router/net/codecs/worker_frames.py
+++ b/function_router/net/codecs/worker_frames.py
@@ -140,6 +140,11 @@
         """Whether the last frame is incomplete."""
         return bool(self._buffer)
 
+    @property
+    def buffered_bytes(self) -> int:
+        """The size of the incomplete frame."""
+        return len(self._buffer)
+
     def feed(self, data: bytes) -> list[Frame]:
         """Add received bytes; return the frames that they complete, up to the first invalid one."""
         self._buffer += data
--- a/function_router/net/connection.py
+++ b/function_router/net/connection.py
@@ -32,6 +32,7 @@
         loop: The event loop that serves the connection.
         handler: The owner of the connection, which is notified of its events.
         reader: Reads from the socket, and measures how long received bytes were unread.
+        writer: Writes to the socket, and owns the queued writes.
         is_connected: Whether the connection was established; stays True after it is closed.
         is_closed: Whether the connection was closed, or could not be established.
         last_received_ms: When bytes were last received, on the monotonic clock.
@@ -45,7 +46,6 @@
         "_is_reading",
         "_mask",
         "_sock",
-        "_writer",
         "handler",
         "is_closed",
         "is_connected",
@@ -53,6 +53,7 @@
         "last_used_ms",
         "loop",
         "reader",
+        "writer",
     )
 
     def __init__(
@@ -75,7 +76,7 @@
         self.last_used_ms = now_ms
         self._sock = sock
         self._is_reading = True  # whether the handler wants to read
-        self._writer = SocketWriter(sock)
+        self.writer = SocketWriter(sock)
         self._connect_timer: Timer | None = None
         self._close_reason_after_flush: CloseReason | None = None
         self._mask = READ if is_connected else WRITE
@@ -120,49 +121,44 @@
     @property
     def pending_bytes(self) -> int:
         """The number of bytes that are queued and not written yet."""
-        return self._writer.queue.pending_bytes
-
-    @property
-    def last_write_ms(self) -> float:
-        """When the last write to the socket started, on the monotonic clock."""
-        return self._writer.last_write_ms
+        return self.writer.queue.pending_bytes
 
     def write(self, data: bytes) -> PendingWrite:
         """Queue bytes to be written at the end of this turn; on a closed connection they are dropped."""
         pending_write = PendingWrite(data)
         if not self.is_closed:
-            self._writer.queue.append(pending_write)
+            self.writer.queue.append(pending_write)
             self.loop.flush_later(self)
         return pending_write
 
     def cancel_write(self, pending_write: PendingWrite) -> bool:
         """Remove a write from the queue; return False if any of it has been written already."""
-        return self._writer.queue.cancel(pending_write)
+        return self.writer.queue.cancel(pending_write)
 
     def replace_write(self, pending_write: PendingWrite, data: bytes) -> bool:
         """Replace the bytes of a queued write; return False if any of it has been written already."""
-        return self._writer.queue.replace(pending_write, data)
+        return self.writer.queue.replace(pending_write, data)
 
     def on_delayed(self) -> None:
         """Notify the handler that queued writes are delayed; the event loop calls this."""
-        if not self.is_closed and self._writer.queue:
+        if not self.is_closed and self.writer.queue:
             self.handler.on_write_delayed()
 
     def flush(self) -> None:
         """Write as much of the queue as the socket accepts; the event loop calls this."""
-        if self.is_connected and not self.is_closed and not self._writer.is_blocked:
-            if self._writer.queue:
+        if self.is_connected and not self.is_closed and not self.writer.is_blocked:
+            if self.writer.queue:
                 self._write_queued()
             else:  # the write that was blocked has been cancelled
                 self._update_mask()
-        if self._close_reason_after_flush and not self.is_closed and not self._writer.queue:
+        if self._close_reason_after_flush and not self.is_closed and not self.writer.queue:
             with contextlib.suppress(OSError):
                 self._sock.shutdown(socket.SHUT_WR)
         if not self.is_closed:
             self.handler.on_flushed()
 
     def _write_queued(self) -> None:
-        if reason := self._writer.flush():
+        if reason := self.writer.flush():
             self.close(reason)
             return
         self.last_used_ms = monotonic_ms()
@@ -186,7 +182,7 @@
             self._update_mask()
 
     def _update_mask(self) -> None:
-        mask = (READ if self._is_reading else 0) | (WRITE if self._writer.is_blocked else 0)
+        mask = (READ if self._is_reading else 0) | (WRITE if self.writer.is_blocked else 0)
         # A selector does not accept an empty mask. A connection that neither reads nor waits to write keeps
         # its mask; this is rare, as reading pauses only for a peer that does not read what is sent to it.
         if mask and mask != self._mask and not self.is_closed:
@@ -198,7 +194,7 @@
             self._finish_connect()
             return
         if mask & WRITE:
-            self._writer.is_blocked = False
+            self.writer.is_blocked = False
             self.handler.on_write_delayed()
             self.loop.flush_later(self)
         if mask & READ:
@@ -269,7 +265,7 @@
         # If bytes are unread, the kernel resets the connection, which tells a client that its request was not
         # accepted.
         self._sock.close()
-        self._writer.queue.clear()
+        self.writer.queue.clear()
         handler = self.handler
         self.handler = CLOSED_CONNECTION_HANDLER
         handler.on_closed(reason)
--- a/function_router/net/connection_set.py
+++ b/function_router/net/connection_set.py
@@ -138,7 +138,12 @@
     def _open_unchecked(self, owner: WorkerConnectionOwner) -> None:
         resources = self._resources
         connection = WorkerConnection(
-            resources.loop, owner, resources.transport, resources.telemetry, resources.readiness
+            resources.loop,
+            owner,
+            resources.transport,
+            resources.telemetry,
+            resources.readiness,
+            resources.memory,
         )
         self._connections.append(connection)
         resources.budget.on_opened()
--- a/function_router/net/pending_requests.py
+++ b/function_router/net/pending_requests.py
@@ -36,6 +36,7 @@
         """Add a request; no other pending request may have its key or the id that its client gave it."""
         invocation = request.invocation
         self.by_key[request.key] = request
+        request.client_request.memory.charge(request.client_request.size_bytes)
         self._body_bytes += len(invocation.body)
         self._keys_by_client_request_id[invocation.request_id] = request.key
         self._by_function.setdefault(invocation.function, {})[request.key] = request
@@ -45,6 +46,7 @@
         request = self.by_key.pop(key, None)
         if request:
             invocation = request.invocation
+            request.client_request.memory.charge(-request.client_request.size_bytes)
             self._body_bytes -= len(invocation.body)
             self._keys_by_client_request_id.pop(invocation.request_id, None)
             of_function = self._by_function[invocation.function]
--- a/function_router/net/pool_resources.py
+++ b/function_router/net/pool_resources.py
@@ -6,6 +6,7 @@
 from function_router.net.connection_budget import ConnectionBudget
 from function_router.net.event_loop import EventLoop
 from function_router.net.idle_limit import IdleLimit
+from function_router.net.memory_budget import MemoryBudget
 from function_router.net.readiness import ReadinessAdapter
 from function_router.net.telemetry import Telemetry
 
@@ -20,6 +21,7 @@
         budget: The limit on the connections to all workers together.
         idle_limit: The limit on the idle time after which a connection is not used again.
         readiness: Decides which connections may carry new work.
+        memory: The memory that workers can fill.
     """
 
     loop: EventLoop
@@ -28,3 +30,4 @@
     budget: ConnectionBudget
     idle_limit: IdleLimit
     readiness: ReadinessAdapter
+    memory: MemoryBudget
--- a/function_router/net/request_table.py
+++ b/function_router/net/request_table.py
@@ -26,6 +26,7 @@
 from function_router.net.event_loop import EventLoop
 from function_router.net.health_checks import HealthChecker
 from function_router.net.invariants import MAX_LATENESS_MS, Invariant
+from function_router.net.memory_budget import MemoryBudget
 from function_router.net.pending_request import PendingRequest
 from function_router.net.pending_requests import PendingRequests, RecentlyFinishedRequests
 from function_router.net.start_orders import RevalidateStartOrder, StartOrderSender
@@ -49,9 +50,11 @@
         classes: The request classes by name.
         revalidate_start_order: See `function_router.net.start_orders.RevalidateStartOrder`.
         telemetry: The log, the counters and the run-time checks.
+        memory: The memory that requests can fill.
 
     Attributes:
         attempts: The attempts in flight.
+        memory: The memory that requests can fill.
     """
 
     def __init__(
@@ -62,15 +65,19 @@
         classes: Mapping[str, RequestClass],
         revalidate_start_order: RevalidateStartOrder,
         telemetry: Telemetry,
+        memory: MemoryBudget,
     ) -> None:
         self._loop = loop
         self._transport = transport
         self._classes = classes
         self._telemetry = telemetry
+        self.memory = memory
         self._requests = PendingRequests(transport.max_pending_requests)
         self._recently_finished = RecentlyFinishedRequests()
         self._request_numbers = itertools.count(1)
-        self.attempts = AttemptsInFlight(loop, pool, transport, classes, self._requests, self._finish)
+        self.attempts = AttemptsInFlight(
+            loop, pool, transport, classes, self._requests, self._finish, memory.requests
+        )
         self._start_orders = StartOrderSender(
             loop, pool, revalidate_start_order, self._requests.add_trace_step
         )
--- a/function_router/net/router_process.py
+++ b/function_router/net/router_process.py
@@ -14,6 +14,8 @@
 from function_router.net.endpoint_watch import EndpointWatch
 from function_router.net.event_loop import EventLoop
 from function_router.net.log import RateLimitedLog
+from function_router.net.memory_budget import MemoryBudget
+from function_router.net.memory_report import MemoryReport
 from function_router.net.reload import ConfigurationReload
 from function_router.net.request_table import RequestTable
 from function_router.net.start_times import StartTimes
@@ -59,6 +61,7 @@
         log: Writes the log lines.
         loop: The event loop that all components share.
         telemetry: The counters and the run-time checks.
+        memory: The memory that peers can fill.
         router: The decision module.
         pool: The workers and the connections to them.
         table: The pending requests.
@@ -79,7 +82,11 @@
         self.log = log or RateLimitedLog(config.name or DEFAULT_LOG_NAME)
         self.loop = EventLoop(self._decide, self.log)
         self.telemetry = Telemetry(self.log)
+        self._max_clients = _max_connections(config.max_sockets, CLIENT_SHARE)
+        self._max_worker_connections = _max_connections(config.max_sockets, WORKER_SHARE)
+        self.memory = MemoryBudget(config.memory, self._max_clients, self._max_worker_connections)
         self.router = Router(config.settings, config.seed)
+        self._memory_report = MemoryReport(self.memory, self.router.fleet.functions.describe, self.log)
         self.pool = self._create_pool()
         self.table = self._create_table()
         self._decision_host = DecisionHost(self.router, self.loop, self.table, self.log)
@@ -89,20 +96,17 @@
         self.listener = self._create_listener()
         classes = config.settings.classes.values()
         self.drain = Drain(self.loop, self.listener, self.table, classes, self.log)
-        self.reload: ConfigurationReload | None = None
-        if read_config is not None:
-            self.reload = ConfigurationReload(config, read_config, self.loop, self.endpoint_watch, self.log)
+        self.reload = self._create_reload(read_config)
 
     def _create_pool(self) -> WorkerPool:
-        max_connections = _max_connections(self.config.max_sockets, WORKER_SHARE)
-        transport = self.config.transport
         return WorkerPool(
             self.loop,
-            transport,
-            max_connections,
+            self.config.transport,
+            self._max_worker_connections,
             self.config.seed,
             self.telemetry,
             self.router.connection_policy,
+            self.memory,
         )
 
     def _create_table(self) -> RequestTable:
@@ -113,6 +117,7 @@
             self.config.settings.classes,
             self.router.revalidate_start_order,
             self.telemetry,
+            self.memory,
         )
 
     def _create_endpoint_list_status(self) -> EndpointListStatus:
@@ -143,10 +148,15 @@
             self.table,
             self.config.settings.classes,
             self.config.transport.tenants,
-            _max_connections(self.config.max_sockets, CLIENT_SHARE),
+            self._max_clients,
             self.telemetry,
         )
 
+    def _create_reload(self, read_config: Callable[[], RouterConfig] | None) -> ConfigurationReload | None:
+        if read_config is None:
+            return None
+        return ConfigurationReload(self.config, read_config, self.loop, self.endpoint_watch, self.log)
+
     def _decide(self, now_ms: float, events: list[Event]) -> None:
         """Pass a batch of events to the decision host, which is created after the loop and refers to it."""
         self._decision_host.handle(now_ms, events)
@@ -196,11 +206,13 @@
         self.endpoint_list_status.check()
         self.pool.check_timeouts()
         self.listener.check_timeouts()
+        self._memory_report.check_shares()
         self.loop.timers.call_later(TIMEOUT_CHECK_INTERVAL_MS, self._check_timeouts)
 
     def _log_counters(self) -> None:
         if counters := self.telemetry.take_counters():
             self.log(f"counters: {counters}")
+        self._memory_report.log_usage()
         longest_turn = self.loop.times.take_longest()
         if longest_turn is not None and longest_turn.took_ms > MIN_LOGGED_TURN_MS:
             self.log(f"longest turn: {longest_turn.describe()}")
--- a/function_router/net/worker_connection.py
+++ b/function_router/net/worker_connection.py
@@ -12,19 +12,18 @@
 from function_router.net.connection import Connection
 from function_router.net.connection_activity import ConnectionActivity
 from function_router.net.event_loop import EventLoop
+from function_router.net.memory_budget import MemoryAccount, MemoryBudget
 from function_router.net.readiness import ReadinessAdapter
 from function_router.net.send_checks import check_exchange, check_readiness, find_send_violations
 from function_router.net.sockets import PeekResult
 from function_router.net.telemetry import Telemetry
 from function_router.net.timer_wheel import Timer
+from function_router.net.used_exchange_ids import UsedExchangeIds
 from function_router.net.worker_messages import Attempt, Exchange
 
 # Timeout of a partial frame that does not grow. The frame then counts as truncated, and no later frame can be
 # decoded.
 PARTIAL_FRAME_TIMEOUT_MS = 250.0
-# Maximum number of ids of ended exchanges that a connection keeps. A late or duplicate answer to such an
-# exchange may still arrive.
-MAX_USED_IDS = 1_024
 # Number of unwritten bytes from which a connection gets no new exchange, as its worker does not read.
 MAX_PENDING_BYTES = 256 * 1024
 
@@ -76,6 +75,7 @@
         transport: The settings with the connect timeout and the limit of exchanges on one connection.
         telemetry: Logs protocol errors of the worker, and records violations of invariants.
         readiness: Decides whether the connection may carry new work.
+        memory: The memory that workers can fill.
 
     Attributes:
         connection: The TCP connection.
@@ -86,6 +86,7 @@
 
     __slots__ = (
         "_activity",
+        "_input_memory",
         "_loop",
         "_max_exchanges",
         "_owner",
@@ -108,6 +109,7 @@
         transport: TransportSettings,
         telemetry: Telemetry,
         readiness: ReadinessAdapter,
+        memory: MemoryBudget,
     ) -> None:
         """Begin to connect to the worker `owner` at its current address.
 
@@ -121,16 +123,20 @@
         self._owner = owner
         self._telemetry = telemetry
         self._readiness = readiness
+        self._input_memory = MemoryAccount(memory.worker_input)
         self._max_exchanges = transport.max_exchanges_per_connection
         self._reader = frames.FrameReader()
-        self._used_ids: dict[bytes, None] = {}  # ids that this connection must not reuse, oldest first
+        self._used_ids = UsedExchangeIds(memory.ids)
         self._unwritten_at_flush: list[Exchange] = []  # exchanges without a written byte at the last flush
         self._partial_frame_timer: Timer | None = None
-        connection = Connection.connect(loop, owner.address, self, transport.connect_timeout_ms)
+        self.connection = self._connect(transport.connect_timeout_ms)
+        self._activity = ConnectionActivity(self.connection)
+
+    def _connect(self, timeout_ms: float) -> Connection:
+        connection = Connection.connect(self._loop, self._owner.address, self, timeout_ms)
         if isinstance(connection, CloseReason):
-            raise ConnectError(owner, connection)
-        self.connection = connection
-        self._activity = ConnectionActivity(connection)
+            raise ConnectError(self._owner, connection)
+        return connection
 
     # --- state ------------------------------------------------------------------------------
 
@@ -203,7 +209,7 @@
         self._activity.on_exchange_removed()
         if isinstance(exchange, Attempt):
             self.connection.write(frames.encode_cancel(exchange.exchange_id))
-        self._prevent_id_reuse(exchange.exchange_id)
+        self._used_ids.add(exchange.exchange_id)
 
     def take_all_exchanges(self) -> list[Exchange]:
         """Remove and return all exchanges of a closed connection in the order of their assignment."""
@@ -215,13 +221,6 @@
         """Close a retired connection whose last exchange has just finished."""
         self._close_if_retired_and_empty()
 
-    def _prevent_id_reuse(self, exchange_id: bytes) -> None:
-        """Reject further exchanges with this id, as an answer to the ended exchange may still arrive."""
-        self._used_ids[exchange_id] = None
-        if len(self._used_ids) > MAX_USED_IDS:
-            oldest = next(iter(self._used_ids))
-            del self._used_ids[oldest]
-
     # --- closing ----------------------------------------------------------------------------
 
     def close(self, reason: CloseReason) -> None:
@@ -260,8 +259,9 @@
             if exchange is None:  # the answer is late or a duplicate
                 continue
             if frame.code != frames.OK:  # a duplicate of this answer must not end a retry with the same id
-                self._prevent_id_reuse(frame.exchange_id)
+                self._used_ids.add(frame.exchange_id)
             exchange.finish(exchange.parse_answer(frame))
+        self._input_memory.resize(self._reader.buffered_bytes)
         if self._reader.error is not None:
             self._telemetry.log(f"worker {self._owner.worker_id}: invalid frame: {self._reader.error}")
             self.close(CloseReason.PROTOCOL_ERROR)
@@ -279,8 +279,9 @@
 
     def _check_send(self, exchange: Exchange) -> None:
         """Record the invariants that an exchange violated when its first byte was written."""
+        owner = self._owner
         conditions = self._readiness.conditions_of_send(
-            self._owner.worker_id, self._owner.state, self.connection.last_write_ms, self.established_at_ms
+            owner.worker_id, owner.state, self.connection.writer.last_write_ms, self.established_at_ms
         )
         for violation in find_send_violations(exchange, conditions):
             self._telemetry.invariants.record(violation.invariant, violation.detail)
@@ -298,6 +299,8 @@
 
     def on_closed(self, reason: CloseReason) -> None:
         """Notify the owner that the connection was closed."""
+        self._input_memory.close()
+        self._used_ids.clear()
         self._owner.on_connection_closed(self, reason)
 
     def _schedule_partial_frame_check(self, delay_ms: float) -> None:
--- a/function_router/net/worker_messages.py
+++ b/function_router/net/worker_messages.py
@@ -25,6 +25,9 @@
 # Maximum number of digits of a number in an answer. A longer number is not a plausible count.
 MAX_COUNT_DIGITS = 9
 
+# Memory of an attempt in all parts of the router, without the request's body.
+ATTEMPT_BYTES = 1024
+
 _ATTEMPT_OUTCOMES = {
     frames.OK: Outcome.OK,
     frames.NOT_LOADED: Outcome.NOT_LOADED,
@@ -260,6 +263,11 @@
     deadline_ms: float
     encoded_timeout_ms: float = field(default=0.0, init=False)
 
+    @property
+    def size_bytes(self) -> int:
+        """The memory that the attempt takes, about: its frame is a copy of the request's body."""
+        return ATTEMPT_BYTES + len(self.body)
+
     @property
     def is_new_work(self) -> bool:
         """Always True, as an attempt is new work."""
--- a/function_router/net/worker_pool.py
+++ b/function_router/net/worker_pool.py
@@ -10,6 +10,7 @@
 from function_router.net.connection_budget import ConnectionBudget
 from function_router.net.event_loop import EventLoop
 from function_router.net.idle_limit import IdleLimit
+from function_router.net.memory_budget import MemoryBudget
 from function_router.net.not_sent_reason import NotSentReason
 from function_router.net.pool_resources import PoolResources
 from function_router.net.pooled_worker import PooledWorker
@@ -31,6 +32,15 @@
 
     Each worker owns its connections and dispatches its exchanges; see `PooledWorker`.
 
+    Args:
+        loop: The event loop that serves the connections.
+        transport: Timeouts and limits of the transport.
+        max_connections: The maximum number of connections to all workers together.
+        seed: The seed of the first id of start orders and health checks.
+        telemetry: Counts dispatched exchanges and closed connections; logs protocol errors of workers.
+        readiness: Decides which connections may carry new work.
+        memory: The memory that workers can fill.
+
     Attributes:
         workers: The workers by id: those in the endpoint list, and removed ones that are still in use.
     """
@@ -43,17 +53,9 @@
         seed: int,
         telemetry: Telemetry,
         readiness: ReadinessPolicy,
+        memory: MemoryBudget,
     ) -> None:
-        """Create a pool without workers.
-
-        Args:
-            loop: The event loop that serves the connections.
-            transport: Timeouts and limits of the transport.
-            max_connections: The maximum number of connections to all workers together.
-            seed: The seed of the first id of start orders and health checks.
-            telemetry: Counts dispatched exchanges and closed connections; logs protocol errors of workers.
-            readiness: Decides which connections may carry new work.
-        """
+        """Create a pool without workers."""
         self.workers: dict[int, PooledWorker] = {}
         self._resources = PoolResources(
             loop=loop,
@@ -62,6 +64,7 @@
             budget=ConnectionBudget(max_connections, self._all_connections),
             idle_limit=IdleLimit(transport.connection_keepalive_ms),
             readiness=ReadinessAdapter(loop.clock, readiness),
+            memory=memory,
         )
         self._exchange_ids = itertools.count(random.Random(seed).getrandbits(FIRST_EXCHANGE_ID_BITS))
 
--- a/function_router/net/write_queue.py
+++ b/function_router/net/write_queue.py
@@ -5,6 +5,8 @@
 
 from msgspec import Struct
 
+# Memory of a queued write in addition to its bytes.
+WRITE_OVERHEAD_BYTES = 128
 # Maximum number of writes in one system call; well below the kernel's IOV_MAX of 1024.
 MAX_WRITES_PER_CALL = 64
 
@@ -33,6 +35,11 @@
     def __bool__(self) -> bool:
         return bool(self._writes)
 
+    @property
+    def size_bytes(self) -> int:
+        """The memory that the queued writes take, about."""
+        return self.pending_bytes + len(self._writes) * WRITE_OVERHEAD_BYTES
+
     def append(self, write: PendingWrite) -> None:
         """Queue a write of which no byte has been written."""
         self._writes.append(write)
--- a/tests/net/test_connection.py
+++ b/tests/net/test_connection.py
@@ -101,7 +101,7 @@
 def test_blocked_connection_with_nothing_left_to_write_is_not_watched_for_writing(accept, loop, handler):
     connection, _ = accept(handler)
     cancelled = connection.write(b"cancelled")
-    connection._writer.is_blocked = True  # the socket's buffer is full
+    connection.writer.is_blocked = True  # the socket's buffer is full
     connection._update_mask()
     connection.cancel_write(cancelled)
     turns = 0
--- a/tests/net/test_start_order_limit.py
+++ b/tests/net/test_start_order_limit.py
@@ -53,7 +53,7 @@
 def fill_socket(connection):
     """Write until the socket buffers are full, and return the last write; the worker must not read."""
     filler = connection.connection.write(b"")
-    while not connection.connection._writer.is_blocked:
+    while not connection.connection.writer.is_blocked:
         filler = connection.connection.write(worker_frames.encode_cancel(b"nobody00") * 50_000)
         connection.connection.flush()
     return filler
--- a/tests/net/test_worker_connection.py
+++ b/tests/net/test_worker_connection.py
@@ -149,7 +149,7 @@
         pool.send(late)
     connection = late.holder.connection
 
-    connection._writer.is_blocked = True  # as if the worker did not read
+    connection.writer.is_blocked = True  # as if the worker did not read
     time.sleep(READ_PAUSE_S)
     connection._on_ready(WRITE)
     harness.run_until(lambda: len(worker.requests) == 2, "the attempt reaches the worker")
