--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -35,6 +35,8 @@
 LogOutageOption = Annotated[
     float, typer.Option(help="Seconds that an outage of all endpoint logs lasts; 0: 4 to 12, by the seed.")
 ]
+MemoryOption = Annotated[int, typer.Option(help="Memory limit of a router in MiB; 0: by the seed.")]
+SocketsOption = Annotated[int, typer.Option(help="Descriptor limit of a router; 0: by the seed.")]
 KeepOption = Annotated[
     Path | None,
     typer.Option(help="Folder in which to keep records and logs; its seed-N of an earlier run is replaced."),
@@ -63,14 +65,24 @@
     sys.stdout.flush()
 
 
-def _run_and_report(plan: Plan, folder: RunFolder, *, uses_shim: bool) -> bool:
-    """Run a plan and print the result of its check; return whether it kept all rules."""
+def _run_and_report(plan: Plan, folder: Path, *, uses_shim: bool) -> bool:
+    """Run a plan in a subfolder and print the result of its check; return whether it kept all rules."""
     started = time.monotonic()
-    check_result = _run(plan, folder, uses_shim=uses_shim)
+    check_result = _run(plan, RunFolder(folder / f"seed-{plan.seed}"), uses_shim=uses_shim)
     _report(plan, check_result, time.monotonic() - started)
     return not check_result.violations
 
 
+def _with_options(plan: Plan, log_outage_s: float, memory_mb: int, max_sockets: int) -> Plan:
+    """Return a plan with the duration and the limits that the options set; 0 leaves a limit as drawn."""
+    return msgspec.structs.replace(
+        plan,
+        log_outage_s=log_outage_s,
+        memory_mb=memory_mb or plan.memory_mb,
+        max_sockets=max_sockets or plan.max_sockets,
+    )
+
+
 def main(
     seed: SeedOption = 1,
     seeds: SeedsOption = 1,
@@ -82,6 +94,8 @@
     no_faults: NoFaultsOption = False,
     no_shim: NoShimOption = False,
     log_outage: LogOutageOption = 0.0,
+    memory_mb: MemoryOption = 0,
+    sockets: SocketsOption = 0,
     keep: KeepOption = None,
 ) -> None:
     """Run router processes on loopback under faults, and check each run; exit with 1 if any broke a rule."""
@@ -90,12 +104,9 @@
         draw_plan(number, routers, workers, duration_s=seconds, requests_per_s=rate, kinds=kinds)
         for number in range(seed, seed + seeds)
     ]
-    plans = [msgspec.structs.replace(plan, log_outage_s=log_outage) for plan in plans]
+    plans = [_with_options(plan, log_outage, memory_mb, sockets) for plan in plans]
     folder = keep or Path(tempfile.mkdtemp(prefix="soak-"))
-    kept = sum(
-        _run_and_report(plan, RunFolder(folder / f"seed-{plan.seed}"), uses_shim=not no_shim)
-        for plan in plans
-    )
+    kept = sum(_run_and_report(plan, folder, uses_shim=not no_shim) for plan in plans)
     if not keep:
         shutil.rmtree(folder)
     typer.echo(f"{kept} of {seeds} runs kept all rules")
--- a/soak/checker.py
+++ b/soak/checker.py
@@ -6,7 +6,7 @@
 
 from soak.figures import count_figures
 from soak.history import RunHistory
-from soak.request_rules import check_request
+from soak.request_rules import check_request, check_unrecorded_request
 from soak.router_rules import check_routers
 from soak.rules import CheckResult
 from soak.run_record import RunRecord
@@ -19,6 +19,8 @@
     check_result = CheckResult(figures=count_figures(history))
     for request in history.requests:
         check_result.add(check_request(request, record))
+    for request in history.unrecorded_requests:
+        check_result.add(check_unrecorded_request(request))
     check_result.add(check_workers(history))
     check_result.add(check_routers(history))
     return check_result
--- a/soak/cluster.py
+++ b/soak/cluster.py
@@ -50,6 +50,7 @@
         self.endpoint_log_outages: list[EndpointLogOutage] = []
         self._folder = folder
         self._shim = shim
+        self._flood_count = 0
         self._ports = PortAllocator(OTHER_PORTS)
         self._proxy: ModuleProcess
         self._clients: ModuleProcess
@@ -102,6 +103,21 @@
         router.write_shim_control()
         await starting
 
+    async def run_flood(self, kind: str, router: RouterSlot, client_count: int, seconds: float) -> None:
+        """Run a flood of clients at a router, and wait for its end."""
+        self._flood_count += 1
+        flood = await ModuleProcess.start(
+            "soak.floods",
+            kind,
+            str(router.number),
+            str(router.config.port),
+            str(client_count),
+            str(seconds),
+            str(self.plan.seed + self._flood_count),
+            str(self._folder.flood_record(self._flood_count)),
+        )
+        await flood.finish(seconds + FINISH_TIMEOUT_S)
+
     async def finish(self) -> None:
         """Stop the traffic, terminate the routers as a deployment would, and complete all records."""
         await self.traffic.stop()
@@ -135,7 +151,9 @@
         settings = make_settings(self.plan.router_count, self.plan.worker_count)
         for number in range(self.plan.router_count):
             port = self._ports.allocate()
-            config = RouterConfig(f"n{number}", port, f"{self.rng.getrandbits(64):016x}", settings)
+            seed = f"{self.rng.getrandbits(64):016x}"
+            plan = self.plan
+            config = RouterConfig(f"n{number}", port, seed, settings, plan.memory_mb, plan.max_sockets)
             router = RouterSlot(number, self._folder, config, self._shim)
             self.routers.append(router)
             self._resources.push_async_callback(router.clean_up)
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -14,7 +14,7 @@
 
 from soak.cluster import Cluster
 from soak.log_outage import inject_endpoint_log_outage
-from soak.plan import Fault, FaultKind
+from soak.plan import FLOOD_KINDS, Fault, FaultKind
 from soak.router_changes import kill_and_restart, terminate_and_restart
 from soak.router_slot import RouterSlot
 from soak.worker_changes import drain_and_replace, publish_ready
@@ -24,6 +24,13 @@
 BAD_CLIENTS_PER_S = 20.0
 MIN_BULK_CLIENTS = 20  # clients that withdraw in bulk at one router
 MAX_EXTRA_BULK_CLIENTS = 20  # added to MIN_BULK_CLIENTS at full intensity
+# Clients of a flood at full intensity, as a share of the descriptors; other floods have a single client.
+FLOOD_CLIENT_SHARES = {
+    FaultKind.LARGE_REQUESTS: 0.15,
+    FaultKind.HALF_REQUESTS: 0.15,
+    FaultKind.RECONNECTS: 0.01,
+    FaultKind.REPEATED_IDS: 0.02,
+}
 SIGHUP_COUNT = 4
 MAX_SIGNAL_INTERVAL_S = 0.2
 MAX_INTENSITY_WITHOUT_ROLL = 0.5  # above this, a series of signals includes a rolling restart
@@ -212,6 +219,14 @@
     await cluster.traffic.send_burst(fault.routers[0])
 
 
+async def flood_router(cluster: Cluster, fault: Fault) -> None:
+    """Let clients fill the memory of one router, or take its time, at full speed."""
+    share = FLOOD_CLIENT_SHARES.get(fault.kind, 0.0) * fault.intensity
+    count = max(1, round(share * cluster.plan.max_sockets))
+    router = cluster.routers[fault.routers[0]]
+    await cluster.run_flood(fault.kind, router, count, fault.duration_s)
+
+
 # --- the registry
 
 
@@ -272,4 +287,5 @@
     FaultKind.SIGNAL_SERIES: RouterFault(send_signal_series),
     FaultKind.BULK_WITHDRAWALS: ClientFault(withdraw_in_bulk),
     FaultKind.OVERLOAD: ClientFault(overload_router),
+    **dict.fromkeys(FLOOD_KINDS, ClientFault(flood_router)),
 }
--- a/soak/figures.py
+++ b/soak/figures.py
@@ -22,6 +22,9 @@
     incarnations = history.record.router_incarnations
     figures["router incarnations"] = len(incarnations)
     figures["ended by SIGKILL after SIGTERM"] = sum(each.forced_kill_at is not None for each in incarnations)
+    peaks_mb = [each.peak_memory_mb for each in incarnations if each.peak_memory_mb is not None]
+    figures["peak MB of a router"] = round(max(peaks_mb, default=0.0))
+    figures["limit MB"] = history.record.plan.memory_mb
     figures["bad clients"] = len(history.bad_clients)
     for router in range(history.record.plan.router_count):
         figures["slow turns"] += sum(SLOW_TURN_TEXT in line for line in history.log_lines(router))
--- a/soak/history.py
+++ b/soak/history.py
@@ -9,6 +9,7 @@
     BadClientSeen,
     ClientGone,
     ConnectionLost,
+    FloodSent,
     RequestAnswered,
     RequestRecord,
     RequestSent,
@@ -72,6 +73,7 @@
         record: The run's record of its processes.
         start_orders: Start orders and probes that arrived at workers.
         bad_clients: The router's reaction to each client that violated the protocol.
+        flood_sends: The requests of floods.
     """
 
     def __init__(self, record: RunRecord) -> None:
@@ -79,13 +81,17 @@
         self.record = record
         self.start_orders: list[StartOrderSeen] = []
         self.bad_clients: list[BadClientSeen] = []
+        self.flood_sends: list[FloodSent] = []
         self._requests: dict[str, RequestHistory] = {}
-        for path in (record.folder.client_records, record.folder.proxy_records):
+        folder = record.folder
+        for path in (folder.client_records, folder.proxy_records, *folder.flood_records):
             for item in read_records(path):
                 if isinstance(item, StartOrderSeen):
                     self.start_orders.append(item)
                 elif isinstance(item, BadClientSeen):
                     self.bad_clients.append(item)
+                elif isinstance(item, FloodSent):
+                    self.flood_sends.append(item)
                 else:
                     request_id = item.request_id
                     self._requests.setdefault(request_id, RequestHistory(request_id)).add(item)
@@ -95,6 +101,11 @@
         """The requests that clients have recorded as sent."""
         return [request for request in self._requests.values() if request.sent]
 
+    @property
+    def unrecorded_requests(self) -> list[RequestHistory]:
+        """The requests that no client has recorded as sent, such as those of floods."""
+        return [request for request in self._requests.values() if not request.sent]
+
     def attempts_at(self, worker: int) -> list[AttemptSeen]:
         """Return the attempts at a worker slot, including those for requests that no client recorded."""
         return [
@@ -114,6 +125,8 @@
         for request in self._requests.values():
             for sent in request.sent:
                 times[sent.router].append(sent.at)
+        for flood in self.flood_sends:
+            times[flood.router] += [flood.at] * flood.count
         return {router: sorted(sent_at) for router, sent_at in times.items()}
 
     def log_lines(self, router: int) -> list[str]:
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -51,10 +51,25 @@
     SIGNAL_SERIES = "signal-series"
     BULK_WITHDRAWALS = "bulk-withdrawals"
     OVERLOAD = "overload"
+    NEW_FUNCTIONS = "new-functions"
+    LARGE_REQUESTS = "large-requests"
+    HALF_REQUESTS = "half-requests"
+    RECONNECTS = "reconnects"
+    REPEATED_IDS = "repeated-ids"
 
 
 LOAD_KINDS = (FaultKind.BULK_WITHDRAWALS, FaultKind.OVERLOAD)
 """The kinds that are loads: they hit single routers, and are drawn separately from the other kinds."""
+FLOOD_KINDS = (
+    FaultKind.NEW_FUNCTIONS,
+    FaultKind.LARGE_REQUESTS,
+    FaultKind.HALF_REQUESTS,
+    FaultKind.RECONNECTS,
+    FaultKind.REPEATED_IDS,
+)
+"""The kinds of `soak/floods.py`, which hit single routers and are drawn separately from all others."""
+MEMORY_LIMITS_MB = (32, 48, 64, 96, 192)
+DESCRIPTOR_LIMITS = (256, 1024)  # with 256, the usual clients alone come near the limit on connections
 
 
 class Fault(Struct, frozen=True):
@@ -88,7 +103,9 @@
         requests_per_s: Request rate of all clients together.
         function_count: Number of functions that clients call.
         faults: The faults without the loads, ordered by start time.
-        loads: The loads, ordered by start time.
+        loads: The loads and floods, ordered by start time.
+        memory_mb: The memory limit of each router.
+        max_sockets: The limit on file descriptors of each router.
         connections_per_router: Minimum number of connections that clients open to each router in use.
         log_outage_s: Duration of an outage of all endpoint logs; if 0, a multiple of its fault's duration.
     """
@@ -103,6 +120,8 @@
     connections_per_router: int
     log_outage_s: float = 0.0
     loads: list[Fault] = []
+    memory_mb: int = MEMORY_LIMITS_MB[-1]
+    max_sockets: int = DESCRIPTOR_LIMITS[-1]
 
     @property
     def faults_and_loads(self) -> list[Fault]:
@@ -124,8 +143,8 @@
     Loads among the kinds come in addition, one every few seconds.
     """
     rng = random.Random(seed)
-    load_kinds = [kind for kind in kinds if kind in LOAD_KINDS]
-    fault_kinds = [kind for kind in kinds if kind not in LOAD_KINDS]
+    fault_kinds = [kind for kind in kinds if kind not in LOAD_KINDS + FLOOD_KINDS]
+    memory_mb, max_sockets = _draw_limits(seed)
     return Plan(
         seed=seed,
         router_count=router_count,
@@ -135,10 +154,18 @@
         faults=_draw_faults(rng, router_count, worker_count, duration_s, fault_kinds),
         function_count=rng.randint(MIN_FUNCTIONS, MAX_FUNCTIONS),
         connections_per_router=MANY_CONNECTIONS if rng.random() < MANY_CONNECTIONS_SHARE else 1,
-        loads=_draw_loads(seed, router_count, worker_count, duration_s, load_kinds),
+        loads=_draw_loads_and_floods(seed, router_count, worker_count, duration_s, kinds),
+        memory_mb=memory_mb,
+        max_sockets=max_sockets,
     )
 
 
+def _draw_limits(seed: int) -> tuple[int, int]:
+    """Draw the memory limit and the descriptor limit of the routers."""
+    rng = random.Random(f"limits of {seed}")
+    return rng.choice(MEMORY_LIMITS_MB), rng.choice(DESCRIPTOR_LIMITS)
+
+
 def _draw_faults(
     rng: random.Random, router_count: int, worker_count: int, duration_s: float, kinds: Sequence[FaultKind]
 ) -> list[Fault]:
@@ -153,11 +180,22 @@
     return sorted(faults, key=lambda fault: fault.start_s)
 
 
-def _draw_loads(
+def _draw_loads_and_floods(
     seed: int, router_count: int, worker_count: int, duration_s: float, kinds: Sequence[FaultKind]
+) -> list[Fault]:
+    """Draw loads and floods among the given kinds, separately, and order them by start time."""
+    load_kinds = [kind for kind in kinds if kind in LOAD_KINDS]
+    flood_kinds = [kind for kind in kinds if kind in FLOOD_KINDS]
+    loads = _draw_loads(f"loads of {seed}", router_count, worker_count, duration_s, load_kinds)
+    loads += _draw_loads(f"floods of {seed}", router_count, worker_count, duration_s, flood_kinds)
+    return sorted(loads, key=lambda load: load.start_s)
+
+
+def _draw_loads(
+    seed: str, router_count: int, worker_count: int, duration_s: float, kinds: Sequence[FaultKind]
 ) -> list[Fault]:
     """Draw loads of the given kinds, one after the other."""
-    rng = random.Random(f"loads of {seed}")
+    rng = random.Random(seed)
     loads: list[Fault] = []
     start_s = WARM_UP_S
     while kinds and start_s < duration_s - COOL_DOWN_S:
--- a/soak/records.py
+++ b/soak/records.py
@@ -99,8 +99,16 @@
     is_settled: bool  # whether the router rejected the client, sent an error, or closed the connection
 
 
+class FloodSent(Struct, tag=True, frozen=True):
+    """A client of a flood wrote some requests to a router."""
+
+    router: int
+    at: float
+    count: int
+
+
 RequestRecord = RequestSent | RequestAnswered | ClientGone | ConnectionLost | AttemptSeen | WorkerAnswerSeen
-Record = RequestRecord | StartOrderSeen | BadClientSeen
+Record = RequestRecord | StartOrderSeen | BadClientSeen | FloodSent
 _ENCODER = msgspec.json.Encoder()
 _DECODER = msgspec.json.Decoder(Record)
 
--- a/soak/request_rules.py
+++ b/soak/request_rules.py
@@ -108,6 +108,23 @@
             yield Violation(Rule.RETRY, text)
 
 
+def check_unrecorded_request(request: RequestHistory) -> Iterator[Violation]:
+    """Check that a request of a flood, whose id may come again, runs at most once if its class demands that.
+
+    Workers recognize repeats of other classes, or may run them again.
+    """
+    may_have_run = request.attempts_that_may_have_run
+    if not may_have_run or _retry_safety(may_have_run[0]) is not RetrySafety.AT_MOST_ONCE:
+        return
+    for attempt in may_have_run[1:]:
+        after_s = attempt.at - may_have_run[0].at
+        yield Violation(Rule.RETRY, f"{request.request_id}: its id came again, run after {after_s:.3f} s")
+
+
+def _retry_safety(attempt: AttemptSeen) -> RetrySafety:
+    return site.RETRY_SAFETY_BY_CLASS[attempt.class_name]
+
+
 def _check_scope(request: RequestHistory, workers: Sequence[WorkerIncarnation]) -> Iterator[Violation]:
     """Check that a request with an idempotency key is repeated only in the cell where it may have run."""
     retry_safety = site.RETRY_SAFETY_BY_CLASS[request.sent[0].class_name]
--- a/soak/router_config.py
+++ b/soak/router_config.py
@@ -8,9 +8,6 @@
 from function_router.decisions.types import DeduplicationScope, RetrySafety
 from soak import site
 
-MEMORY_MB = 96
-SOCKETS = 256  # low, so that the router reaches its limits on file descriptors
-
 CLASSES = [
     {
         "name": name,
@@ -58,6 +55,8 @@
         port: The port on which the router listens for clients.
         seed: The seed of the router's random generator.
         settings: The settings that all routers share.
+        memory_mb: The memory limit.
+        max_sockets: The limit on file descriptors.
         endpoint_log_port: The port on which the router's endpoint log listens.
         known_sequence: The sequence number of the last event that the router knows at its start.
         known_events: The events up to that number, in the form in which the endpoint log sends them.
@@ -67,6 +66,8 @@
     port: int
     seed: str
     settings: dict[str, Any]
+    memory_mb: int
+    max_sockets: int
     endpoint_log_port: int = 0
     known_sequence: int = 0
     known_events: list[dict[str, Any]] = field(default_factory=list)
@@ -78,7 +79,7 @@
                 "name": self.name,
                 "listen": f"127.0.0.1:{self.port}",
                 "seed": self.seed,
-                "limits": {"cores": 1.0, "memory_mb": MEMORY_MB, "sockets": SOCKETS},
+                "limits": {"cores": 1.0, "memory_mb": self.memory_mb, "sockets": self.max_sockets},
                 "settings": self.settings,
                 "changelog": f"127.0.0.1:{self.endpoint_log_port}",
                 "known": {"seq": self.known_sequence, "results": self.known_events},
--- a/soak/router_rules.py
+++ b/soak/router_rules.py
@@ -17,7 +17,7 @@
     """Check the rules on router processes; bad clients of a killed router are not checked."""
     incarnations = history.record.router_incarnations
     for incarnation in incarnations:
-        yield from _check_incarnation(incarnation)
+        yield from _check_incarnation(incarnation, history.record.plan.memory_mb)
     killed_routers = {each.router for each in incarnations if each.killed_at is not None}
     for seen in history.bad_clients:
         if seen.router not in killed_routers:
@@ -28,14 +28,20 @@
                 yield Violation(Rule.LOGGED_ERROR, line)
 
 
-def _check_incarnation(incarnation: RouterIncarnation) -> Iterator[Violation]:
-    """Check that a router is ready in time, exits only on a signal, and exits with code 0 after SIGTERM."""
+def _check_incarnation(incarnation: RouterIncarnation, memory_mb: int) -> Iterator[Violation]:
+    """Check that a router is ready in time, stays within its memory, and exits only on a signal.
+
+    After SIGTERM it has to exit with code 0.
+    """
     name = f"router {incarnation.router}, started at {incarnation.started_at:.1f}"
     was_requested = incarnation.sigterm_at is not None or incarnation.killed_at is not None
     if incarnation.exited_at is not None and (not was_requested or _has_failed(incarnation)):
         yield Violation(Rule.CRASH, f"{name}: exit code {incarnation.exit_code}")
     elif incarnation.ready_at is None or incarnation.ready_at - incarnation.started_at > MAX_START_S:
         yield Violation(Rule.NOT_READY, name)
+    peak_mb = incarnation.peak_memory_mb
+    if peak_mb is not None and peak_mb > memory_mb:
+        yield Violation(Rule.MEMORY, f"{name}: {peak_mb:.0f} of {memory_mb} MB")
 
 
 def _has_failed(incarnation: RouterIncarnation) -> bool:
--- a/soak/router_slot.py
+++ b/soak/router_slot.py
@@ -9,6 +9,7 @@
 
 from soak import site
 from soak.module_process import ROOT
+from soak.process_memory import peak_memory_mb
 from soak.router_config import RouterConfig
 from soak.run_folder import RunFolder
 from soak.run_record import RouterIncarnation
@@ -97,6 +98,7 @@
 
     async def kill(self) -> None:
         """Send a planned SIGKILL, and wait for the exit of the process."""
+        self.record_peak_memory()
         self.incarnation.killed_at = time.monotonic()
         self._send_signal(signal.SIGKILL)
         await self._record_exit(EXIT_TIMEOUT_S)
@@ -107,6 +109,7 @@
         The process has the time of the longest request timeout, limited to MAX_TIMEOUT_BEFORE_KILL_S, plus
         KILL_GRACE_S.
         """
+        self.record_peak_memory()
         self.incarnation.sigterm_at = time.monotonic()
         self._send_signal(signal.SIGTERM)
         if not await self._record_exit(
@@ -116,6 +119,11 @@
             self._send_signal(signal.SIGKILL)
             await self._record_exit(EXIT_TIMEOUT_S)
 
+    def record_peak_memory(self) -> None:
+        """Record the maximum of the process's resident memory, unless the process has ended."""
+        if self._process:
+            self.incarnation.peak_memory_mb = peak_memory_mb(self._process.pid)
+
     def record_unplanned_exit(self) -> None:
         """Record the exit of a process that was neither killed nor terminated."""
         if self._process and self._process.returncode is not None and self.incarnation.exited_at is None:
--- a/soak/rules.py
+++ b/soak/rules.py
@@ -25,6 +25,7 @@
     CRASH = "router that ended by itself"
     NOT_READY = "router that was not ready in time"
     BAD_CLIENT = "bad client without rejection, error or close"
+    MEMORY = "router over its memory limit"
     LOGGED_ERROR = "error in a router's log"
 
 
--- a/soak/run_folder.py
+++ b/soak/run_folder.py
@@ -25,6 +25,15 @@
         """The path of the proxy's records about the frames between routers and workers."""
         return self.path / "proxy.jsonl"
 
+    @property
+    def flood_records(self) -> list[Path]:
+        """The paths of the records of the floods that have begun."""
+        return sorted(self.path.glob("flood-*.jsonl"))
+
+    def flood_record(self, number: int) -> Path:
+        """Return the path of the records of a flood."""
+        return self.path / f"flood-{number}.jsonl"
+
     def router_config(self, router: int) -> Path:
         """Return the path of a router's configuration file; the shim recognizes it by the end of the name."""
         return self.path / f"router-{router}-config.json"
--- a/soak/run_record.py
+++ b/soak/run_record.py
@@ -22,6 +22,7 @@
         forced_kill_at: When SIGKILL was sent to a process that had not exited in time after SIGTERM, or None.
         exited_at: When the exit was noticed, or None while the process runs.
         exit_code: The exit code, or the negative number of the signal that ended the process.
+        peak_memory_mb: The maximum of its resident memory until it was terminated or killed, or None.
     """
 
     router: int
@@ -32,6 +33,7 @@
     forced_kill_at: float | None = None
     exited_at: float | None = None
     exit_code: int | None = None
+    peak_memory_mb: float | None = None
 
 
 @dataclass
--- a/soak/site.py
+++ b/soak/site.py
@@ -29,6 +29,8 @@
 COLD_START_S = 0.25  # mean duration of a cold start
 WORKER_CAPACITY_RPS = WORKER_CORES / MEAN_RUN_TIME_S
 
+SILENT_FUNCTION_PREFIX = "dead"  # workers answer nothing about functions whose names begin with it
+
 SLOW_START_S = 5.0
 SLOW_START_INITIAL_SHARE = 0.1  # share of its capacity that a worker may get right after its start
 OVERLOAD_WINDOW_S = 1.0
--- a/soak/worker.py
+++ b/soak/worker.py
@@ -114,6 +114,8 @@
         if frame.code == frames.CHECK_HEALTH:
             self._send_answer(frame, writer, frames.DRAINING if self._is_draining else frames.READY, {})
             return
+        if frame.fields.get(frames.FUNCTION_FIELD, "").startswith(site.SILENT_FUNCTION_PREFIX):
+            return
         serve = self._run_request if frame.code == frames.RUN else self._ensure_instances
         tasks[frame.exchange_id] = asyncio.create_task(serve(frame, writer))
 
--- a/tests/soak_test/test_checker.py
+++ b/tests/soak_test/test_checker.py
@@ -174,13 +174,21 @@
         ),
         (RouterIncarnation(ROUTER, 90.0, ready_at=101.0), Rule.NOT_READY),
         (RouterIncarnation(ROUTER, 90.0), Rule.NOT_READY),
+        (RouterIncarnation(ROUTER, 90.0, ready_at=91.0, peak_memory_mb=200.0), Rule.MEMORY),
     ],
-    ids=["unrequested exit", "exit code", "late", "never ready"],
+    ids=["unrequested exit", "exit code", "late", "never ready", "memory"],
 )
 def test_failed_start_or_exit_of_a_router_is_found(check, incarnation, rule):
     assert check(incarnation=incarnation) == {rule}
 
 
+@pytest.mark.parametrize(("class_name", "violations"), [("settle", {Rule.RETRY}), ("view", set())])
+def test_id_of_a_flood_that_runs_again_is_found(check, class_name, violations):
+    attempts = [attempt_at(at, class_name=class_name) for at in (100.1, 100.4)]
+
+    assert check(*attempts) == violations
+
+
 def test_exit_by_a_forced_kill_after_sigterm_is_no_crash(check):
     force_killed = RouterIncarnation(
         ROUTER, 90.0, ready_at=91.0, sigterm_at=94.0, forced_kill_at=97.0, exited_at=97.1, exit_code=-9
--- a/tests/soak_test/test_faults.py
+++ b/tests/soak_test/test_faults.py
@@ -7,7 +7,7 @@
 from soak import injector as injector_module
 from soak.faults import CALL_FAILURES, FAULTS, ClientFault, RouterFault, WorkerFault
 from soak.injector import FaultInjector
-from soak.plan import LOAD_KINDS, Fault, FaultKind
+from soak.plan import FLOOD_KINDS, LOAD_KINDS, Fault, FaultKind
 from soak.shim import ShimControl
 
 EXCLUSIVE = FaultKind.ROUTER_KILL
@@ -93,7 +93,7 @@
     on_clients = {kind for kind, each in FAULTS.items() if isinstance(each, ClientFault)}
 
     assert shared == {FaultKind.CLOCK_STEP, FaultKind.CALLS_FAIL, FaultKind.ENDPOINT_LOG_SILENT}
-    assert on_clients == {FaultKind.BURST, FaultKind.BAD_CLIENTS, *LOAD_KINDS}
+    assert on_clients == {FaultKind.BURST, FaultKind.BAD_CLIENTS, *LOAD_KINDS, *FLOOD_KINDS}
     assert sum(isinstance(each, WorkerFault) for each in FAULTS.values()) == 6
 
 
--- a/tests/soak_test/test_plan.py
+++ b/tests/soak_test/test_plan.py
@@ -5,7 +5,7 @@
 import msgspec
 import pytest
 
-from soak.plan import LOAD_KINDS, FaultKind, draw_plan
+from soak.plan import FLOOD_KINDS, LOAD_KINDS, FaultKind, draw_plan
 
 ROUTERS = 9
 WORKERS = 7
@@ -47,9 +47,10 @@
 
 def test_loads_are_drawn_in_addition_and_leave_the_faults_as_they_are():
     plan = draw(1)
-    without_loads = draw(1, [kind for kind in FaultKind if kind not in LOAD_KINDS])
+    without_loads = draw(1, [kind for kind in FaultKind if kind not in LOAD_KINDS + FLOOD_KINDS])
 
-    assert {load.kind for load in plan.loads} == set(LOAD_KINDS)
+    assert {load.kind for load in plan.loads} >= set(LOAD_KINDS)
+    assert {load.kind for seed in (1, 2) for load in draw(seed).loads} == {*LOAD_KINDS, *FLOOD_KINDS}
     assert plan.faults == without_loads.faults
     assert without_loads.loads == []
     assert [fault.start_s for fault in plan.faults_and_loads] == sorted(
--- a/tests/soak_test/test_router_config.py
+++ b/tests/soak_test/test_router_config.py
@@ -24,6 +24,8 @@
         endpoint_log_port=28_001,
         known_sequence=1,
         known_events=[EVENT.to_wire([20_000])],
+        memory_mb=64,
+        max_sockets=256,
     )
 
 
@@ -32,6 +34,7 @@
 
     assert (read.name, read.listen, read.changelog) == ("n0", "127.0.0.1:28000", "127.0.0.1:28001")
     assert read.known.seq == 1
+    assert (read.limits.memory_mb, read.limits.sockets) == (64, 256)
     assert [each.effect for each in read.settings.classes] == list(site.RETRY_SAFETY_BY_CLASS.values())
     assert [each.name for each in read.settings.classes] == list(site.CLASS_SHARES)
 
