Bound the unhandled and partial input of clients by the memory limit, and pause without spinning

What callers saw: a router passed limits.memory_mb while hundreds of clients wrote large requests at full speed or stopped half way. Cause: 128 KiB of messages and 48 KiB of a partial one for each client, whatever the number of clients and the limit; the records of a small message counted 64 bytes and take about 400. A connection that neither reads nor writes also stayed registered for reading, so that the loop spun while reading paused. Failing before: test_partial_messages_of_many_clients_stay_within_their_share, 'assert not True' for is_exceeded.

--- a/function_router/net/client_connection.py
+++ b/function_router/net/client_connection.py
@@ -10,8 +10,10 @@
 from function_router.net.connection import Connection
 from function_router.net.event_loop import EventLoop
 from function_router.net.invariants import Invariant
-from function_router.net.memory_budget import MemoryAccount
+from function_router.net.memory_budget import MemoryAccount, MemoryOwner
+from function_router.net.paused_clients import PausedClients
 from function_router.net.sockets import MAY_HOLD_DATA
+from function_router.net.telemetry import CLIENTS_OVER_SHARE, READING_PAUSED
 from function_router.net.unhandled_messages import ReceivedMessage, UnhandledMessages
 
 # Close reasons after which the client no longer waits for answers: it has closed the connection, or does not
@@ -27,6 +29,9 @@
 
 # Maximum size of the messages of one client that are read and not handled yet; above it, reading pauses.
 MAX_UNHANDLED_BYTES = 128 * 1024
+# Timeout for the rest of a message while its client has more than its share of the memory for input. Such
+# messages would otherwise keep the memory until their usual timeouts.
+MESSAGE_TIMEOUT_WITHOUT_MEMORY_MS = 500.0
 # High-water mark: reading from a client pauses once the unwritten answers to it reach this size.
 HIGH_WATER_BYTES = 64 * 1024
 # Maximum size of the unwritten answers to one client; above it, the client is disconnected.
@@ -41,9 +46,11 @@
 
     Attributes:
         loop: The event loop that serves the connections.
+        paused_clients: The clients that are not read for want of memory.
     """
 
     loop: EventLoop
+    paused_clients: PausedClients
 
     def unwritten_bytes(self) -> int:
         """Return the size of all answers, to all clients, that are not written yet."""
@@ -85,6 +92,7 @@
         self.messages = ClientMessages()
         self.unhandled = UnhandledMessages()
         self.connection = Connection.accepted(owner.loop, sock, self, earliest_connect_ms)
+        self.connection.read_allowance = lambda: self._input_memory.headroom_bytes
         self.session = ClientSession(owner, self.connection)
 
     # --- connection handler -------------------------------------------------------------------
@@ -103,7 +111,7 @@
             self.unhandled.append(ReceivedMessage(frame, read_at_ms - self._unread_ms(is_last=is_last)))
         if self.unhandled:
             self._owner.loop.input.add(self)
-        self._update_reading()
+        self.update_reading()
 
     def _withdraw_at_once(self, frame: thrift.Frame) -> bool:
         """Handle a cancellation before the messages queued in front of it, and return whether it was one.
@@ -145,24 +153,36 @@
                 self.connection.close(CloseReason.PROTOCOL_ERROR)
             if self.connection.is_closed or self.connection.is_closing:
                 self.unhandled.clear()
-        self._update_reading()
+        self.update_reading()
         return handled
 
-    def _update_reading(self) -> None:
+    def update_reading(self) -> None:
         """Pause reading from a client whose messages or answers pile up; resume it once they don't.
 
-        Unwritten answers don't pause it while the client has pending requests, as it may cancel them or
-        disconnect.
+        Reading also pauses while the client has more than its share of the memory for input. Unwritten
+        answers don't pause it while the client has pending requests, as it may cancel them or disconnect.
         """
         self._input_memory.resize(self.unhandled.size_bytes + self.messages.buffered_bytes)
         has_capacity = self.unhandled.size_bytes < MAX_UNHANDLED_BYTES
         reads_answers = self.connection.pending_bytes < HIGH_WATER_BYTES or bool(self.session.pending)
-        self.connection.set_reading(enabled=has_capacity and reads_answers)
+        has_memory = self._has_memory_for_input()
+        self.connection.set_reading(enabled=has_capacity and reads_answers and has_memory)
+
+    def _has_memory_for_input(self) -> bool:
+        """Return whether the client may be read; if not, let it be checked again when memory may be free."""
+        paused_clients = self._owner.paused_clients
+        if not self._input_memory.is_over_threshold():
+            paused_clients.discard(self)
+            return True
+        if self not in paused_clients:
+            self._owner.telemetry.count(READING_PAUSED, MemoryOwner.CLIENT_INPUT)
+            paused_clients.add(self)
+        return False
 
     def on_flushed(self) -> None:
         """Pause reading from a client that does not read its answers; disconnect it above the limits."""
         self._output_memory.resize(self.connection.writer.queue.size_bytes)
-        self._update_reading()
+        self.update_reading()
         unwritten_bytes = self.connection.pending_bytes
         if unwritten_bytes > MAX_UNWRITTEN_BYTES or (
             unwritten_bytes > HIGH_WATER_BYTES and self._owner.unwritten_bytes() > MAX_TOTAL_UNWRITTEN_BYTES
@@ -183,22 +203,37 @@
         self._input_memory.close()
         self._output_memory.close()
         self._owner.loop.input.discard(self)
+        self._owner.paused_clients.discard(self)
         self._owner.on_client_closed(self, reason)
 
     # --- timeouts -----------------------------------------------------------------------------
 
     def check_timeouts(self, now_ms: float) -> None:
-        """Close the connection if it has been idle for too long, or its next message is overdue."""
+        """Close the connection if it has been idle for too long, or its next message is overdue.
+
+        While the client is paused, the event loop does not notice that it has disconnected.
+        """
+        if self in self._owner.paused_clients and self.connection.has_peer_closed():
+            self.connection.close(CloseReason.CLOSED_BY_PEER)
+            return
         if self.session.pending or self.unhandled:
             return
         if now_ms - self.connection.last_used_ms > IDLE_TIMEOUT_MS:
             self.close_unless_data_arrived()
         elif self.messages.is_overdue(now_ms, self.connection.last_received_ms):
             self._close_overdue()
+        elif (
+            self._input_memory.is_over_threshold()
+            and self.messages.partial_ms(now_ms) > MESSAGE_TIMEOUT_WITHOUT_MEMORY_MS
+        ):
+            self._owner.telemetry.count(CLIENTS_OVER_SHARE, MemoryOwner.CLIENT_INPUT)
+            self._close_overdue()
 
     def _close_overdue(self) -> None:
         if self.messages.has_received_data:
             self.session.fail_pending_and_close(CloseReason.READ_TIMEOUT)
+            self.messages.drop_partial()
+            self.update_reading()
         else:
             self.close_unless_data_arrived()
 
--- a/function_router/net/client_listener.py
+++ b/function_router/net/client_listener.py
@@ -7,6 +7,7 @@
 from function_router.net.clock import monotonic_ms
 from function_router.net.close_reason import CloseReason
 from function_router.net.event_loop import EventLoop
+from function_router.net.paused_clients import PausedClients
 from function_router.net.request_table import RequestTable
 from function_router.net.telemetry import CLIENTS_CLOSED, Telemetry
 
@@ -26,6 +27,7 @@
         classes: The request classes by name.
         tenants: Names of the tenants that may send requests; empty if any tenant may.
         is_ready: Whether the router is ready, which is the answer to status requests.
+        paused_clients: The clients that are not read for want of memory.
         connections: The open client connections, oldest first; an ordered set, whose values are unused.
     """
 
@@ -51,6 +53,7 @@
         self.classes = classes
         self.tenants = tenants
         self.is_ready = False
+        self.paused_clients = PausedClients(loop.timers)
         self.connections: dict[ClientConnection, None] = {}
         self._max_connections = max_connections
         self._acceptor = Acceptor(loop, address, self, max_connections, telemetry)
--- a/function_router/net/client_messages.py
+++ b/function_router/net/client_messages.py
@@ -54,6 +54,10 @@
         """Whether any data has been received from the client."""
         return self.has_received_message or self._frames.has_partial_frame
 
+    def partial_ms(self, now_ms: float) -> float:
+        """Return how long ago the message that is received in part began; 0 if there is none."""
+        return now_ms - self._waiting_since_ms if self._frames.has_partial_frame else 0.0
+
     def feed(self, data: bytes) -> list[thrift.Frame]:
         """Add received bytes; return the messages that they complete, in order and not parsed yet."""
         had_partial_message = self._frames.has_partial_frame
@@ -67,6 +71,10 @@
             self._chunk_count += 1
         return frames
 
+    def drop_partial(self) -> None:
+        """Drop the message that is received in part; the connection must not be read any more."""
+        self._frames = thrift.FrameReader()
+
     def is_overdue(self, now_ms: float, last_received_ms: float) -> bool:
         """Return whether the first message, or the rest of a partial message, has taken too long.
 
--- a/function_router/net/connection.py
+++ b/function_router/net/connection.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import socket
+from collections.abc import Callable
 
 from function_router.config import Address
 from function_router.net import sockets
@@ -10,6 +11,7 @@
 from function_router.net.connection_handler import CLOSED_CONNECTION_HANDLER, ConnectionHandler
 from function_router.net.event_loop import READ, WRITE, EventLoop
 from function_router.net.socket_reader import SocketReader
+from function_router.net.socket_watch import SocketWatch
 from function_router.net.socket_writer import SocketWriter
 from function_router.net.sockets import PeekResult
 from function_router.net.timer_wheel import Timer
@@ -19,6 +21,8 @@
 # the limit keeps one peer from starving the others. It is above 1 so that a cancellation, which arrives after
 # the request that it cancels, can be read in the same turn, before the request is sent to a worker.
 MAX_READS_PER_TURN = 4
+# Minimum number of bytes that a read may take, however little the handler allows.
+MIN_READ_BYTES = 1024
 # How long after `close_after_flush` the peer may read the last data and close the connection itself.
 LINGER_MS = 1_000.0
 
@@ -31,6 +35,7 @@
     Attributes:
         loop: The event loop that serves the connection.
         handler: The owner of the connection, which is notified of its events.
+        read_allowance: Returns how many bytes one turn may read; by default, the event loop decides that.
         reader: Reads from the socket, and measures how long received bytes were unread.
         writer: Writes to the socket, and owns the queued writes.
         is_connected: Whether the connection was established; stays True after it is closed.
@@ -44,14 +49,15 @@
         "_close_reason_after_flush",
         "_connect_timer",
         "_is_reading",
-        "_mask",
         "_sock",
+        "_watch",
         "handler",
         "is_closed",
         "is_connected",
         "last_received_ms",
         "last_used_ms",
         "loop",
+        "read_allowance",
         "reader",
         "writer",
     )
@@ -69,6 +75,7 @@
         now_ms = monotonic_ms()
         self.loop = loop
         self.handler = handler
+        self.read_allowance: Callable[[], int] | None = None
         self.reader = SocketReader(loop, sock, now_ms if unread_since_ms is None else unread_since_ms)
         self.is_connected = is_connected
         self.is_closed = False
@@ -79,8 +86,8 @@
         self.writer = SocketWriter(sock)
         self._connect_timer: Timer | None = None
         self._close_reason_after_flush: CloseReason | None = None
-        self._mask = READ if is_connected else WRITE
-        loop.register(sock, self._mask, self._on_ready)
+        mask = READ if is_connected else WRITE
+        self._watch = SocketWatch(loop, sock, mask, self._on_ready, self.reader.on_watch_changed)
 
     @classmethod
     def accepted(
@@ -183,11 +190,8 @@
 
     def _update_mask(self) -> None:
         mask = (READ if self._is_reading else 0) | (WRITE if self.writer.is_blocked else 0)
-        # A selector does not accept an empty mask. A connection that neither reads nor waits to write keeps
-        # its mask; this is rare, as reading pauses only for a peer that does not read what is sent to it.
-        if mask and mask != self._mask and not self.is_closed:
-            self._mask = mask
-            self.loop.modify(self._sock, mask, self._on_ready)
+        if not self.is_closed:
+            self._watch.set_mask(mask)
 
     def _on_ready(self, mask: int) -> None:
         if not self.is_connected:
@@ -209,13 +213,14 @@
             self._connect_timer.cancel()
         self.last_received_ms = monotonic_ms()
         self.last_used_ms = self.last_received_ms
-        self._mask = READ
-        self.loop.modify(self._sock, READ, self._on_ready)
+        self._watch.set_mask(READ)
         self.handler.on_connected()
 
     def _read(self) -> None:
         self.reader.on_reported_readable()
         left_bytes = self.loop.read_share_bytes
+        if self.read_allowance is not None:
+            left_bytes = max(MIN_READ_BYTES, min(left_bytes, self.read_allowance()))
         for _ in range(MAX_READS_PER_TURN):
             if left_bytes <= 0 or self.is_closed or not self._is_reading:
                 return
@@ -261,7 +266,8 @@
         self.is_closed = True
         if self._connect_timer:
             self._connect_timer.cancel()
-        self.loop.unregister(self._sock)
+        self._watch.close()
+        self.read_allowance = None
         # If bytes are unread, the kernel resets the connection, which tells a client that its request was not
         # accepted.
         self._sock.close()
--- a/function_router/net/memory_budget.py
+++ b/function_router/net/memory_budget.py
@@ -94,12 +94,16 @@
 
     def allows(self, size_bytes: int) -> bool:
         """Return whether the holder may add an entry of this size."""
-        from_pool_bytes = self.used_bytes + size_bytes - self._share.guaranteed_bytes
-        return from_pool_bytes <= 0 or from_pool_bytes <= self._share.pool_left_bytes
+        return size_bytes <= self.headroom_bytes
+
+    @property
+    def headroom_bytes(self) -> int:
+        """How much the holder may add now; negative if it uses more than it may now."""
+        return self._share.guaranteed_bytes + self._share.pool_left_bytes - self.used_bytes
 
     def is_over_threshold(self) -> bool:
         """Return whether the holder uses more than it may while the share is as full as it is."""
-        return not self.allows(0)
+        return self.used_bytes > 0 and self.headroom_bytes < 0
 
     def charge(self, size_bytes: int) -> None:
         """Count an entry; a negative size counts one that is removed."""
--- a/function_router/net/unhandled_messages.py
+++ b/function_router/net/unhandled_messages.py
@@ -6,8 +6,8 @@
 
 from function_router.net.codecs import thrift
 
-# Memory that a message takes in addition to its bytes.
-MESSAGE_OVERHEAD_BYTES = 64
+# Memory that a message takes in addition to its bytes: its records and its entries in the queue.
+MESSAGE_OVERHEAD_BYTES = 400
 
 
 class ReceivedMessage(Struct, frozen=True):
--- a/tests/net/test_client_memory.py
+++ b/tests/net/test_client_memory.py
@@ -1,5 +1,7 @@
 """Tests that clients which fill the router's memory get no more than their share of it."""
 
+import struct
+
 import pytest
 from helpers.client_messages import AnswerKind
 from helpers.fake_worker import FakeWorker
@@ -69,3 +71,38 @@
     harness.run_until(lambda: not harness.router_process.listener.connections, "all connections are closed")
 
     assert (memory.requests.used_bytes, memory.client_input.used_bytes) == (0, 0)
+
+
+# Guards against partial messages whose size grew with the number of clients, whatever the memory limit.
+def test_partial_messages_of_many_clients_stay_within_their_share(harness, memory):
+    clients = connect_greedy_clients(harness)
+    usual = harness.connect_accepted_client()
+
+    for client in clients:
+        client.sock.setblocking(True)
+        client.sock.sendall(struct.pack(">I", STATED_FRAME_BYTES) + b"\x80" * PARTIAL_BYTES)
+        client.sock.setblocking(False)
+    for _ in range(50):
+        harness.router_process.loop.run_once(0.001)
+    usual.send_request(call="ab" * 8)
+    harness.round_trip(usual)
+
+    assert not memory.client_input.is_exceeded
+    assert len(harness.table.pending) == 1
+
+
+def test_client_paused_for_want_of_memory_is_read_again(harness, memory):
+    clients = connect_greedy_clients(harness)
+    last = clients.pop()
+    for client in clients:
+        client.sock.sendall(struct.pack(">I", STATED_FRAME_BYTES) + b"\x80" * PARTIAL_BYTES)
+    for _ in range(20):
+        harness.router_process.loop.run_once(0.001)
+    last.send_request(body=LARGE_BODY, call="ab" * 8)
+
+    for client in clients:
+        client.close()
+        harness.clients.remove(client)
+    harness.run_until(lambda: harness.table.pending, "the request is pending")
+
+    assert not memory.client_input.is_exceeded
