Bound unread answers by the memory limit, and close the heaviest clients above it

Cause: 1 MiB for each client and 32 MiB for all, whatever the memory limit; and only clients over 64 KiB were ever closed, so that hundreds of clients under that mark had no bound at all. Change: above the share of the configured memory the clients with most unwritten answers are closed until the rest fits (WRITE_BUFFER_FULL; counter 'clients closed over share client output'), and reading pauses at half of the share if that is less than 64 KiB. Failing before: test_clients_that_read_no_answers_are_closed_at_the_limit_the_heaviest_first, 'assert not True' for is_exceeded. One test wrote 12 MB to a client that does not read; it now raises this limit as it raised the other one.

--- a/function_router/net/client_connection.py
+++ b/function_router/net/client_connection.py
@@ -36,9 +36,6 @@
 HIGH_WATER_BYTES = 64 * 1024
 # Maximum size of the unwritten answers to one client; above it, the client is disconnected.
 MAX_UNWRITTEN_BYTES = 1024 * 1024
-# Maximum size of the unwritten answers to all clients, which limits memory use; above it, each client over
-# the high-water mark is disconnected.
-MAX_TOTAL_UNWRITTEN_BYTES = 32 * 1024 * 1024
 
 
 class ClientConnectionOwner(ClientService, Protocol):
@@ -52,8 +49,8 @@
     loop: EventLoop
     paused_clients: PausedClients
 
-    def unwritten_bytes(self) -> int:
-        """Return the size of all answers, to all clients, that are not written yet."""
+    def close_heaviest_until_in_share(self) -> None:
+        """Close the clients with most unwritten answers until those of all clients are within their share."""
 
     def on_client_closed(self, client: "ClientConnection", reason: CloseReason, /) -> None:
         """Handle the close of a connection."""
@@ -164,7 +161,8 @@
         """
         self._input_memory.resize(self.unhandled.size_bytes + self.messages.buffered_bytes)
         has_capacity = self.unhandled.size_bytes < MAX_UNHANDLED_BYTES
-        reads_answers = self.connection.pending_bytes < HIGH_WATER_BYTES or bool(self.session.pending)
+        high_water_bytes = min(HIGH_WATER_BYTES, self._owner.memory.client_output.capacity_bytes // 2)
+        reads_answers = self.connection.pending_bytes < high_water_bytes or bool(self.session.pending)
         has_memory = self._has_memory_for_input()
         self.connection.set_reading(enabled=has_capacity and reads_answers and has_memory)
 
@@ -180,14 +178,16 @@
         return False
 
     def on_flushed(self) -> None:
-        """Pause reading from a client that does not read its answers; disconnect it above the limits."""
+        """Pause reading from a client that does not read its answers; disconnect it above its limit.
+
+        If the answers to all clients exceed their share of the memory, the heaviest clients are disconnected.
+        """
         self._output_memory.resize(self.connection.writer.queue.size_bytes)
         self.update_reading()
-        unwritten_bytes = self.connection.pending_bytes
-        if unwritten_bytes > MAX_UNWRITTEN_BYTES or (
-            unwritten_bytes > HIGH_WATER_BYTES and self._owner.unwritten_bytes() > MAX_TOTAL_UNWRITTEN_BYTES
-        ):
+        if self.connection.pending_bytes > MAX_UNWRITTEN_BYTES:
             self.connection.close(CloseReason.WRITE_BUFFER_FULL)
+        elif self._owner.memory.client_output.is_exceeded:
+            self._owner.close_heaviest_until_in_share()
 
     def on_write_delayed(self) -> None:
         """Do nothing, as an answer is written even if it is late."""
@@ -206,6 +206,11 @@
         self._owner.paused_clients.discard(self)
         self._owner.on_client_closed(self, reason)
 
+    @property
+    def unwritten_size_bytes(self) -> int:
+        """The memory that the unwritten answers take, about."""
+        return self._output_memory.used_bytes
+
     # --- timeouts -----------------------------------------------------------------------------
 
     def check_timeouts(self, now_ms: float) -> None:
--- a/function_router/net/client_listener.py
+++ b/function_router/net/client_listener.py
@@ -9,7 +9,7 @@
 from function_router.net.event_loop import EventLoop
 from function_router.net.paused_clients import PausedClients
 from function_router.net.request_table import RequestTable
-from function_router.net.telemetry import CLIENTS_CLOSED, Telemetry
+from function_router.net.telemetry import CLIENTS_CLOSED, CLIENTS_OVER_SHARE, Telemetry
 
 # Time that a new client has for its first byte. At the connection limit, connections that are older and
 # have sent nothing are closed first.
@@ -105,13 +105,19 @@
 
     # --- connections ----------------------------------------------------------------------------
 
-    def unwritten_bytes(self) -> int:
-        """Return the size of all answers, to all clients, that are not written yet."""
-        return sum(client.connection.pending_bytes for client in self.connections)
-
     def has_unwritten_answers(self) -> bool:
         """Return whether an answer to any client is not written yet."""
-        return self.unwritten_bytes() > 0
+        return any(client.connection.pending_bytes for client in self.connections)
+
+    def close_heaviest_until_in_share(self) -> None:
+        """Close the clients with most unwritten answers until those of all clients are within their share."""
+        share = self.memory.client_output
+        heaviest_first = sorted(self.connections, key=lambda client: -client.unwritten_size_bytes)
+        for client in heaviest_first:
+            if not share.is_exceeded:
+                return
+            self.telemetry.count(CLIENTS_OVER_SHARE, share.owner)
+            client.connection.close(CloseReason.WRITE_BUFFER_FULL)
 
     def has_unread_data(self) -> bool:
         """Accept pending connections, and return whether data from any client may be unread.
--- a/tests/net/test_client_connection.py
+++ b/tests/net/test_client_connection.py
@@ -140,6 +140,7 @@
     seqid = client.send_request()
     queueing_harness.run_until(lambda: queueing_harness.table.pending, "the request is admitted")
     client.receive = lambda: None  # the client stops reading
+    queueing_harness.router_process.memory.client_output.capacity_bytes = 16 * 1024 * 1024
 
     with mock.patch.object(client_connection, "MAX_UNWRITTEN_BYTES", 16 * 1024 * 1024):
         served.connection.write(b"x" * 12_000_000)
--- a/tests/net/test_client_memory.py
+++ b/tests/net/test_client_memory.py
@@ -106,3 +106,22 @@
     harness.run_until(lambda: harness.table.pending, "the request is pending")
 
     assert not memory.client_input.is_exceeded
+
+
+# Guards against unread answers whose size grew with the number of clients, whatever the memory limit.
+def test_clients_that_read_no_answers_are_closed_at_the_limit_the_heaviest_first(harness, memory):
+    usual = harness.connect_accepted_client()
+    clients = connect_greedy_clients(harness)
+    connections = list(harness.router_process.listener.connections)
+    for number, connection in enumerate(connections[1:], 1):
+        connection.connection.writer.is_blocked = True  # as if the client did not read
+        connection.connection.write(b"x" * (2_000 * number))
+        connection.connection.flush()
+
+    harness.round_trip(usual)
+
+    open_connections = list(harness.router_process.listener.connections)
+    assert not memory.client_output.is_exceeded
+    assert 0 < len(clients) - (len(open_connections) - 1) < len(clients)
+    assert connections[1] in open_connections
+    assert connections[-1] not in open_connections
