Drop the records of closed requests, and of old arrivals, before their deadlines

What callers saw: memory that grew with each request of a client at full speed, though few were open. Cause: the queues by deadline and by overdue time kept a closed request, with its function, until its time came; the function table could evict the function, and its record stayed. Evidence: 3,000 requests that were cancelled at once left 3,000 records, and 6,001 in both queues behind one open request. Change: TimedRequests counts obsolete entries and removes them once they are the majority (amortized constant). Arrivals are dropped when one is recorded and limited to 6,000; above that the rate limit on starts allows fewer. Medians and rates of a function allocate their samples with the first one: an empty deque takes 760 bytes, and each function had four.

--- a/function_router/decisions/answers.py
+++ b/function_router/decisions/answers.py
@@ -36,7 +36,7 @@
 
     def close(self, request: Request) -> None:
         """Close a request without an answer of the router, and cancel its attempts in flight."""
-        del self._requests.by_id[request.id]
+        self._requests.remove(request)
         queue = request.function.queue
         if request in queue:
             queue.remove(request)
--- a/function_router/decisions/arrivals.py
+++ b/function_router/decisions/arrivals.py
@@ -15,6 +15,11 @@
 MAX_START_ORDER_DELAY_MS = 20.0
 
 
+# Maximum number of arrivals in the window, which bounds the memory. Above it, the oldest ones are dropped, so
+# that the rate limit on starts allows fewer of them.
+MAX_RECENT_ARRIVALS = 6_000
+
+
 class Arrivals:
     """Recent and mean arrival rate.
 
@@ -32,6 +37,9 @@
         """Count a request."""
         self.recent.setdefault(event.client_request_id or event.request_id, now_ms - event.age_ms)
         self.count += 1
+        self.drop_old(now_ms)
+        if len(self.recent) > MAX_RECENT_ARRIVALS:
+            self.recent.popitem(last=False)
 
     def cancel(self, event: RequestCancelled) -> None:
         """Remove a cancelled request from the recent rate, as it must not raise the rate limit on starts."""
--- a/function_router/decisions/request_queue.py
+++ b/function_router/decisions/request_queue.py
@@ -51,9 +51,8 @@
         self.objective_ms = objective_ms
         self.requests: list[RequestT] = []
         self._overdue: list[RequestT] = []  # in order of arrival; not used if the requests are over quota
-        # The requests that are not overdue yet, by the time at which they will be, and by id. Those that are
-        # removed stay in the former.
-        self._waiting: TimedRequests[RequestT] = TimedRequests()
+        # The requests that are not overdue yet, by the time at which they will be, and by id.
+        self._waiting: TimedRequests[RequestT] = TimedRequests(self._is_waiting)
         self._waiting_by_id: dict[str, RequestT] = {}
 
     def add(self, request: RequestT, overdue_at_ms: float) -> None:
@@ -65,8 +64,11 @@
     def remove(self, request: RequestT) -> None:
         """Remove a request."""
         _remove_from(self.requests, request)
-        if not self.over_quota and self._waiting_by_id.pop(request.id, None) is None:
-            _remove_from(self._overdue, request)
+        if not self.over_quota:
+            if self._waiting_by_id.pop(request.id, None) is None:
+                _remove_from(self._overdue, request)
+            else:
+                self._waiting.on_obsolete()
         if not self.requests:
             self._waiting.clear()
 
@@ -78,8 +80,7 @@
         if self.over_quota:
             return self.requests
         for request in self._waiting.take_until(now_ms):
-            if self._waiting_by_id.get(request.id) is request:
-                del self._waiting_by_id[request.id]
+            if self._waiting_by_id.pop(request.id, None) is not None:  # may have been queued twice
                 insort(self._overdue, request, key=arrival_order)
         return self._overdue
 
@@ -92,6 +93,9 @@
         for request in self.requests:
             self._wait(request, overdue_at_ms(request))
 
+    def _is_waiting(self, request: RequestT) -> bool:
+        return self._waiting_by_id.get(request.id) is request
+
     def _wait(self, request: RequestT, overdue_at_ms: float) -> None:
         self._waiting.add(overdue_at_ms, request)
         self._waiting_by_id[request.id] = request
--- a/function_router/decisions/requests.py
+++ b/function_router/decisions/requests.py
@@ -19,20 +19,25 @@
         self.attempts: dict[tuple[str, int], Attempt] = {}  # by request id and attempt number
         # The attempts that count against the in-flight limit, oldest first; an ordered set.
         self.recent_attempts: OrderedDict[Attempt, None] = OrderedDict()
-        self._by_deadline: TimedRequests[Request] = TimedRequests()
+        self._by_deadline: TimedRequests[Request] = TimedRequests(self.is_open)
 
     def add(self, request: Request) -> None:
         """Add a new request."""
         self.by_id[request.id] = request
         self._by_deadline.add(request.deadline_ms, request)
 
+    def remove(self, request: Request) -> None:
+        """Remove a request that has its final answer or was cancelled."""
+        del self.by_id[request.id]
+        self._by_deadline.on_obsolete()
+
     def is_open(self, request: Request) -> bool:
         """Return whether a request has no final answer yet."""
         return self.by_id.get(request.id) is request
 
     def take_due(self, time_ms: float) -> list[Request]:
         """Return the open requests whose deadlines are not after a time; each is returned once."""
-        return [request for request in self._by_deadline.take_until(time_ms) if self.is_open(request)]
+        return self._by_deadline.take_until(time_ms)
 
     def limit_deadlines(self, latest_ms: float) -> None:
         """Shorten all deadlines to a time."""
--- a/function_router/statistics.py
+++ b/function_router/statistics.py
@@ -11,13 +11,15 @@
 class SlidingMedian:
     """The upper median of the samples in a sliding window. It is cached for a while, as sorting is slow."""
 
-    __slots__ = ("_calculated_at_ms", "_refresh_ms", "_samples", "_value", "_window_ms")
+    __slots__ = ("_calculated_at_ms", "_max_samples", "_refresh_ms", "_samples", "_value", "_window_ms")
 
     def __init__(self, window_ms: float, max_samples: int, refresh_ms: float) -> None:
         """Keep at most `max_samples` of the last `window_ms`. A median is cached for `refresh_ms`."""
         self._window_ms = window_ms
         self._refresh_ms = refresh_ms
-        self._samples: deque[tuple[float, float]] = deque(maxlen=max_samples)
+        self._max_samples = max_samples
+        # Created with the first sample: an empty deque takes 760 bytes, and most functions get no sample.
+        self._samples: deque[tuple[float, float]] | None = None
         self._value: float | None = None
         self._calculated_at_ms = -math.inf
 
@@ -27,11 +29,13 @@
 
     def add(self, now_ms: float, value: float) -> None:
         """Add a sample, which must not be older than the last one."""
+        if self._samples is None:
+            self._samples = deque(maxlen=self._max_samples)
         self._samples.append((now_ms, value))
 
     def clear(self) -> None:
         """Drop all samples and the cached median."""
-        self._samples.clear()
+        self._samples = None
         self._calculated_at_ms = -math.inf
 
     def median(self, now_ms: float) -> float | None:
@@ -39,7 +43,7 @@
         if now_ms - self._calculated_at_ms >= self._refresh_ms:
             while self._samples and self._samples[0][0] < now_ms - self._window_ms:
                 self._samples.popleft()
-            values = sorted(value for _, value in self._samples)
+            values = sorted(value for _, value in self._samples or ())
             self._value = values[len(values) // 2] if values else None
             self._calculated_at_ms = now_ms
         return self._value
@@ -116,13 +120,14 @@
     arrivals, divided by the time since the first of them, or by the minimum interval if that is longer.
     """
 
-    __slots__ = ("_count", "_decay_ms", "_last_ms")
+    __slots__ = ("_burst", "_count", "_decay_ms", "_last_ms")
 
     def __init__(self, decay_ms: float, burst: int) -> None:
         """Decay with the time constant `decay_ms`. The second estimate uses the last `burst` arrivals."""
         self._decay_ms = decay_ms
         self._count = 0.0
-        self._last_ms: deque[float] = deque(maxlen=burst)
+        self._burst = burst
+        self._last_ms: tuple[float, ...] = ()  # a few, oldest first
 
     @property
     def last_ms(self) -> float:
@@ -141,11 +146,11 @@
         """
         interval_ms = min(self._decay_ms, now_ms - since_ms + min_interval_ms)
         rate = self._count * self.decay_factor(now_ms) / interval_ms
-        if len(self._last_ms) == self._last_ms.maxlen:
+        if len(self._last_ms) == self._burst:
             rate = max(rate, len(self._last_ms) / max(now_ms - self._last_ms[0], min_interval_ms))
         return rate
 
     def add(self, now_ms: float) -> None:
         """Add an arrival, which must not be earlier than the last one."""
         self._count = self._count * self.decay_factor(now_ms) + 1
-        self._last_ms.append(now_ms)
+        self._last_ms = (*self._last_ms, now_ms)[-self._burst :]
