Bound the function table by the memory limit, and let an arrival cost the same when it is full

What callers saw: memory grew with each new name; beside one client that requested ever new functions usual answers came seconds late. Cause: the bound of 2,000 held only for functions that could be evicted, a pending probe made one unevictable, and each arrival at a full table sorted and searched all of it. Change: a segmented LRU with a hard bound from limits.memory_mb (Settings.max_functions). A function that a worker has served is protected from new names; at most 16 functions in use are examined; if none can be evicted, the request is rejected at once with Retry-After, never queued. Pending probes don't keep a function: their answers still count as replies of the worker.

--- a/function_router/config/conversion.py
+++ b/function_router/config/conversion.py
@@ -1,5 +1,8 @@
 """Converts sections of the configuration, with the operator's key names, to the program's settings."""
 
+import msgspec
+
+from function_router.config.memory import MemoryPlan
 from function_router.config.schema import (
     FIXED_WEIGHT_SOURCES,
     START_ON_REQUEST,
@@ -42,6 +45,13 @@
     )
 
 
+def with_memory_limits(settings: Settings, memory: MemoryPlan) -> Settings:
+    """Return the settings of the decision module with tables that fit into the memory of the process."""
+    return msgspec.structs.replace(
+        settings, max_functions=memory.max_functions, max_pending_probes=memory.max_pending_probes
+    )
+
+
 def transport_settings(section: SettingsSection) -> TransportSettings:
     """Build the settings of the network code."""
     bounds = section.bounds
--- a/function_router/config/loader.py
+++ b/function_router/config/loader.py
@@ -6,8 +6,9 @@
 
 import msgspec
 
-from function_router.config.conversion import decision_settings, transport_settings
+from function_router.config.conversion import decision_settings, transport_settings, with_memory_limits
 from function_router.config.errors import ConfigurationError, UnreadableFileError
+from function_router.config.memory import MemoryPlan
 from function_router.config.parsing import parse_address, parse_section, parse_seed
 from function_router.config.schema import (
     ENDPOINT_LIST_KEY,
@@ -59,6 +60,7 @@
     """
     file = parse_section(data, ConfigurationFile)
     listen = environment.get(LISTEN_VARIABLE) or file.listen
+    memory = MemoryPlan.for_limits(file.limits.memory_mb, file.limits.sockets)
     return RouterConfig(
         name=environment.get(NAME_VARIABLE) or file.name,
         listen=parse_address(listen, LISTEN_KEY),
@@ -68,7 +70,7 @@
         max_sockets=file.limits.sockets,
         initial_sequence=file.known.seq,
         initial_events=file.known.results,
-        settings=decision_settings(file.settings),
+        settings=with_memory_limits(decision_settings(file.settings), memory),
         transport=transport_settings(file.settings),
     )
 
--- a/function_router/decisions/answers.py
+++ b/function_router/decisions/answers.py
@@ -34,6 +34,10 @@
         retry_after_ms = 0.0 if may_retry_at_once else self._max_retry_after_ms
         self._outbox.add(RejectRequest(request.id, retry_after_ms))
 
+    def reject_unqueued(self, request_id: str) -> None:
+        """Reject a new request that was not added to any table."""
+        self._outbox.add(RejectRequest(request_id, self._max_retry_after_ms))
+
     def close(self, request: Request) -> None:
         """Close a request without an answer of the router, and cancel its attempts in flight."""
         self._requests.remove(request)
--- a/function_router/decisions/feedback.py
+++ b/function_router/decisions/feedback.py
@@ -56,6 +56,7 @@
         """Record an answer. Its duration counts as a run time unless it includes a cold start."""
         function = attempt.function
         run_ms = event.duration_ms
+        function.was_served = True
         self._instances.record_served(event, attempt, now_ms)
         if event.start_kind in (StartKind.UNKNOWN, StartKind.WARM):
             self._durations.record_run(function, run_ms, now_ms, is_unloaded=attempt.is_unloaded)
@@ -76,9 +77,9 @@
         function.estimated_in_flight += IN_FLIGHT_GAIN * (at_all_workers - function.estimated_in_flight)
 
     def record_report(
-        self, event: InstancesReported, function: Function, worker: Worker, now_ms: float
+        self, event: InstancesReported, function: Function | None, worker: Worker, now_ms: float
     ) -> bool:
-        """Update the estimates at the end of a start order or probe.
+        """Update the estimates at the end of a start order or probe, whose function may have been evicted.
 
         If an unresponsive worker replies and has lost its instances, it is assumed to have restarted, even if
         the endpoint log has not announced that yet.
@@ -89,11 +90,12 @@
         if event.outcome not in REPORT_REPLY_OUTCOMES:
             return self._health.record_no_reply(worker, event.outcome, now_ms)
         self._process_identity.record_reply(worker, event.transmission)
-        pool = function.pool_at(worker)
-        if worker.unresponsive_since_ms is not None and pool.count and not event.instances:
+        pool = function.pool_at(worker) if function is not None else None
+        if worker.unresponsive_since_ms is not None and pool and pool.count and not event.instances:
             worker.started_ms = now_ms
         self._health.record_reply(worker, now_ms, reply_grace_ms=PING_INTERVAL_MS)
-        self._instances.record_report(event, pool, function.concurrency, now_ms)
+        if function is not None and pool is not None:
+            self._instances.record_report(event, pool, function.concurrency, now_ms)
         return False
 
     def record_health_check(self, event: HealthChecked, worker: Worker, now_ms: float) -> bool:
--- a/function_router/decisions/fleet.py
+++ b/function_router/decisions/fleet.py
@@ -22,7 +22,7 @@
     def __init__(self, settings: Settings, seed: int, outbox: Outbox) -> None:
         self.process_identity = ProcessIdentity()
         self.workers = WorkerTable(settings, self.process_identity)
-        self.functions = FunctionTable()
+        self.functions = FunctionTable(settings.max_functions)
         self.arrivals = Arrivals(settings)
         self.durations = Durations(settings.shortest_objective_ms)
         self.slow_start = SlowStart(settings, self.workers, self.arrivals, seed)
@@ -47,7 +47,7 @@
 
     def evict_unused(self, now_ms: float) -> None:
         """Evict idle functions, and workers that were removed long ago."""
-        self.functions.evict_idle(self.workers.by_id.values(), now_ms)
+        self.functions.evict_idle(now_ms)
         for worker in self.workers.evict_removed(now_ms):
             self.functions.remove_worker(worker)
             self.health.remove_worker(worker)
--- a/function_router/decisions/functions.py
+++ b/function_router/decisions/functions.py
@@ -1,62 +1,117 @@
 """The table of functions."""
 
-from collections.abc import Iterable
+from collections import OrderedDict
 
 from function_router.decisions.events import RequestArrived
 from function_router.decisions.records import Function, Worker
 from function_router.hashing import hash64
 
-# Maximum number of functions, which bounds the memory. When it is reached, the functions whose last requests
-# are oldest are evicted, up to half of the maximum.
-MAX_FUNCTIONS = 2_000
-
 # How long a function without requests is kept.
 IDLE_FUNCTION_TTL_MS = 60_000.0
 
+# Fraction of the table that is left to functions which no worker has served yet. Those above it are evicted
+# before functions that were served.
+MIN_PROBATIONARY_FRACTION = 0.25
+
+# Maximum number of functions that are examined to evict one. Those among them that are in use are examined
+# again after all others.
+MAX_EXAMINED = 16
+
 
 class FunctionTable:
-    """Owns the function records and their instance pools."""
+    """Owns the function records and their instance pools, of which there are never more than the maximum.
+
+    The table is a segmented least recently used cache (Karedla, Love and Wherry, "Caching strategies to
+    improve disk system performance", IEEE Computer 27(3), 1994): a function is protected once a worker has
+    served it, so that requests for ever new functions evict only each other.
 
-    def __init__(self) -> None:
+    Attributes:
+        by_name: The functions by name.
+    """
+
+    def __init__(self, max_functions: int) -> None:
         self.by_name: dict[str, Function] = {}
+        self._max_functions = max_functions
+        self._rejected_count = 0
+        # The functions of both segments, with those whose last requests are oldest first.
+        self._probationary: OrderedDict[str, Function] = OrderedDict()
+        self._protected: OrderedDict[str, Function] = OrderedDict()
 
     def describe(self) -> str:
-        """Return how full the table is, for the log."""
-        return f"functions {len(self.by_name)} of {MAX_FUNCTIONS}"
+        """Return how full the table is, and how many requests it has rejected since the last call."""
+        rejected_count = self._rejected_count
+        self._rejected_count = 0
+        rejected = f", {rejected_count} requests rejected" if rejected_count else ""
+        return f"functions {len(self.by_name)} of {self._max_functions}{rejected}"
 
-    def is_full(self) -> bool:
-        """Return whether other functions must be evicted before one is added."""
-        return len(self.by_name) >= MAX_FUNCTIONS
+    def find_or_add(self, event: RequestArrived) -> Function | None:
+        """Return the function of a request, added if missing, and updated by the request's properties.
 
-    def get_or_add(self, event: RequestArrived) -> Function:
-        """Return the function of a request, added if missing, and updated by the request's properties."""
+        The result is None if the table is full and no function can be evicted.
+        """
         function = self.by_name.get(event.function)
         if function is None:
-            function = Function(
-                event.function, event.class_name, event.concurrency, None, hash64(event.function)
-            )
-            self.by_name[function.name] = function
+            if not self._make_room():
+                self._rejected_count += 1
+                return None
+            function = self._add(event)
+        self._touch(function)
         function.class_name = event.class_name
         function.concurrency = max(1, event.concurrency)
         function.hinted_start_ms = event.expected_start_ms or function.hinted_start_ms
         return function
 
-    def evict_idle(self, workers: Iterable[Worker], now_ms: float) -> None:
-        """Evict functions without recent requests.
+    def _add(self, event: RequestArrived) -> Function:
+        name = event.function
+        function = Function(name, event.class_name, event.concurrency, None, hash64(name))
+        self.by_name[name] = function
+        self._probationary[name] = function
+        return function
+
+    def _touch(self, function: Function) -> None:
+        """Record that the function's last request is the newest one."""
+        segment = self._protected if function.name in self._protected else self._probationary
+        segment.move_to_end(function.name)
 
-        If the table is full, also evict the functions whose last requests are oldest, up to half of them.
-        Functions with queued requests or pending work at a worker are always kept. The function last used at
-        a worker is kept, too, because pings probe it.
-        """
-        in_use = {worker.last_function for worker in workers}
+    def _protect(self, function: Function) -> None:
+        """Move a function that was served to the protected segment."""
+        self._protected[function.name] = self._probationary.pop(function.name)
+
+    def _make_room(self) -> bool:
+        """Return whether a function may be added, after evicting another one if the table is full."""
+        if len(self.by_name) < self._max_functions:
+            return True
+        in_use_count = 0
+        while in_use_count < MAX_EXAMINED:
+            segment = self._segment_to_evict_from()
+            function = next(iter(segment.values()))
+            if function.was_served and segment is self._probationary:
+                self._protect(function)
+            elif _is_in_use(function):
+                in_use_count += 1
+                segment.move_to_end(function.name)
+            else:
+                self._evict(function)
+                return True
+        return False
+
+    def _segment_to_evict_from(self) -> OrderedDict[str, Function]:
+        """Return the segment whose oldest function is evicted first; the table must not be empty."""
+        min_probationary = MIN_PROBATIONARY_FRACTION * self._max_functions
+        is_small = self._protected and len(self._probationary) <= min_probationary
+        return self._protected if is_small else self._probationary
+
+    def _evict(self, function: Function) -> None:
+        del self.by_name[function.name]
+        self._probationary.pop(function.name, None)
+        self._protected.pop(function.name, None)
+
+    def evict_idle(self, now_ms: float) -> None:
+        """Evict functions without recent requests, unless they are in use."""
         expired_ms = now_ms - IDLE_FUNCTION_TTL_MS
-        surplus = MAX_FUNCTIONS // 2 if self.is_full() else 0
-        oldest_first = sorted(self.by_name.values(), key=lambda function: function.arrivals.last_ms)
-        for index, function in enumerate(oldest_first):
-            if function.queue or function in in_use or _has_pending_work(function):
-                continue
-            if index < surplus or function.arrivals.last_ms < expired_ms:
-                del self.by_name[function.name]
+        for function in list(self.by_name.values()):
+            if function.arrivals.last_ms < expired_ms and not _is_in_use(function):
+                self._evict(function)
 
     def remove_worker(self, worker: Worker) -> None:
         """Drop all pools at a worker whose record is evicted."""
@@ -65,9 +120,11 @@
             function.workers_with_pool = None
 
 
-def _has_pending_work(function: Function) -> bool:
-    """Return whether an attempt, a probe or a start order is pending at any worker."""
-    return any(
-        pool.in_flight or pool.pending_probes or pool.start_ordered_ms is not None
-        for pool in function.pools.values()
+def _is_in_use(function: Function) -> bool:
+    """Return whether a function has queued requests, attempts in flight or pending start orders.
+
+    Pending probes don't count: if their function is evicted, their answers only show that the worker replies.
+    """
+    return bool(function.queue) or any(
+        pool.in_flight or pool.start_ordered_ms is not None for pool in function.pools.values()
     )
--- a/function_router/decisions/router.py
+++ b/function_router/decisions/router.py
@@ -17,7 +17,7 @@
 from function_router.decisions.feedback import Feedback
 from function_router.decisions.fleet import Fleet
 from function_router.decisions.outbox import Outbox
-from function_router.decisions.records import Request, Worker
+from function_router.decisions.records import Function, Request, Worker
 from function_router.decisions.requests import OpenRequests
 from function_router.decisions.retries import Retries
 from function_router.decisions.retry_policy import RetryPolicy
@@ -156,10 +156,16 @@
         self._refresh(now_ms)
 
     def _on_request_arrived(self, event: events.RequestArrived, now_ms: float) -> None:
-        """Queue the request, look for instances if none is known, and dispatch the function."""
+        """Queue the request, look for instances if none is known, and dispatch the function.
+
+        A request for a new function is rejected if the function table is full of functions in use.
+        """
+        function = self.fleet.functions.find_or_add(event)
+        if function is None:
+            self._answers.reject_unqueued(event.request_id)
+            return
         self.fleet.arrivals.record(event, now_ms)
-        request = self._make_request(event, now_ms)
-        function = request.function
+        request = self._make_request(event, function, now_ms)
         self.fleet.placement.record_arrival(function, now_ms)
         self._retries.record_arrival()
         self.requests.add(request)
@@ -170,12 +176,8 @@
             self._scaling.find_instances(function, request, now_ms)
         self._dispatcher.dispatch(function, now_ms)
 
-    def _make_request(self, event: events.RequestArrived, now_ms: float) -> Request:
-        """Create the record of a new request, with its function, class, deadline and random bits."""
-        functions = self.fleet.functions
-        if functions.is_full() and event.function not in functions.by_name:
-            self.fleet.evict_unused(now_ms)
-        function = functions.get_or_add(event)
+    def _make_request(self, event: events.RequestArrived, function: Function, now_ms: float) -> Request:
+        """Create the record of a new request, with its class, deadline and random bits."""
         random_bits = mix64(mix64(self._next_seed))
         self._next_seed += 1
         self._request_count += 1
@@ -221,17 +223,19 @@
         self._dispatcher.dispatch_after_attempt(attempt, now_ms)
 
     def _on_instances_reported(self, event: events.InstancesReported, now_ms: float) -> None:
-        """Update the estimates, end the start order or probe, and dispatch the function."""
+        """Update the estimates, end the start order or probe, and dispatch the function unless it is gone."""
         function = self.fleet.functions.by_name.get(event.function)
         worker = self.fleet.workers.by_id.get(event.worker_id)
-        if function is None or worker is None:
+        if worker is None:
             return
-        pool = function.pool_at(worker)
-        is_start = pool.is_start_report(event)
+        pool = function.pool_at(worker) if function is not None else None
+        is_start = pool is not None and pool.is_start_report(event)
         became_unresponsive = self._feedback.record_report(event, function, worker, now_ms)
         self._revoke_lease_after(event.outcome, worker)
         if became_unresponsive:
             self._retries.retry_elsewhere(worker, now_ms)
+        if function is None or pool is None:
+            return
         if is_start:
             self._start_orders.record_end(function, pool, event.outcome, now_ms)
         else:
--- a/function_router/decisions/settings.py
+++ b/function_router/decisions/settings.py
@@ -55,6 +55,9 @@
     overload_window_ms: float = 1000.0  # window in which the sends to a worker in slow start are counted
     overload_multiple: float = 2.0  # multiple of its capacity above which a worker in slow start fails
 
+    max_functions: int = 2_000  # maximum number of functions that are known at the same time
+    max_pending_probes: int = 4_000  # maximum number of pending probes for functions without known instances
+
     @property
     def quota_per_ms(self) -> float:
         """Requests per millisecond that the quotas of all tenants allow at all routers; 0 without quotas."""
--- a/tests/decisions/test_event_cost.py
+++ b/tests/decisions/test_event_cost.py
@@ -1,9 +1,8 @@
 """Tests that the cost of an event does not grow with the number of workers or of queued requests."""
 
-import sys
-
 import pytest
 from helpers.decision_harness import MANY_ROUTERS_TENANT, DecisionHarness, actions_of
+from helpers.function_calls import count_calls
 
 from function_router.decisions.actions import SendRequest
 from function_router.decisions.events import RequestCancelled, TimerFired
@@ -13,22 +12,6 @@
 MAX_CALLS_PER_FUNCTION = 20
 
 
-def count_calls(run):
-    """Count the function calls that Python makes while `run` is called."""
-    call_count = 0
-
-    def count_call(_frame, event, _arg):
-        nonlocal call_count
-        call_count += event in ("call", "c_call")
-
-    sys.setprofile(count_call)
-    try:
-        run()
-    finally:
-        sys.setprofile(None)
-    return call_count
-
-
 # --- number of workers ----------------------------------------------------------------------------
 
 
--- a/tests/decisions/test_fleet.py
+++ b/tests/decisions/test_fleet.py
@@ -4,9 +4,11 @@
 
 from function_router.decisions.actions import EnsureInstances, SendRequest
 from function_router.decisions.events import Endpoint, EndpointsChanged, RequestCancelled, TimerFired
-from function_router.decisions.functions import MAX_FUNCTIONS
+from function_router.decisions.settings import Settings
 from function_router.decisions.types import Outcome, WorkerState
 
+MAX_FUNCTIONS = Settings().max_functions
+
 
 def test_functions_beyond_the_maximum_are_evicted_except_those_in_use():
     harness = DecisionHarness()
--- a/tests/helpers/__init__.py
+++ b/tests/helpers/__init__.py
@@ -22,7 +22,7 @@
 `serving_cluster.ServingCluster` runs a router process between them and a client. `client_messages` encodes
 and decodes the messages of clients. `configuration` builds configurations and events of the endpoint log.
 
-`fake_clock` replaces the monotonic clock, `sockets` waits for a socket to become readable, `readers` passes
-data to a parser in chunks, `repository` has the paths of the source folders and finds the imports of a
-module, and `known_red` reads KNOWN-RED.txt.
+`function_calls` measures work by the number of calls, `fake_clock` replaces the monotonic clock, `sockets`
+waits for a socket to become readable, `readers` passes data to a parser in chunks, `repository` has the paths
+of the source folders and finds the imports of a module, and `known_red` reads KNOWN-RED.txt.
 """
