Dispatch at most 100 functions an event, in turn, whatever number have queued requests

What callers saw: beside one client with requests for ever new functions usual answers came 3 to 4 s late or never; turns of 300 to 600 ms, nearly all of it decisions. Cause: a timer, every 40 ms, and the end of an attempt looked at each function with queued requests. Change: an event takes the next 100 such functions in turn. Failing before: two cases of test_event_costs_the_same_whatever_number_of_functions_have_queued_requests, 'assert 253462 < (1.5 * 25312)' and 'assert 18059 < (1.5 * 1859)'.

--- a/function_router/decisions/dispatch.py
+++ b/function_router/decisions/dispatch.py
@@ -1,5 +1,8 @@
 """The queues of functions, and the only place that sends requests."""
 
+import itertools
+from collections import OrderedDict
+
 from function_router.decisions.actions import NoteWithheld, SendRequest
 from function_router.decisions.admission import Admission
 from function_router.decisions.endpoint_leases import LeaseStatus
@@ -10,6 +13,10 @@
 from function_router.decisions.retry_policy import RetryPolicy
 from function_router.decisions.scaling import Scaling
 
+# Maximum number of functions with queued requests that one event dispatches. If there are more, the next
+# events dispatch the others, in turn.
+MAX_DISPATCHED_FUNCTIONS = 100
+
 # A worker with fewer attempts of this router in flight counts as unloaded, so its run times are assumed to
 # include no queueing at the worker.
 LOADED_AT_IN_FLIGHT = 2
@@ -36,7 +43,17 @@
         self._retry_policy = retry_policy
         self._scaling = scaling
         self._outbox = outbox
-        self._waiting: dict[str, Function] = {}  # functions that may have queued requests, by name
+        # Functions that may have queued requests, by name; those that were dispatched longest ago come first.
+        self._waiting: OrderedDict[str, Function] = OrderedDict()
+
+    def take_turn(self) -> list[Function]:
+        """Return the next functions with queued requests; all of them if there are not too many."""
+        names = list(itertools.islice(self._waiting, MAX_DISPATCHED_FUNCTIONS))
+        functions = [self._waiting[name] for name in names]
+        if len(self._waiting) > MAX_DISPATCHED_FUNCTIONS:
+            for name in names:
+                self._waiting.move_to_end(name)
+        return [function for function in functions if function.queue]
 
     def waiting_functions(self) -> list[Function]:
         """Return the functions with queued requests."""
@@ -57,9 +74,9 @@
             self._waiting[function.name] = function
             self._scaling.order_starts(function, now_ms)
 
-    def dispatch_all(self, now_ms: float) -> None:
-        """Dispatch all functions with queued requests, the one with the most urgent request first."""
-        self._dispatch_by_urgency(self.waiting_functions(), now_ms)
+    def dispatch_waiting(self, now_ms: float) -> None:
+        """Dispatch the functions with queued requests, the one with the most urgent request first."""
+        self._dispatch_by_urgency(self.take_turn(), now_ms)
 
     def dispatch_after_attempt(self, attempt: Attempt, now_ms: float) -> None:
         """Dispatch the function of an attempt that has ended, and the others that may benefit from its end.
@@ -76,7 +93,7 @@
         is_limited = self._capacity.many_routers
         queued = [
             other
-            for other in self.waiting_functions()
+            for other in self.take_turn()
             if worker.id in other.pools
             and (is_limited or other is function or self._can_use(other, worker, now_ms))
         ]
--- a/function_router/decisions/router.py
+++ b/function_router/decisions/router.py
@@ -123,7 +123,7 @@
         """Apply the list, and dispatch queued requests, as other workers may be available now."""
         self.fleet.update_endpoints(event, now_ms)
         self._refresh(now_ms)
-        self._dispatcher.dispatch_all(now_ms)
+        self._dispatcher.dispatch_waiting(now_ms)
 
     def _on_endpoint_list_confirmed(self, event: events.EndpointListConfirmed, now_ms: float) -> None:
         """Renew the lease on the list, and dispatch the requests withheld while it was out of date."""
@@ -132,7 +132,7 @@
         if self.fleet.leases.record_confirmed(event.as_of_ms, now_ms):
             self._on_ready_changed(now_ms)
         if not was_current:
-            self._dispatcher.dispatch_all(now_ms)
+            self._dispatcher.dispatch_waiting(now_ms)
 
     def _on_endpoint_list_interrupted(self, _event: events.EndpointListInterrupted, now_ms: float) -> None:
         """Let the lease on the list expire."""
@@ -148,7 +148,7 @@
         became_unresponsive = self._feedback.record_health_check(event, worker, now_ms)
         if became_unresponsive:
             self._retries.retry_elsewhere(worker, now_ms)
-        self._dispatcher.dispatch_all(now_ms)
+        self._dispatcher.dispatch_waiting(now_ms)
 
     def _on_ready_changed(self, now_ms: float) -> None:
         """Update what depends on the ready workers, after health checks have changed them."""
@@ -251,7 +251,7 @@
         """Do the periodic checks: due requests, hedges, lost attempts, silent workers and limits."""
         self._is_timer_set = False
         capacity = self.fleet.capacity
-        for request in self._admission.take_due(self._dispatcher.waiting_functions(), now_ms):
+        for request in self._admission.take_due(self._dispatcher.take_turn(), now_ms):
             self._answers.finish(request)
         if capacity.many_routers:
             self._retries.hedge_overdue_requests(now_ms)
@@ -263,7 +263,7 @@
         if capacity.is_refresh_due(now_ms):
             self._refresh(now_ms)
         if not self._admission.is_at_limit():
-            self._dispatcher.dispatch_all(now_ms)
+            self._dispatcher.dispatch_waiting(now_ms)
 
     def _on_drain_started(self, event: events.DrainStarted, now_ms: float) -> None:
         """Shorten all deadlines so that each request is answered before the process exits."""
--- a/tests/decisions/test_event_cost.py
+++ b/tests/decisions/test_event_cost.py
@@ -149,3 +149,48 @@
 
     calls_per_function = (calls[100] - calls[10]) / 90
     assert calls_per_function < MAX_CALLS_PER_FUNCTION
+
+
+# --- number of functions with queued requests -------------------------------------------------------
+
+
+def queue_for_functions(count):
+    """Return a router with a queued request for each of some functions, all of whose workers are busy."""
+    harness = DecisionHarness(workers=4, max_functions=4 * count)
+    harness.warm_up("warm")
+    harness.now_ms += 10.0
+    harness.sends = actions_of(harness.request("in-flight", "warm"), SendRequest)
+    for number in range(count):
+        harness.answer_probes(harness.request(f"r{number}", f"f{number}"))
+    return harness
+
+
+# Guards against a timer and an end of an attempt that dispatched each function with queued requests.
+@pytest.mark.parametrize("event", ["timer", "end of an attempt", "arrival"])
+def test_event_costs_the_same_whatever_number_of_functions_have_queued_requests(event):
+    calls = []
+    for count in (150, 1_500):
+        harness = queue_for_functions(count)
+        harness.now_ms += 40.0
+        run = {
+            "timer": lambda harness=harness: harness.feed(TimerFired(0)),
+            "end of an attempt": lambda harness=harness: harness.end_attempt(harness.sends[0]),
+            "arrival": lambda harness=harness: harness.request("new", "new"),
+        }[event]
+        calls.append(count_calls(run))
+
+    assert calls[1] < 1.5 * calls[0]
+
+
+def test_each_function_is_dispatched_in_turn_if_there_are_many():
+    harness = queue_for_functions(500)
+    harness.end_attempt(harness.sends[0])
+    last = harness.function("f499")
+    pool = last.pool_at(harness.worker(1))
+    pool.count = 1
+    pool.last_seen_ms = harness.now_ms
+    pool.last_counted_ms = harness.now_ms
+
+    actions = harness.run_timer_until(harness.now_ms + 200.0)
+
+    assert "r499" in [send.request_id for send in actions_of(actions, SendRequest)]
