Forget functions whose last queued request was withdrawn: the dispatcher kept them for good

Cause: the dispatcher's table of functions with queued requests lost an entry only where the function was dispatched. A function whose requests were all cancelled never is, so that its record, evicted from the function table, stayed for the life of the process. The same class in new code of this change set: a bound method in a queue's group made a reference cycle.

--- a/function_router/decisions/dispatch.py
+++ b/function_router/decisions/dispatch.py
@@ -43,18 +43,26 @@
         self._retry_policy = retry_policy
         self._scaling = scaling
         self._outbox = outbox
-        # Functions that may have queued requests, by name; those that were dispatched longest ago come first.
+        # Functions with queued requests, by name; those that were dispatched longest ago come first. Some may
+        # have none any more, and are removed in their turn.
         self._waiting: OrderedDict[str, Function] = OrderedDict()
 
     def take_turn(self) -> list[Function]:
         """Return the next functions with queued requests; all of them if there are not too many."""
-        names = list(itertools.islice(self._waiting, MAX_DISPATCHED_FUNCTIONS))
-        functions = [self._waiting[name] for name in names]
-        if len(self._waiting) > MAX_DISPATCHED_FUNCTIONS:
-            for name in names:
-                self._waiting.move_to_end(name)
+        functions = list(itertools.islice(self._waiting.values(), MAX_DISPATCHED_FUNCTIONS))
+        is_part = len(functions) < len(self._waiting)
+        for function in functions:
+            if not function.queue:
+                del self._waiting[function.name]
+            elif is_part:
+                self._waiting.move_to_end(function.name)
         return [function for function in functions if function.queue]
 
+    def on_request_closed(self, function: Function) -> None:
+        """Forget a function if the request that was closed was the last one in its queue."""
+        if not function.queue:
+            self._waiting.pop(function.name, None)
+
     def waiting_functions(self) -> list[Function]:
         """Return the functions with queued requests."""
         return [function for function in self._waiting.values() if function.queue]
--- a/function_router/decisions/request_queue.py
+++ b/function_router/decisions/request_queue.py
@@ -51,9 +51,13 @@
         self.objective_ms = objective_ms
         self.requests: list[RequestT] = []
         self._overdue: list[RequestT] = []  # in order of arrival; not used if the requests are over quota
-        # The requests that are not overdue yet, by the time at which they will be, and by id.
-        self._waiting: TimedRequests[RequestT] = TimedRequests(self._is_waiting)
-        self._waiting_by_id: dict[str, RequestT] = {}
+        # The requests that are not overdue yet, by id and by the time at which they will be. The latter
+        # refers to the former and not to this group, which a reference cycle would keep until a collection.
+        waiting_by_id: dict[str, RequestT] = {}
+        self._waiting_by_id = waiting_by_id
+        self._waiting: TimedRequests[RequestT] = TimedRequests(
+            lambda request: waiting_by_id.get(request.id) is request
+        )
 
     def add(self, request: RequestT, overdue_at_ms: float) -> None:
         """Add a request, which becomes overdue at a time."""
@@ -93,9 +97,6 @@
         for request in self.requests:
             self._wait(request, overdue_at_ms(request))
 
-    def _is_waiting(self, request: RequestT) -> bool:
-        return self._waiting_by_id.get(request.id) is request
-
     def _wait(self, request: RequestT, overdue_at_ms: float) -> None:
         self._waiting.add(overdue_at_ms, request)
         self._waiting_by_id[request.id] = request
--- a/function_router/decisions/router.py
+++ b/function_router/decisions/router.py
@@ -200,6 +200,7 @@
         request = self.requests.by_id.get(event.request_id)
         if request is not None:
             self._answers.close(request)
+            self._dispatcher.on_request_closed(request.function)
 
     def _on_attempt_ended(self, event: events.AttemptEnded, now_ms: float) -> None:
         """Update the estimates, close or retry the request, and use the slot that has become free.
@@ -253,6 +254,7 @@
         capacity = self.fleet.capacity
         for request in self._admission.take_due(self._dispatcher.take_turn(), now_ms):
             self._answers.finish(request)
+            self._dispatcher.on_request_closed(request.function)
         if capacity.many_routers:
             self._retries.hedge_overdue_requests(now_ms)
         self._retries.retry_lost_attempts(now_ms)
