--- a/function_router/decisions/__init__.py
+++ b/function_router/decisions/__init__.py
@@ -12,6 +12,7 @@
     dispatch                            queues of functions, and the only place that sends requests
     scaling                             probes and cold starts, some of them speculative
     start_orders, start_order_limits    which worker starts an instance, and how many may start at once
+    probe_limits                        how many probes for unknown functions may be pending
     speculation                         CIDRE's choice between waiting for an instance and starting one
     admission                           quotas, priorities, and requests that are given up
     answers, retry_policy               final answers of the router itself, and which retries are allowed
--- a/function_router/decisions/router.py
+++ b/function_router/decisions/router.py
@@ -225,6 +225,7 @@
 
     def _on_instances_reported(self, event: events.InstancesReported, now_ms: float) -> None:
         """Update the estimates, end the start order or probe, and dispatch the function unless it is gone."""
+        self._scaling.record_report(event)
         function = self.fleet.functions.by_name.get(event.function)
         worker = self.fleet.workers.by_id.get(event.worker_id)
         if worker is None:
--- a/function_router/decisions/scaling.py
+++ b/function_router/decisions/scaling.py
@@ -12,6 +12,7 @@
 from function_router.decisions.events import InstancesReported
 from function_router.decisions.fleet import Fleet
 from function_router.decisions.instances import SlotState
+from function_router.decisions.probe_limits import ProbeLimits
 from function_router.decisions.records import Function, Request, Worker
 from function_router.decisions.settings import Settings
 from function_router.decisions.speculation import Speculation
@@ -47,6 +48,7 @@
         self._admission = admission
         self._speculation = speculation
         self._start_orders = start_orders
+        self._probe_limits = ProbeLimits(settings)
 
     def order_starts(self, function: Function, now_ms: float) -> None:
         """Order cold starts for the queued requests; these are speculative if there are warm instances.
@@ -127,10 +129,20 @@
         may_start = self._capacity.many_routers and not pool.pending_probes
         may_start = may_start and (not is_warm or self._speculation.update(function, now_ms))
         if now_ms - pool.last_probed_ms > PROBE_TTL_MS:
-            self._health.probe(function, worker, now_ms)
+            self._probe_if_allowed(function, worker, now_ms)
         elif may_start and self._start_orders.can_start_at(function, worker, now_ms, is_speculative=is_warm):
             self._start_orders.order_if_lease_valid(function, worker, now_ms, is_speculative=is_warm)
 
+    def _probe_if_allowed(self, function: Function, worker: Worker, now_ms: float) -> None:
+        """Probe a worker without a known instance, unless too many such probes are pending."""
+        if self._probe_limits.allows_probe():
+            self._probe_limits.record_probe(worker.id, function.name)
+            self._health.probe(function, worker, now_ms)
+
+    def record_report(self, event: InstancesReported) -> None:
+        """Record that a worker has answered a probe or a start order, or will not."""
+        self._probe_limits.record_report(event)
+
     def may_have_free_slot(self, request: Request, worker: Worker, now_ms: float) -> bool:
         """Return whether a worker has a free slot, or one that would have to be verified by a probe."""
         return self._instances.slot_state(request, worker, now_ms) is not SlotState.UNAVAILABLE
--- a/tests/decisions/test_scaling.py
+++ b/tests/decisions/test_scaling.py
@@ -1,8 +1,10 @@
 """Tests of scaling: probes, cold starts, and speculative cold starts while an instance is busy."""
 
-from helpers.decision_harness import DecisionHarness, actions_of, start_orders
+from helpers.decision_harness import DecisionHarness, actions_of, probes, start_orders
 
 from function_router.decisions.actions import EnsureInstances, SendRequest
+from function_router.decisions.events import RequestCancelled
+from function_router.decisions.instances import UNVERIFIED_AFTER_MS
 from function_router.decisions.types import Outcome
 
 # --- probes and cold starts ------------------------------------------------------------------------
@@ -100,3 +102,50 @@
     assert len(orders_of_third) == 1
     assert not orders_of_fourth
     assert len(orders_of_fifth) == 1
+
+
+# --- limit on pending probes ------------------------------------------------------------------------
+
+
+# Guards against pending probes of ever new functions, whose number only the workers' answers limited.
+def test_new_functions_are_not_probed_above_the_limit_on_pending_probes():
+    harness = DecisionHarness(max_pending_probes=10)
+
+    actions = [action for number in range(20) for action in harness.request(f"r{number}", f"f{number}")]
+
+    assert len(probes(actions)) == 10
+
+
+def request_and_withdraw(harness, number):
+    """Request a new function, fail its start orders, withdraw the request, and return the probes."""
+    actions = harness.request(f"r{number}", f"f{number}")
+    orders = start_orders(actions)
+    while orders:
+        order = orders.pop()
+        failed = harness.report_instances(order.worker_id, 0, order.function, Outcome.QUEUE_FULL)
+        orders += start_orders(failed)
+    harness.feed(RequestCancelled(f"r{number}"))
+    return probes(actions)
+
+
+def test_answered_probe_makes_room_though_its_function_is_evicted():
+    harness = DecisionHarness(max_pending_probes=4, max_functions=2)
+    sent = [request_and_withdraw(harness, number) for number in range(3)]
+    is_evicted = "f0" not in harness.fleet.functions.by_name
+
+    harness.answer_probes(sent[0])
+    sent.append(request_and_withdraw(harness, 3))
+
+    assert is_evicted
+    assert [len(each) for each in sent] == [4, 0, 0, 4]
+
+
+def test_instances_of_a_known_function_are_verified_at_the_limit_on_pending_probes():
+    harness = DecisionHarness(workers=1, max_pending_probes=1)
+    harness.warm_up()
+    harness.request("r1", "new")
+    harness.now_ms += UNVERIFIED_AFTER_MS + 1
+
+    actions = harness.request("r2")
+
+    assert [probe.function for probe in probes(actions)] == ["f"]
--- a/tests/test_repository.py
+++ b/tests/test_repository.py
@@ -47,6 +47,7 @@
     "function_router.decisions.instances",
     "function_router.decisions.outbox",
     "function_router.decisions.placement",
+    "function_router.decisions.probe_limits",
     "function_router.decisions.process_identity",
     "function_router.decisions.records",
     "function_router.decisions.request_queue",
