Serve a client that has waited for some turns before new ones, so that reconnecting gains nothing

What callers saw: beside clients that open, send 32 requests and close at full speed, usual answers came up to 5 s late or never. Cause: a turn served new sources before those that had their share, without any limit, and each connection is a new source: a few such clients filled every turn. Change: a source that has waited for more than four turns goes first, in at most half of a turn.

--- a/function_router/net/input_scheduler.py
+++ b/function_router/net/input_scheduler.py
@@ -3,6 +3,9 @@
 The scheduler is the one of FQ-CoDel (RFC 8290, section 4) without its queue management: each client is a
 flow, new flows are served before those that had their share already, and a flow gets a small quantum each
 time. A client with a few messages thus waits for hardly any of the messages of those that send hundreds.
+
+As a client can become a new flow at will by connecting again, a flow that has waited for some turns is served
+before new ones, in a part of the turn.
 """
 
 from collections import OrderedDict
@@ -12,6 +15,10 @@
 # Maximum number of messages that one turn handles. It bounds the batch of events for the decision module, and
 # thereby the time until timers fire and answers are written.
 MAX_MESSAGES_PER_TURN = 64
+# Number of turns after which a source is served before new ones, and the maximum number of messages that such
+# sources handle in a turn before new ones are served.
+MAX_TURNS_BEHIND_NEW = 4
+MAX_MESSAGES_BEFORE_NEW = MAX_MESSAGES_PER_TURN // 2
 # Maximum number of messages of a source before the next source has its turn.
 QUANTUM = 2
 
@@ -33,7 +40,7 @@
     served first again and again by sending its messages in many small parts.
     """
 
-    __slots__ = ("_new", "_report_exception", "_served")
+    __slots__ = ("_new", "_report_exception", "_served", "_turn")
 
     def __init__(self, report_exception: Callable[[str], None]) -> None:
         """Create a scheduler without sources.
@@ -44,7 +51,8 @@
         """
         self._report_exception = report_exception
         self._new: OrderedDict[InputSource, None] = OrderedDict()
-        self._served: OrderedDict[InputSource, None] = OrderedDict()
+        self._served: OrderedDict[InputSource, int] = OrderedDict()  # with the turn of the last service
+        self._turn = 0
 
     def add(self, source: InputSource) -> None:
         """Add a source that has input; do nothing if it waits already."""
@@ -62,15 +70,30 @@
 
     def run_turn(self) -> int:
         """Handle messages up to the limit of a turn, and return how many were handled."""
+        self._turn += 1
         handled = 0
+        while handled < MAX_MESSAGES_BEFORE_NEW and self._has_waited_long():
+            handled += self._serve_next(self._served, MAX_MESSAGES_BEFORE_NEW - handled)
         while handled < MAX_MESSAGES_PER_TURN and (waiting := self._new or self._served):
-            is_new = waiting is self._new
-            source, _ = waiting.popitem(last=False)
-            if not source.has_input():
-                continue
-            handled += self._serve(source, min(QUANTUM, MAX_MESSAGES_PER_TURN - handled))
-            if is_new or source.has_input():
-                self._served[source] = None
+            handled += self._serve_next(waiting, MAX_MESSAGES_PER_TURN - handled)
+        return handled
+
+    def _has_waited_long(self) -> bool:
+        """Return whether the source that was served longest ago has waited behind new ones for some turns."""
+        last_turn = next(iter(self._served.values()), self._turn)
+        return self._turn - last_turn > MAX_TURNS_BEHIND_NEW
+
+    def _serve_next(
+        self, waiting: OrderedDict[InputSource, None] | OrderedDict[InputSource, int], max_messages: int
+    ) -> int:
+        """Serve the first source of a queue, and return how many messages it handled."""
+        is_new = waiting is self._new
+        source, _ = waiting.popitem(last=False)
+        if not source.has_input():
+            return 0
+        handled = self._serve(source, min(QUANTUM, max_messages))
+        if is_new or source.has_input():
+            self._served[source] = self._turn
         return handled
 
     def _serve(self, source: InputSource, max_messages: int) -> int:
--- a/tests/net/test_input_scheduler.py
+++ b/tests/net/test_input_scheduler.py
@@ -2,7 +2,12 @@
 
 import pytest
 
-from function_router.net.input_scheduler import MAX_MESSAGES_PER_TURN, QUANTUM, InputScheduler
+from function_router.net.input_scheduler import (
+    MAX_MESSAGES_PER_TURN,
+    MAX_TURNS_BEHIND_NEW,
+    QUANTUM,
+    InputScheduler,
+)
 
 
 class FakeSource:
@@ -118,3 +123,21 @@
 
     assert handled == ["other"]
     assert set(errors) == {"an input source"}
+
+
+# Guards against clients that open and close connections at full speed, each of which was new and went first.
+def test_source_that_was_served_before_has_its_turn_beside_ever_new_ones(scheduler, handled):
+    usual = FakeSource("usual", 1, handled)
+    scheduler.add(usual)
+    scheduler.run_turn()
+    usual.left = 4
+
+    turns = 0
+    while usual.left and turns < 100:
+        for number in range(MAX_MESSAGES_PER_TURN):
+            scheduler.add(FakeSource(f"new {turns} {number}", 32, handled))
+        scheduler.add(usual)
+        scheduler.run_turn()
+        turns += 1
+
+    assert turns <= 2 * (MAX_TURNS_BEHIND_NEW + 1)  # two messages each time
