Ping a worker about a function that it has replied for, not about any that a client names

Cause: the ping is a probe of the function last used at the worker, which the bad client had just named; no reply to it within 80 ms makes the worker unresponsive for all. Change: if the worker has never replied for that function, the ping is about the last one for which it has. Failing before: test_worker_is_pinged_about_a_function_that_it_has_answered_for, "assert {'unanswered'} == {'f'}".

--- a/function_router/decisions/feedback.py
+++ b/function_router/decisions/feedback.py
@@ -37,6 +37,7 @@
         if outcome in REPLY_OUTCOMES:
             self._health.record_reply(attempt.worker, now_ms)
             self._process_identity.record_reply(attempt.worker, event.transmission)
+            attempt.worker.answered_function = attempt.function
         if outcome is Outcome.OK:
             self._record_served(event, attempt, now_ms)
         elif outcome is Outcome.NOT_LOADED or event.start_kind is StartKind.START_FAILED:
@@ -95,6 +96,7 @@
             worker.started_ms = now_ms
         self._health.record_reply(worker, now_ms, reply_grace_ms=PING_INTERVAL_MS)
         if function is not None and pool is not None:
+            worker.answered_function = function
             self._instances.record_report(event, pool, function.concurrency, now_ms)
         return False
 
--- a/function_router/decisions/health.py
+++ b/function_router/decisions/health.py
@@ -2,7 +2,8 @@
 
 A worker is pinged if a reply is overdue. If it doesn't answer the ping either, it becomes unresponsive. A
 worker becomes unresponsive at once if a connection to it can't be established. The protocol has no dedicated
-ping, so a probe of the function that was last used at the worker serves as one.
+ping, so a probe serves as one: of the function that was last used at the worker, or, if the worker has never
+replied for that one, of the last function for which it has.
 """
 
 import math
@@ -169,11 +170,12 @@
         return True
 
     def _ping(self, worker: Worker, now_ms: float) -> None:
-        """Probe the function last used at a worker, if possible. The ping timeout applies in any case."""
+        """Probe a function at a worker, if possible. The ping timeout applies in any case."""
         worker.pinged_ms = now_ms
         is_removed = worker.endpoint.state == WorkerState.REMOVED
-        if worker.last_function and self._can_ping and not is_removed:
-            self.probe(worker.last_function, worker, now_ms)
+        function = _function_to_ping(worker)
+        if function is not None and self._can_ping and not is_removed:
+            self.probe(function, worker, now_ms)
 
     def probe(self, function: Function, worker: Worker, now_ms: float) -> None:
         """Ask a worker how many instances of a function it has."""
@@ -183,3 +185,10 @@
         function.last_probed_ms = now_ms
         self.expect_reply(worker, now_ms)
         self._outbox.add(EnsureInstances(worker.id, function.name, 0))
+
+
+def _function_to_ping(worker: Worker) -> Function | None:
+    """Return the function whose probe pings a worker; None if no function was used there."""
+    last = worker.last_function
+    has_replied = last is not None and last.pools[worker.id].last_seen_ms > -math.inf
+    return last if has_replied else worker.answered_function or last
--- a/function_router/decisions/records.py
+++ b/function_router/decisions/records.py
@@ -89,7 +89,8 @@
     awaiting_reply_since_ms: float | None = None  # start of its silence; None if no reply is pending
     pinged_ms: float | None = None  # when it was last pinged; None once it has replied
     unresponsive_since_ms: float | None = None
-    last_function: "Function | None" = None  # the last function used at the worker; a ping probes it
+    last_function: "Function | None" = None  # the last function used at the worker
+    answered_function: "Function | None" = None  # the last function for which the worker has replied
 
     # Slow runs and failures.
     slowdown: float = 1.0  # moving average of its run times as a multiple of the usual ones
--- a/tests/decisions/test_health.py
+++ b/tests/decisions/test_health.py
@@ -123,3 +123,14 @@
     sends += harness.complete_starts(harness.run_timer_until(harness.now_ms + 200))
     assert sends
     assert sends[0].worker_id != full_worker
+
+
+# Guards against a worker that counts as unresponsive as it answers nothing about one function of a client.
+def test_worker_is_pinged_about_a_function_that_it_has_answered_for():
+    harness = DecisionHarness(workers=1)
+    harness.warm_up()
+    harness.request("r", "unanswered")
+
+    actions = harness.run_timer_until(harness.now_ms + 1_000.0)
+
+    assert {probe.function for probe in probes(actions)} == {"f"}
