Limit pending probes at one worker, so that unanswered ones leave its connections to requests

Cause: 1,500 unanswered probes of a flood of new functions took all 32 exchanges of all six connections to each of eight workers; orders and probes for usual functions waited for a connection and ended as NOT_SENT, and workers counted as silent. Change: at most 32 probes of functions without a known instance are pending at a worker, about what one connection carries. Failing before: test_pending_probes_at_one_worker_are_limited, as all 64 probes were sent.

--- a/function_router/decisions/scaling.py
+++ b/function_router/decisions/scaling.py
@@ -135,7 +135,7 @@
 
     def _probe_if_allowed(self, function: Function, worker: Worker, now_ms: float) -> None:
         """Probe a worker without a known instance, unless too many such probes are pending."""
-        if self._probe_limits.allows_probe():
+        if self._probe_limits.allows_probe(worker.id):
             self._probe_limits.record_probe(worker.id, function.name)
             self._health.probe(function, worker, now_ms)
 
--- a/tests/decisions/test_scaling.py
+++ b/tests/decisions/test_scaling.py
@@ -5,6 +5,7 @@
 from function_router.decisions.actions import EnsureInstances, SendRequest
 from function_router.decisions.events import RequestCancelled
 from function_router.decisions.instances import UNVERIFIED_AFTER_MS
+from function_router.decisions.probe_limits import MAX_PENDING_AT_WORKER
 from function_router.decisions.types import Outcome
 
 # --- probes and cold starts ------------------------------------------------------------------------
@@ -149,3 +150,13 @@
     actions = harness.request("r2")
 
     assert [probe.function for probe in probes(actions)] == ["f"]
+
+
+# Guards against unanswered probes that take all exchanges which the connections to a worker allow.
+def test_pending_probes_at_one_worker_are_limited():
+    harness = DecisionHarness(workers=1)
+
+    for number in range(2 * MAX_PENDING_AT_WORKER):
+        harness.request(f"r{number}", f"f{number}")
+
+    assert len(probes(harness.all_actions())) == MAX_PENDING_AT_WORKER
