Don't count overdue start orders for which no request waits any more as pending

What callers saw: beside a client whose new functions no worker answers for, requests for cold functions were rejected: no instance was started for up to 10 s. Cause: a start order held its place under the limit on pending orders (8 at first) until it timed out, also when its request had been withdrawn at once. The rate limit was not reached. Change: from 2.5 times the usual start on, an order whose function has no queued request does not count as pending. The rate limit, which is the operator's rule, still counts it. Failing before: test_overdue_orders_for_which_nobody_waits_do_not_count_as_pending, (0, 0) for (0, 1).

--- a/function_router/decisions/router.py
+++ b/function_router/decisions/router.py
@@ -239,7 +239,7 @@
         if function is None or pool is None:
             return
         if is_start:
-            self._start_orders.record_end(function, pool, event.outcome, now_ms)
+            self._start_orders.record_end(function, worker, event.outcome, now_ms)
         else:
             self._scaling.record_probe_answer(function, worker, event, now_ms)
         self._dispatcher.dispatch(function, now_ms)
@@ -260,6 +260,7 @@
             self._retries.hedge_overdue_requests(now_ms)
         self._retries.retry_lost_attempts(now_ms)
         self.requests.expire_recent_attempts(capacity.latency_objective_ms, now_ms)
+        self.start_order_limits.release_abandoned(now_ms)
         self.fleet.leases.recheck_draining(now_ms)
         for worker in self.fleet.health.check_timeouts(now_ms):
             self._retries.retry_elsewhere(worker, now_ms)
--- a/function_router/decisions/start_orders.py
+++ b/function_router/decisions/start_orders.py
@@ -4,9 +4,9 @@
 from function_router.decisions.endpoint_leases import LeaseStatus
 from function_router.decisions.fleet import Fleet
 from function_router.decisions.outbox import Outbox
-from function_router.decisions.records import Function, InstancePool, Request, Worker
+from function_router.decisions.records import Function, Request, Worker
 from function_router.decisions.requests import OpenRequests
-from function_router.decisions.start_order_limits import StartOrderLimits
+from function_router.decisions.start_order_limits import LONG_START_FACTOR, StartOrderLimits
 from function_router.decisions.types import Outcome
 
 # Maximum number of instances of a function that are ordered at one worker.
@@ -15,9 +15,6 @@
 # How long after a failed start the worker gets neither attempts nor start orders of the function.
 FAILED_START_BLOCK_MS = 1_000.0
 
-# A start that takes at least this multiple of the usual time lowers the limit on pending start orders.
-LONG_START_FACTOR = 2.5
-
 
 class StartOrders:
     """Orders instances. At most one order is pending for each function and worker."""
@@ -110,17 +107,18 @@
         pool.start_ordered_ms = now_ms
         pool.is_speculative = is_speculative
         pool.ordered_count = min(MAX_INSTANCES_AT_WORKER, self._instances.count(pool, worker, now_ms) + 1)
-        self._limits.record_order(now_ms)
         start_ms = self._durations.median_start_ms(function, now_ms)
+        self._limits.record_order(function, worker, start_ms, now_ms)
         self._health.expect_reply(worker, now_ms, reply_grace_ms=start_ms)
         self._outbox.add(EnsureInstances(worker.id, function.name, pool.ordered_count))
 
-    def record_end(self, function: Function, pool: InstancePool, outcome: Outcome, now_ms: float) -> None:
+    def record_end(self, function: Function, worker: Worker, outcome: Outcome, now_ms: float) -> None:
         """Record the end of a start order, with the duration of the start or its failure."""
+        pool = function.pool_at(worker)
         start_ms = now_ms - (pool.start_ordered_ms or 0.0)
         usual_ms = function.hinted_start_ms or self._durations.median_start_ms(function, now_ms)
         pool.start_ordered_ms = None
-        self._limits.record_end()
+        self._limits.record_end(function, worker)
         if outcome is Outcome.OK:
             function.start_times.add(now_ms, start_ms)
         else:
--- a/tests/decisions/test_start_order_limits.py
+++ b/tests/decisions/test_start_order_limits.py
@@ -4,9 +4,17 @@
 
 from function_router.decisions.actions import EnsureInstances
 from function_router.decisions.arrivals import MAX_START_ORDER_DELAY_MS, Arrivals
-from function_router.decisions.events import RequestCancelled
+from function_router.decisions.events import Endpoint, RequestCancelled
+from function_router.decisions.records import Function, Worker
 from function_router.decisions.settings import Settings
-from function_router.decisions.start_order_limits import StartOrderLimits
+from function_router.decisions.start_order_limits import (
+    INITIAL_PENDING_ORDERS,
+    LONG_START_FACTOR,
+    StartOrderLimits,
+)
+
+FUNCTION = Function("f", "idempotent", 1, None, 0)
+WORKER = Worker(1, Endpoint(1), 0)
 
 
 def test_start_orders_are_limited_by_the_number_of_requests():
@@ -71,7 +79,7 @@
     settings = Settings(start_order_window_ms=5000.0, start_order_burst=2.0)
     limits = StartOrderLimits(settings, Arrivals(settings))
     for time_ms in decided_ms:
-        limits.record_order(time_ms)
+        limits.record_order(FUNCTION, WORKER, 500.0, time_ms)
     return limits
 
 
@@ -107,3 +115,46 @@
 
     assert not limits.allows_order(5000.0)
     assert limits.allows_order(5200.0)
+
+
+def order_and_withdraw(harness, number):
+    """Request a new function, start an instance of it, and withdraw the request."""
+    harness.answer_probes(harness.request(f"gone{number}", f"gone{number}"))
+    harness.feed(RequestCancelled(f"gone{number}"))
+
+
+# Guards against start orders of requests that were withdrawn, which kept usual functions from starting.
+def test_overdue_orders_for_which_nobody_waits_do_not_count_as_pending():
+    harness = DecisionHarness(workers=8)
+    for number in range(round(INITIAL_PENDING_ORDERS)):
+        order_and_withdraw(harness, number)
+    blocked = start_orders(harness.answer_probes(harness.request("r1", "usual")))
+
+    harness.run_timer_until(harness.now_ms + LONG_START_FACTOR * 500.0 + 100.0)
+    later = start_orders(harness.answer_probes(harness.request("r2", "other")))
+
+    assert (len(blocked), len(later)) == (0, 1)
+
+
+def test_overdue_orders_for_which_requests_wait_count_as_pending():
+    harness = DecisionHarness(workers=8)
+    for number in range(round(INITIAL_PENDING_ORDERS)):
+        harness.answer_probes(harness.request(f"r{number}", f"f{number}", timeout_ms=60_000.0))
+
+    harness.run_timer_until(harness.now_ms + LONG_START_FACTOR * 500.0 + 100.0)
+    later = start_orders(harness.answer_probes(harness.request("r", "other", timeout_ms=60_000.0)))
+
+    assert later == []
+
+
+def test_late_report_of_an_abandoned_order_does_not_count_twice():
+    harness = DecisionHarness(workers=8)
+    order_and_withdraw(harness, 0)
+    [order] = start_orders(harness.all_actions())
+    harness.run_timer_until(harness.now_ms + LONG_START_FACTOR * 500.0 + 100.0)
+
+    harness.report_instances(order.worker_id, 1, order.function)
+    for number in range(1, 20):
+        harness.answer_probes(harness.request(f"r{number}", f"f{number}"))
+
+    assert len(start_orders(harness.all_actions())) <= 1 + INITIAL_PENDING_ORDERS + 1
