Don't run a request whose id comes again after it may have run

What callers saw: an at-most-once request ran twice when its client closed the connection and sent it again with the same id. Cause: the id of a request was forgotten with the request, though a worker may have it; only open ids were refused.

--- a/function_router/config/memory.py
+++ b/function_router/config/memory.py
@@ -39,7 +39,8 @@
         client_input_bytes: Messages of clients that are read and not handled yet, or received in part.
         client_output_bytes: Answers that clients have not read yet.
         worker_input_bytes: Answers of workers that are received in part.
-        ids_bytes: Ids of past requests and exchanges.
+        ids_bytes: Ids of past exchanges with workers.
+        past_runs_bytes: Ids of requests that may have run and must not run again.
         functions_bytes: The function table of the decision module.
         probes_bytes: Pending probes.
     """
@@ -50,6 +51,7 @@
     client_output_bytes: int
     worker_input_bytes: int
     ids_bytes: int
+    past_runs_bytes: int
     functions_bytes: int
     probes_bytes: int
 
@@ -62,11 +64,12 @@
         total_bytes = min(MAX_TOTAL_BYTES, max(MIN_TOTAL_BYTES, left_bytes))
         return cls(
             resident_bytes=resident_bytes,
-            requests_bytes=int(0.3 * total_bytes),
+            requests_bytes=int(0.25 * total_bytes),
             client_input_bytes=int(0.2 * total_bytes),
             client_output_bytes=int(0.1 * total_bytes),
             worker_input_bytes=int(0.05 * total_bytes),
             ids_bytes=int(0.05 * total_bytes),
+            past_runs_bytes=int(0.05 * total_bytes),
             functions_bytes=int(0.25 * total_bytes),
             probes_bytes=int(0.05 * total_bytes),
         )
--- a/function_router/decisions/events.py
+++ b/function_router/decisions/events.py
@@ -57,7 +57,7 @@
     memory_mb: float | None = None  # memory of an instance
     expected_start_ms: float | None = None  # typical duration of a cold start
     expected_run_ms: float | None = None  # typical duration of a run
-    client_request_id: str = ""  # the client's own id of the request; a client's retry carries the same id
+    client_request_id: str = ""  # the id that the client gave the request; an id that comes again counts once
     age_ms: float = 0.0  # how long the last bytes of the request were unread before this event
 
 
@@ -65,7 +65,7 @@
     """The client of a request no longer waits, so the router owes it no answer."""
 
     request_id: str
-    client_request_id: str = ""  # the client's own id of the request; a client's retry carries the same id
+    client_request_id: str = ""  # the id that the client gave the request; an id that comes again counts once
 
 
 class AttemptEnded(Struct, frozen=True):
--- a/function_router/net/attempts_in_flight.py
+++ b/function_router/net/attempts_in_flight.py
@@ -79,6 +79,14 @@
         for _, attempt in self._attempts_by_number(request):
             self._pool.cancel_if_unsent(attempt)
 
+    def first_possible_run_ms(self, request: PendingRequest) -> float | None:
+        """Return when the first attempt was created that may have run; None if there is none."""
+        started = [attempt for _, attempt in self._attempts_by_number(request) if attempt.is_started]
+        runs_ms = [attempt.created_at_ms for attempt in started]
+        if request.first_run is not None:
+            runs_ms.append(request.first_run.created_at_ms)
+        return min(runs_ms, default=None)
+
     def _create(self, request: PendingRequest, number: int, worker_id: int) -> Attempt:
         key = request.key
         invocation = request.invocation
--- a/function_router/net/client_session.py
+++ b/function_router/net/client_session.py
@@ -126,7 +126,8 @@
         """Parse a request, and check it against the pending requests.
 
         Raises:
-            MalformedMessageError: The request is invalid, conflicts with a pending one or exceeds the limit.
+            MalformedMessageError: The request is invalid, conflicts with a pending one, exceeds the limit, or
+                has the id of one that may have run.
         """
         if message.seqid in self.pending:
             reason = "a second request under an open number"
@@ -138,6 +139,8 @@
         # Clients use a new id for each request, including retries.
         if self._service.table.is_pending(invocation.request_id):
             raise InvalidFieldError(FIELD_REQUEST_ID, "the id of an open request")
+        if not self._service.table.may_run(invocation):
+            raise InvalidFieldError(FIELD_REQUEST_ID, "the id of a request that may have run")
         return invocation
 
     def _on_status(self, message: thrift.Status) -> None:
--- a/function_router/net/memory_budget.py
+++ b/function_router/net/memory_budget.py
@@ -23,6 +23,7 @@
     CLIENT_OUTPUT = "client output"
     WORKER_INPUT = "worker input"
     IDS = "ids"
+    PAST_RUNS = "past runs"
 
 
 class MemoryShare:
@@ -132,10 +133,19 @@
         client_output: Answers that clients have not read yet.
         worker_input: Answers of workers that are received in part; the holders are connections.
         ids: Ids of past exchanges; the holders are connections to workers.
+        past_runs: Ids of requests that may have run and must not run again.
         resident_bytes: The limit on the resident memory of the process.
     """
 
-    __slots__ = ("client_input", "client_output", "ids", "requests", "resident_bytes", "worker_input")
+    __slots__ = (
+        "client_input",
+        "client_output",
+        "ids",
+        "past_runs",
+        "requests",
+        "resident_bytes",
+        "worker_input",
+    )
 
     def __init__(self, plan: MemoryPlan, max_clients: int, max_worker_connections: int) -> None:
         """Create empty shares with the capacities of a plan."""
@@ -146,9 +156,17 @@
             MemoryOwner.WORKER_INPUT, plan.worker_input_bytes, max_worker_connections
         )
         self.ids = MemoryShare(MemoryOwner.IDS, plan.ids_bytes, max_worker_connections)
+        self.past_runs = MemoryShare(MemoryOwner.PAST_RUNS, plan.past_runs_bytes, max_holders=1)
         self.resident_bytes = plan.resident_bytes
 
     @property
     def shares(self) -> list[MemoryShare]:
         """All shares."""
-        return [self.requests, self.client_input, self.client_output, self.worker_input, self.ids]
+        return [
+            self.requests,
+            self.client_input,
+            self.client_output,
+            self.worker_input,
+            self.ids,
+            self.past_runs,
+        ]
--- a/function_router/net/request_table.py
+++ b/function_router/net/request_table.py
@@ -21,12 +21,20 @@
 from function_router.decisions.settings import RequestClass
 from function_router.decisions.types import Outcome
 from function_router.net.attempts_in_flight import AttemptsInFlight
-from function_router.net.client_request import ClientRequest, Failed, FinalAnswer, Rejected, Served
+from function_router.net.client_request import (
+    ClientRequest,
+    Failed,
+    FinalAnswer,
+    Invocation,
+    Rejected,
+    Served,
+)
 from function_router.net.clock import monotonic_ms
 from function_router.net.event_loop import EventLoop
 from function_router.net.health_checks import HealthChecker
 from function_router.net.invariants import MAX_LATENESS_MS, Invariant
 from function_router.net.memory_budget import MemoryBudget
+from function_router.net.past_runs import PastRuns
 from function_router.net.pending_request import PendingRequest
 from function_router.net.pending_requests import PendingRequests, RecentlyFinishedRequests
 from function_router.net.start_orders import RevalidateStartOrder, StartOrderSender
@@ -74,6 +82,7 @@
         self.memory = memory
         self._requests = PendingRequests(transport.max_pending_requests)
         self._recently_finished = RecentlyFinishedRequests()
+        self._past_runs = PastRuns(memory.past_runs)
         self._request_numbers = itertools.count(1)
         self.attempts = AttemptsInFlight(
             loop, pool, transport, classes, self._requests, self._finish, memory.requests
@@ -125,6 +134,11 @@
         request = self._requests.find_by_client_request_id(client_request_id)
         return request is not None and request.client_request.is_client_connected()
 
+    def may_run(self, invocation: Invocation) -> bool:
+        """Return whether a request may run: no earlier one with its id has, or its class allows a repeat."""
+        request_class = self._classes.get(invocation.class_name)
+        return self._past_runs.allows_repeat(invocation.request_id, request_class, monotonic_ms())
+
     def cancel_request(self, key: str) -> None:
         """Remove a request whose client no longer waits, without an answer."""
         if request := self._remove(key):
@@ -220,8 +234,17 @@
             request.deadline_timer.cancel()
             self._recently_finished.add(request)
             self.attempts.cancel_unsent(request)
+            self._record_run(request)
         return request
 
+    def _record_run(self, request: PendingRequest) -> None:
+        """Remember a request that may have run, or may still run, in case its id comes again."""
+        first_run_ms = self.attempts.first_possible_run_ms(request)
+        if first_run_ms is not None:
+            invocation = request.invocation
+            request_class = self._classes.get(invocation.class_name)
+            self._past_runs.record(invocation.request_id, request_class, first_run_ms, monotonic_ms())
+
     def _submit_cancelled(self, request: PendingRequest) -> None:
         self._loop.submit(RequestCancelled(request.key, request.invocation.request_id.hex()))
 
