--- a/function_router/net/client_connection.py
+++ b/function_router/net/client_connection.py
@@ -214,13 +214,7 @@
     # --- timeouts -----------------------------------------------------------------------------
 
     def check_timeouts(self, now_ms: float) -> None:
-        """Close the connection if it has been idle for too long, or its next message is overdue.
-
-        While the client is paused, the event loop does not notice that it has disconnected.
-        """
-        if self in self._owner.paused_clients and self.connection.has_peer_closed():
-            self.connection.close(CloseReason.CLOSED_BY_PEER)
-            return
+        """Close the connection if it has been idle for too long, or its next message is overdue."""
         if self.session.pending or self.unhandled:
             return
         if now_ms - self.connection.last_used_ms > IDLE_TIMEOUT_MS:
@@ -234,6 +228,11 @@
             self._owner.telemetry.count(CLIENTS_OVER_SHARE, MemoryOwner.CLIENT_INPUT)
             self._close_overdue()
 
+    def close_if_disconnected(self) -> None:
+        """Close the connection if the client has, which the event loop does not notice while it is paused."""
+        if self.connection.has_peer_closed():
+            self.connection.close(CloseReason.CLOSED_BY_PEER)
+
     def _close_overdue(self) -> None:
         if self.messages.has_received_data:
             self.session.fail_pending_and_close(CloseReason.READ_TIMEOUT)
--- a/function_router/net/memory_budget.py
+++ b/function_router/net/memory_budget.py
@@ -1,10 +1,10 @@
 """The budget of memory that peers can fill, with a share for each kind of store and fair use of a share.
 
 A holder of entries in a share, such as a client, is guaranteed an equal part of one half of the share. Of the
-other half, the pool, it may use at most as much as is unused: the dynamic threshold of Choudhury and Hahne,
-"Dynamic queue length thresholds for shared-memory packet switches" (IEEE/ACM Transactions on Networking 6(2),
-1998), with the factor 1. One holder thus gets at most half of the pool, and greedy holders get equal parts of
-it, while one that uses little is admitted whatever the others do.
+other half, the pool, it may use at most a fraction of what is unused: the dynamic threshold of Choudhury and
+Hahne, "Dynamic queue length thresholds for shared-memory packet switches" (IEEE/ACM Transactions on
+Networking 6(2), 1998). One holder thus gets a small part of the pool, greedy holders get equal parts of it,
+and a part stays free for those that use little.
 """
 
 from enum import StrEnum
@@ -15,6 +15,10 @@
 GUARANTEED_FRACTION = 0.5
 
 
+# The fraction of the unused part of the pool up to which one holder may use the pool.
+POOL_THRESHOLD_FRACTION = 1 / 8
+
+
 class MemoryOwner(StrEnum):
     """The kinds of stores, named as in the log."""
 
@@ -58,9 +62,10 @@
         self._pool_used_bytes = 0
 
     @property
-    def pool_left_bytes(self) -> int:
-        """The unused part of the pool, which is also the most that one holder may use of it."""
-        return max(0, self._pool_bytes - self._pool_used_bytes)
+    def threshold_bytes(self) -> int:
+        """The most that one holder may use now."""
+        unused_bytes = max(0, self._pool_bytes - self._pool_used_bytes)
+        return self.guaranteed_bytes + int(POOL_THRESHOLD_FRACTION * unused_bytes)
 
     @property
     def is_exceeded(self) -> bool:
@@ -100,7 +105,7 @@
     @property
     def headroom_bytes(self) -> int:
         """How much the holder may add now; negative if it uses more than it may now."""
-        return self._share.guaranteed_bytes + self._share.pool_left_bytes - self.used_bytes
+        return self._share.threshold_bytes - self.used_bytes
 
     def is_over_threshold(self) -> bool:
         """Return whether the holder uses more than it may while the share is as full as it is."""
