Let a start wait as long as a probe where the limits allow no probe; end probes after 2 s

Cause: where the limit on pending probes was reached, a new function got no probe and so no wait of 12 ms for its answer: requests of a flood that are withdrawn within milliseconds ordered instances at once. And an unanswered probe held its place for as long as a start may take (10 s), though workers answer probes at once. Failing before: test_start_waits_for_the_time_of_a_probe_that_is_not_allowed, an order at once.

--- a/function_router/decisions/records.py
+++ b/function_router/decisions/records.py
@@ -205,6 +205,7 @@
     queue: RequestQueue[Request] = field(default_factory=RequestQueue)
     pools: dict[int, InstancePool] = {}  # by worker id
     last_probed_ms: float = -math.inf  # time of the last probe at any worker
+    probe_refused_ms: float = -math.inf  # when the limits on pending probes last did not allow one
     was_served: bool = False  # whether a worker has served a request
     awaits_check: bool = False  # the health check of a worker with a free slot is pending
 
--- a/function_router/decisions/scaling.py
+++ b/function_router/decisions/scaling.py
@@ -138,6 +138,8 @@
         if self._probe_limits.allows_probe(worker.id):
             self._probe_limits.record_probe(worker.id, function.name)
             self._health.probe(function, worker, now_ms)
+        else:
+            function.probe_refused_ms = now_ms
 
     def record_report(self, event: InstancesReported) -> None:
         """Record that a worker has answered a probe or a start order, or will not."""
@@ -163,7 +165,13 @@
         return self._capacity.many_routers and self._has_recent_probe(function, now_ms)
 
     def _has_recent_probe(self, function: Function, now_ms: float) -> bool:
-        """Return whether a probe of a function is pending, for no longer than about one round trip."""
+        """Return whether a probe of a function is pending, for no longer than about one round trip.
+
+        Where the limits allow no probe, requests wait for as long. A flood of new functions whose requests
+        are withdrawn at once would otherwise start instances because no probe is allowed.
+        """
+        if now_ms - function.probe_refused_ms < PROBE_WAIT_MS:
+            return True
         if now_ms - function.last_probed_ms >= PROBE_WAIT_MS:
             return False
         return any(pool.pending_probes for pool in function.pools.values())
--- a/function_router/net/worker_pool.py
+++ b/function_router/net/worker_pool.py
@@ -25,6 +25,8 @@
 FIRST_EXCHANGE_ID_BITS = 62
 # Timeout of a health check. Workers answer health checks at once, whatever functions they run.
 HEALTH_CHECK_TIMEOUT_MS = 1_000.0
+# Maximum timeout of a probe. Workers answer probes at once, as they start nothing for them.
+PROBE_TIMEOUT_MS = 2_000.0
 
 
 class WorkerPool:
@@ -136,7 +138,10 @@
         """Assign an id to a start order or a probe, and send it."""
         self._resources.telemetry.count(START_ORDERS if order.instances else PROBES)
         order.exchange_id = self._next_exchange_id()
-        self._dispatch(order, self._resources.transport.start_order_timeout_ms)
+        timeout_ms = self._resources.transport.start_order_timeout_ms
+        if not order.instances:
+            timeout_ms = min(PROBE_TIMEOUT_MS, timeout_ms)
+        self._dispatch(order, timeout_ms)
 
     def check_health(self, check: HealthCheck) -> None:
         """Assign an id to a health check, and send it."""
--- a/tests/decisions/test_scaling.py
+++ b/tests/decisions/test_scaling.py
@@ -160,3 +160,13 @@
         harness.request(f"r{number}", f"f{number}")
 
     assert len(probes(harness.all_actions())) == MAX_PENDING_AT_WORKER
+
+
+# Guards against a flood that starts instances at once where its probes are not allowed any more.
+def test_start_waits_for_the_time_of_a_probe_that_is_not_allowed():
+    harness = DecisionHarness(max_pending_probes=0)
+
+    at_once = harness.request("r", "f")
+    later = harness.run_timer_until(harness.now_ms + 40.0)
+
+    assert (start_orders(at_once), len(start_orders(later))) == ([], 1)
