Send no start order whose clients have all gone since it was decided on

Cause: an order was sent though the clients of all requests for its function had closed their connections, which the router had not read yet. Such orders use up the rate limit and the places of pending orders: with clients that open, send new functions and close at full speed four usual functions found no start within their requests' time. Change: net/ asks the clients that wait for a function, as it does for an attempt, when the first byte of an order could leave (NotSentReason.CLIENT_GONE), which also cancels their requests at once. Orders in advance of requests are sent as before. Failing before: test_order_is_not_sent_if_the_client_of_its_request_has_gone, "assert '1' not in ['0', '1']".

--- a/function_router/net/pending_requests.py
+++ b/function_router/net/pending_requests.py
@@ -66,6 +66,18 @@
         key = self._keys_by_client_request_id.get(client_request_id)
         return None if key is None else self.by_key[key]
 
+    def has_requests(self, function: str) -> bool:
+        """Return whether requests for a function are pending."""
+        return function in self._by_function
+
+    def has_waiting_client(self, function: str) -> bool:
+        """Return whether any client still waits for a function.
+
+        Requests whose clients are found to have disconnected are removed.
+        """
+        of_function = list(self._by_function.get(function, {}).values())
+        return any(request.client_request.is_client_connected() for request in of_function)
+
     def add_trace_step(self, function: str, text: str) -> None:
         """Record a step, such as a start order, in the traces of the oldest requests for a function."""
         of_function = self._by_function.get(function, {})
--- a/function_router/net/request_table.py
+++ b/function_router/net/request_table.py
@@ -87,9 +87,7 @@
         self.attempts = AttemptsInFlight(
             loop, pool, transport, classes, self._requests, self._finish, memory.requests
         )
-        self._start_orders = StartOrderSender(
-            loop, pool, revalidate_start_order, self._requests.add_trace_step
-        )
+        self._start_orders = StartOrderSender(loop, pool, revalidate_start_order, self._requests)
         self._health_checker = HealthChecker(loop, pool, self._requests.add_trace_step, telemetry)
         self._batch_time_ms = 0.0  # time of the batch whose actions are being performed
         # The limit on all deadlines (monotonic) during a drain, as SIGKILL may follow.
--- a/function_router/net/start_orders.py
+++ b/function_router/net/start_orders.py
@@ -8,6 +8,7 @@
 from function_router.net.close_reason import outcome_without_answer
 from function_router.net.event_loop import EventLoop
 from function_router.net.not_sent_reason import NotSentReason
+from function_router.net.pending_requests import PendingRequests
 from function_router.net.worker_messages import Result, StartOrder, WorkerAnswer
 from function_router.net.worker_pool import WorkerPool
 
@@ -20,22 +21,35 @@
 """
 
 
-class _RateLimitCheck:
+class _StartOrderCheck:
     """Decides whether a start order may be sent, each time that its first byte could be written.
 
     An order may be queued for a long time. It counts towards the rate limit as of when it is sent. Once the
-    limit has stopped an order, that order is never sent.
+    limit has stopped an order, that order is never sent. Neither is one for which clients waited when it was
+    decided on, and none waits any more; an order in advance of requests is sent.
     """
 
-    __slots__ = ("_clock", "_counted_at_ms", "_revalidate")
+    __slots__ = ("_clock", "_counted_at_ms", "_function", "_is_in_advance", "_requests", "_revalidate")
 
-    def __init__(self, decided_at_ms: float, revalidate: RevalidateStartOrder, clock: Clock) -> None:
+    def __init__(
+        self,
+        function: str,
+        decided_at_ms: float,
+        revalidate: RevalidateStartOrder,
+        requests: PendingRequests,
+        clock: Clock,
+    ) -> None:
         """Create the check of an order that was decided on, and counted, at `decided_at_ms`."""
+        self._function = function
         self._counted_at_ms: float | None = decided_at_ms
         self._revalidate = revalidate
+        self._requests = requests
+        self._is_in_advance = not requests.has_requests(function)
         self._clock = clock
 
     def __call__(self) -> NotSentReason | None:
+        if not self._is_in_advance and not self._requests.has_waiting_client(self._function):
+            return NotSentReason.CLIENT_GONE
         if self._counted_at_ms is not None:
             self._counted_at_ms = self._revalidate(self._counted_at_ms, self._clock.now_ms())
         return None if self._counted_at_ms is not None else NotSentReason.START_ORDER_LIMIT_REACHED
@@ -49,7 +63,7 @@
         loop: EventLoop,
         pool: WorkerPool,
         revalidate_start_order: RevalidateStartOrder,
-        add_trace_step: Callable[[str, str], None],
+        requests: PendingRequests,
     ) -> None:
         """Create a sender of orders to the workers of `pool`.
 
@@ -57,12 +71,12 @@
             loop: The event loop, which has the clock of the decision module and takes the results.
             pool: The workers.
             revalidate_start_order: Checks an order against the rate limit.
-            add_trace_step: Called with a function and a text for each order and each result.
+            requests: The pending requests, whose traces name each order and each result.
         """
         self._loop = loop
         self._pool = pool
         self._revalidate_start_order = revalidate_start_order
-        self._add_trace_step = add_trace_step
+        self._requests = requests
 
     def send(self, action: EnsureInstances, decided_at_ms: float) -> None:
         """Send a start order, or a probe if the action asks for no instances.
@@ -72,7 +86,9 @@
             decided_at_ms: The time of the batch of events that led to the action, on the decision module's
                 clock.
         """
-        self._add_trace_step(action.function, f"ensure {action.instances} instances at {action.worker_id}")
+        self._requests.add_trace_step(
+            action.function, f"ensure {action.instances} instances at {action.worker_id}"
+        )
         order = StartOrder(
             worker_id=action.worker_id,
             on_done=self._on_done,
@@ -80,8 +96,12 @@
             instances=action.instances,
         )
         if action.instances:
-            order.reason_not_to_send = _RateLimitCheck(
-                decided_at_ms, self._revalidate_start_order, self._loop.clock
+            order.reason_not_to_send = _StartOrderCheck(
+                action.function,
+                decided_at_ms,
+                self._revalidate_start_order,
+                self._requests,
+                self._loop.clock,
             )
         self._pool.ensure_instances(order)
 
@@ -92,7 +112,9 @@
         else:
             outcome = outcome_without_answer(result, is_started=order.is_started)
             instances = 0
-        self._add_trace_step(order.function, f"{order.worker_id}: {outcome.name} instances {instances}")
+        self._requests.add_trace_step(
+            order.function, f"{order.worker_id}: {outcome.name} instances {instances}"
+        )
         duration_ms = monotonic_ms() - order.created_at_ms
         transmission = self._loop.clock.convert_transmission(order.transmission)
         self._loop.submit(
--- a/tests/net/test_start_order_limit.py
+++ b/tests/net/test_start_order_limit.py
@@ -130,3 +130,21 @@
     harness.run_until(lambda: "0" in ordered_instances(worker), "the probe arrives")
 
     assert "2" not in ordered_instances(worker)
+
+
+# Guards against start orders for clients that have gone, which use up the rate limit of those that wait.
+def test_order_is_not_sent_if_the_client_of_its_request_has_gone(start_router):
+    worker = FakeWorker(instances=0)
+    harness = start_router(worker)
+    client = harness.connect_accepted_client()
+    client.send_request()
+    harness.run_until(lambda: harness.table.pending, "the request is pending")
+    client.close()
+    harness.clients.remove(client)
+
+    harness.table.begin_batch(harness.router_process.loop.clock.now_ms())
+    harness.table.ensure_instances(EnsureInstances(worker.worker_id, FUNCTION, 1))
+    harness.round_trip(harness.connect_client())
+
+    assert harness.table.pending == {}
+    assert "1" not in ordered_instances(worker)
