Bound answers in part and ids of past exchanges by the memory limit

Cause: each connection to a worker could keep 320 KiB of an incomplete answer and 1,024 ids of past exchanges (about 130 KB), whatever the number of connections and the memory limit: 0.4 of 1,024 descriptors are 409 connections. Change: above the share for incomplete answers the connections with the largest ones are closed (CloseReason.MEMORY_FULL; their exchanges end as reset); a connection over its part of the share for ids forgets its oldest ones.

--- a/function_router/config/memory.py
+++ b/function_router/config/memory.py
@@ -22,6 +22,8 @@
 # More would not be of use: requests that wait for so much work are not answered in time.
 MAX_TOTAL_BYTES = 64 * MEBIBYTE
 
+# Minimum for answers in part: two of the largest answers that the codec accepts.
+MIN_WORKER_INPUT_BYTES = 2 * 320 * 1024
 # Memory of a function's record in the decision module, with its pools at a few workers.
 FUNCTION_BYTES = 4 * 1024
 # The function table of a usual deployment; more functions don't improve its decisions.
@@ -61,13 +63,14 @@
         resident_bytes = memory_mb * MEBIBYTE
         connections_bytes = int(CONNECTED_SHARE * max_sockets) * CONNECTION_BYTES
         left_bytes = (resident_bytes - BASE_BYTES - connections_bytes) / RESIDENT_PER_COUNTED_BYTE
-        total_bytes = min(MAX_TOTAL_BYTES, max(MIN_TOTAL_BYTES, left_bytes))
+        worker_input_bytes = max(MIN_WORKER_INPUT_BYTES, int(0.05 * min(MAX_TOTAL_BYTES, left_bytes)))
+        total_bytes = min(MAX_TOTAL_BYTES, max(MIN_TOTAL_BYTES, left_bytes - worker_input_bytes))
         return cls(
             resident_bytes=resident_bytes,
-            requests_bytes=int(0.25 * total_bytes),
+            requests_bytes=int(0.3 * total_bytes),
             client_input_bytes=int(0.2 * total_bytes),
             client_output_bytes=int(0.1 * total_bytes),
-            worker_input_bytes=int(0.05 * total_bytes),
+            worker_input_bytes=worker_input_bytes,
             ids_bytes=int(0.05 * total_bytes),
             past_runs_bytes=int(0.05 * total_bytes),
             functions_bytes=int(0.25 * total_bytes),
--- a/function_router/net/close_reason.py
+++ b/function_router/net/close_reason.py
@@ -22,6 +22,7 @@
     RESET_BY_PEER = auto()  # the connection broke
     PROTOCOL_ERROR = auto()  # the peer violated the protocol
     WRITE_BUFFER_FULL = auto()  # the peer doesn't read, and too many bytes are queued for it
+    MEMORY_FULL = auto()  # too many bytes of incomplete messages were kept, most of them of this peer
     READ_TIMEOUT = auto()  # nothing was received for too long
     IDLE = auto()  # this router closed the connection, with nothing pending on it
     ENDPOINT_REPLACED = auto()  # this router closed it as the worker was removed, moved or restarted
@@ -58,6 +59,7 @@
     CloseReason.RESET_BY_PEER: _FAILED_AT_PEER,
     CloseReason.PROTOCOL_ERROR: _FAILED_AT_PEER,
     CloseReason.WRITE_BUFFER_FULL: _FAILED_AT_PEER,
+    CloseReason.MEMORY_FULL: _CLOSED_LOCALLY,
     CloseReason.READ_TIMEOUT: _FAILED_AT_PEER,
     CloseReason.IDLE: _CLOSED_LOCALLY,
     CloseReason.ENDPOINT_REPLACED: _CLOSED_LOCALLY,
--- a/function_router/net/connection_budget.py
+++ b/function_router/net/connection_budget.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 
 from function_router.net.close_reason import CloseReason
+from function_router.net.memory_budget import MemoryShare
 from function_router.net.worker_connection import WorkerConnection
 
 # Share of the budget within which spare connections are opened. The rest is reserved for exchanges for which
@@ -56,3 +57,13 @@
             return False
         longest_idle.close(CloseReason.IDLE)
         return True
+
+    def close_heaviest_until_in_share(self, share: MemoryShare) -> None:
+        """Close the connections with the largest incomplete answers until those are within their share."""
+        heaviest_first = sorted(
+            self._all_connections(), key=lambda connection: -connection.input_memory.used_bytes
+        )
+        for connection in heaviest_first:
+            if not share.is_exceeded:
+                return
+            connection.close(CloseReason.MEMORY_FULL)
--- a/function_router/net/memory_budget.py
+++ b/function_router/net/memory_budget.py
@@ -98,6 +98,11 @@
         self._from_pool_bytes = 0
         self._share = share
 
+    @property
+    def is_share_exceeded(self) -> bool:
+        """Whether all holders together use more than the share has."""
+        return self._share.is_exceeded
+
     def allows(self, size_bytes: int) -> bool:
         """Return whether the holder may add an entry of this size."""
         return size_bytes <= self.headroom_bytes
--- a/function_router/net/pooled_worker.py
+++ b/function_router/net/pooled_worker.py
@@ -185,6 +185,10 @@
             for exchange in self.queue.take_all():
                 exchange.finish(reason)
 
+    def on_worker_input_full(self) -> None:
+        """Close connections, of any worker, until incomplete answers are within their share of the memory."""
+        self._resources.budget.close_heaviest_until_in_share(self._resources.memory.worker_input)
+
     # --- callbacks of the connections ---------------------------------------------------------
 
     def on_connection_established(self, connection: WorkerConnection) -> None:
--- a/function_router/net/used_exchange_ids.py
+++ b/function_router/net/used_exchange_ids.py
@@ -25,9 +25,9 @@
         return exchange_id in self._ids
 
     def add(self, exchange_id: bytes) -> None:
-        """Remember an id; above the limit, forget the oldest one."""
+        """Remember an id; above the limit, or the connection's share of the memory, forget the oldest one."""
         self._ids[exchange_id] = None
-        if len(self._ids) > MAX_IDS:
+        if len(self._ids) > MAX_IDS or (len(self._ids) > 1 and not self._memory.allows(ID_BYTES)):
             del self._ids[next(iter(self._ids))]
         self._memory.resize(len(self._ids) * ID_BYTES)
 
--- a/function_router/net/worker_connection.py
+++ b/function_router/net/worker_connection.py
@@ -48,6 +48,9 @@
     def connection_cutoff_ms(self, exchange: Exchange) -> float:
         """Return the time by which a connection must have been established to carry an exchange now."""
 
+    def on_worker_input_full(self) -> None:
+        """Close connections, of any worker, until incomplete answers are within their share of the memory."""
+
     def on_connection_established(self, connection: "WorkerConnection") -> None:
         """Handle a connection that has just been established."""
 
@@ -80,13 +83,13 @@
     Attributes:
         connection: The TCP connection.
         exchanges: The exchanges in flight by id, in the order in which they were assigned.
+        input_memory: The memory of the answer that has been received in part.
         is_retired: Whether the connection gets no new exchange and is closed once all exchanges are finished.
         established_at_ms: When the connection was established, on the monotonic clock; infinite before that.
     """
 
     __slots__ = (
         "_activity",
-        "_input_memory",
         "_loop",
         "_max_exchanges",
         "_owner",
@@ -99,6 +102,7 @@
         "connection",
         "established_at_ms",
         "exchanges",
+        "input_memory",
         "is_retired",
     )
 
@@ -123,21 +127,15 @@
         self._owner = owner
         self._telemetry = telemetry
         self._readiness = readiness
-        self._input_memory = MemoryAccount(memory.worker_input)
+        self.input_memory = MemoryAccount(memory.worker_input)
         self._max_exchanges = transport.max_exchanges_per_connection
         self._reader = frames.FrameReader()
         self._used_ids = UsedExchangeIds(memory.ids)
         self._unwritten_at_flush: list[Exchange] = []  # exchanges without a written byte at the last flush
         self._partial_frame_timer: Timer | None = None
-        self.connection = self._connect(transport.connect_timeout_ms)
+        self.connection = _connect(loop, owner, self, transport.connect_timeout_ms)
         self._activity = ConnectionActivity(self.connection)
 
-    def _connect(self, timeout_ms: float) -> Connection:
-        connection = Connection.connect(self._loop, self._owner.address, self, timeout_ms)
-        if isinstance(connection, CloseReason):
-            raise ConnectError(self._owner, connection)
-        return connection
-
     # --- state ------------------------------------------------------------------------------
 
     @property
@@ -261,12 +259,14 @@
             if frame.code != frames.OK:  # a duplicate of this answer must not end a retry with the same id
                 self._used_ids.add(frame.exchange_id)
             exchange.finish(exchange.parse_answer(frame))
-        self._input_memory.resize(self._reader.buffered_bytes)
+        self.input_memory.resize(self._reader.buffered_bytes)
         if self._reader.error is not None:
             self._telemetry.log(f"worker {self._owner.worker_id}: invalid frame: {self._reader.error}")
             self.close(CloseReason.PROTOCOL_ERROR)
         elif self._reader.has_partial_frame and self._partial_frame_timer is None:
             self._schedule_partial_frame_check(PARTIAL_FRAME_TIMEOUT_MS)
+        if self.input_memory.is_share_exceeded:
+            self._owner.on_worker_input_full()
 
     def on_flushed(self) -> None:
         """Check the invariants of the exchanges whose first byte was written by this flush."""
@@ -299,7 +299,7 @@
 
     def on_closed(self, reason: CloseReason) -> None:
         """Notify the owner that the connection was closed."""
-        self._input_memory.close()
+        self.input_memory.close()
         self._used_ids.clear()
         self._owner.on_connection_closed(self, reason)
 
@@ -316,3 +316,17 @@
         else:
             self._telemetry.log(f"worker {self._owner.worker_id}: incomplete frame")
             self.close(CloseReason.READ_TIMEOUT)
+
+
+def _connect(
+    loop: EventLoop, owner: WorkerConnectionOwner, handler: WorkerConnection, timeout_ms: float
+) -> Connection:
+    """Begin to connect to a worker.
+
+    Raises:
+        ConnectError: The connect failed at once.
+    """
+    connection = Connection.connect(loop, owner.address, handler, timeout_ms)
+    if isinstance(connection, CloseReason):
+        raise ConnectError(owner, connection)
+    return connection
