Let the event loop survive an exception in its own code, or in the log line about one

Change: a turn that fails ends that turn only, and is logged; a line that can't be made is lost. Failing before: test_loop_survives_an_exception_while_it_logs_another_one ended with MemoryError; the other test's turn did, too.

--- a/function_router/net/event_loop.py
+++ b/function_router/net/event_loop.py
@@ -6,6 +6,7 @@
 stays short whatever the clients send.
 """
 
+import contextlib
 import selectors
 import socket
 import traceback
@@ -124,9 +125,12 @@
     # --- turns --------------------------------------------------------------------------------
 
     def run(self) -> None:
-        """Run turns until `stop` is called."""
+        """Run turns until `stop` is called; an exception in a turn ends that turn only."""
         while self.is_running:
-            self.run_once()
+            try:
+                self.run_once()
+            except Exception:  # noqa: BLE001 - the process must not end, as other connections depend on it
+                self.report_exception("a turn")
 
     def stop(self) -> None:
         """Make `run` return at the end of the current turn."""
@@ -139,7 +143,7 @@
         self._run_turn(ready, self.clock.now_ms())
         turn = self.times.end_turn()
         if turn.took_ms > SLOW_TURN_MS:
-            self._log(f"slow turn: {turn.describe()}")
+            self.call_safely(self._log, f"slow turn: {turn.describe()}")
 
     def _poll(self, wait_s: float | None) -> ReadySockets:
         """Wait until a socket is ready or the wait is over, and record the time of the poll.
@@ -249,9 +253,13 @@
         return True
 
     def report_exception(self, where: str) -> None:
-        """Log the exception that is being handled, as one line that names its source."""
-        lines = traceback.format_exc(limit=-TRACEBACK_FRAMES)
-        self._log(f"unhandled exception in {where}: " + lines.replace("\n", " | "))
+        """Log the exception that is being handled, as one line that names its source.
+
+        If that fails, for example for want of memory, the line is lost.
+        """
+        with contextlib.suppress(Exception):
+            lines = traceback.format_exc(limit=-TRACEBACK_FRAMES)
+            self._log(f"unhandled exception in {where}: " + lines.replace("\n", " | "))
 
     # --- signals and shutdown -----------------------------------------------------------------
 
--- a/tests/net/test_event_loop.py
+++ b/tests/net/test_event_loop.py
@@ -12,6 +12,7 @@
 from function_router.decisions.events import TimerFired
 from function_router.net import clock, event_loop
 from function_router.net.event_loop import READ, EventLoop
+from function_router.net.input_scheduler import InputScheduler
 
 
 class BoomError(Exception):
@@ -292,3 +293,34 @@
     assert failing.has_failed
     assert handled == [True]
     assert recorder.log_lines == []
+
+
+# --- exceptions in the loop's own code --------------------------------------------------------------
+
+
+def raise_memory_error(*_arguments):
+    raise MemoryError
+
+
+# Guards against a process that ends by itself as the log line about an exception cannot be made.
+def test_loop_survives_an_exception_while_it_logs_another_one(exit_stack):
+    loop = EventLoop(raise_memory_error, raise_memory_error)
+    exit_stack.callback(loop.close)
+    loop.timers.call_later(0.0, raise_memory_error)
+    loop.submit(object())
+
+    loop.run_once(0.02)
+
+    assert not loop.call_safely(raise_memory_error)
+
+
+# Guards against a process that ends by itself when memory is short in the loop's own code.
+def test_loop_continues_after_an_exception_of_its_own(loop, log_lines):
+    fired = []
+    loop.timers.call_later(20.0, lambda: (fired.append("timer"), loop.stop()))
+
+    with mock.patch.object(InputScheduler, "run_turn", side_effect=[MemoryError, KeyError, *[0] * 1_000]):
+        loop.run()
+
+    assert fired == ["timer"]
+    assert len([line for line in log_lines if "unhandled exception in a turn" in line]) == 2
