--- a/tests/net/test_event_loop.py
+++ b/tests/net/test_event_loop.py
@@ -315,7 +315,7 @@
 
 
 # Guards against a process that ends by itself when memory is short in the loop's own code.
-def test_loop_continues_after_an_exception_of_its_own(loop, log_lines):
+def test_loop_continues_after_an_exception_of_its_own(loop, recorder):
     fired = []
     loop.timers.call_later(20.0, lambda: (fired.append("timer"), loop.stop()))
 
@@ -323,4 +323,4 @@
         loop.run()
 
     assert fired == ["timer"]
-    assert len([line for line in log_lines if "unhandled exception in a turn" in line]) == 2
+    assert len([line for line in recorder.log_lines if "unhandled exception in a turn" in line]) == 2
