--- a/function_router/net/client_connection.py
+++ b/function_router/net/client_connection.py
@@ -72,6 +72,7 @@
 
     __slots__ = (
         "__weakref__",
+        "_completes_message",
         "_input_memory",
         "_output_memory",
         "_owner",
@@ -89,7 +90,8 @@
         self.messages = ClientMessages()
         self.unhandled = UnhandledMessages()
         self.connection = Connection.accepted(owner.loop, sock, self, earliest_connect_ms)
-        self.connection.read_allowance = lambda: self._input_memory.headroom_bytes
+        self._completes_message = False  # whether to read on whatever memory the input takes
+        self.connection.read_allowance = self._read_allowance
         self.session = ClientSession(owner, self.connection)
 
     # --- connection handler -------------------------------------------------------------------
@@ -100,6 +102,8 @@
     def on_data(self, data: bytes) -> None:
         """Queue the messages that the received bytes complete, and handle the cancellations among them."""
         frames = self.messages.feed(data)
+        if frames:
+            self._completes_message = False
         read_at_ms = self._owner.loop.turn_started_ms
         for number, frame in enumerate(frames, 1):
             if self._withdraw_at_once(frame):
@@ -169,7 +173,7 @@
     def _has_memory_for_input(self) -> bool:
         """Return whether the client may be read; if not, let it be checked again when memory may be free."""
         paused_clients = self._owner.paused_clients
-        if not self._input_memory.is_over_threshold():
+        if self._completes_message or not self._input_memory.is_over_threshold():
             paused_clients.discard(self)
             return True
         if self not in paused_clients:
@@ -177,6 +181,27 @@
             paused_clients.add(self)
         return False
 
+    def _read_allowance(self) -> int:
+        """Return how many bytes one turn may read."""
+        return thrift.MAX_FRAME_BYTES if self._completes_message else self._input_memory.headroom_bytes
+
+    # --- paused client ------------------------------------------------------------------------
+
+    def close_if_disconnected(self) -> None:
+        """Close the connection if the client has, which the event loop does not notice while it is paused."""
+        if self.connection.has_peer_closed():
+            self.connection.close(CloseReason.CLOSED_BY_PEER)
+
+    def can_complete_message(self) -> bool:
+        """Return whether the rest of the message has arrived and can be read at once."""
+        missing_bytes = self.messages.missing_bytes
+        return 0 < missing_bytes <= self.connection.reader.count_unread(missing_bytes)
+
+    def complete_message(self) -> None:
+        """Read on until the message that is received in part is complete."""
+        self._completes_message = True
+        self.update_reading()
+
     def on_flushed(self) -> None:
         """Pause reading from a client that does not read its answers; disconnect it above its limit.
 
@@ -214,9 +239,14 @@
     # --- timeouts -----------------------------------------------------------------------------
 
     def check_timeouts(self, now_ms: float) -> None:
-        """Close the connection if it has been idle for too long, or its next message is overdue."""
+        """Close the connection if it has been idle for too long, or its next message is overdue.
+
+        A message of a paused client is not overdue if the rest of it has arrived.
+        """
         if self.session.pending or self.unhandled:
             return
+        if self in self._owner.paused_clients and self.can_complete_message():
+            return
         if now_ms - self.connection.last_used_ms > IDLE_TIMEOUT_MS:
             self.close_unless_data_arrived()
         elif self.messages.is_overdue(now_ms, self.connection.last_received_ms):
@@ -228,11 +258,6 @@
             self._owner.telemetry.count(CLIENTS_OVER_SHARE, MemoryOwner.CLIENT_INPUT)
             self._close_overdue()
 
-    def close_if_disconnected(self) -> None:
-        """Close the connection if the client has, which the event loop does not notice while it is paused."""
-        if self.connection.has_peer_closed():
-            self.connection.close(CloseReason.CLOSED_BY_PEER)
-
     def _close_overdue(self) -> None:
         if self.messages.has_received_data:
             self.session.fail_pending_and_close(CloseReason.READ_TIMEOUT)
--- a/function_router/net/client_messages.py
+++ b/function_router/net/client_messages.py
@@ -49,6 +49,11 @@
         """The size of the part of a message that has been received."""
         return self._frames.buffered_bytes
 
+    @property
+    def missing_bytes(self) -> int:
+        """How many bytes of the message that is received in part are missing; 0 if that is unknown."""
+        return self._frames.missing_bytes
+
     @property
     def has_received_data(self) -> bool:
         """Whether any data has been received from the client."""
--- a/function_router/net/codecs/thrift_reader.py
+++ b/function_router/net/codecs/thrift_reader.py
@@ -126,6 +126,12 @@
         """The size of the incomplete frame."""
         return len(self._buffer)
 
+    @property
+    def missing_bytes(self) -> int:
+        """How many bytes of the incomplete frame have not been received; 0 if its size is unknown."""
+        size = self._frame_size(0)
+        return 0 if size is None else max(0, _U32.size + size - len(self._buffer))
+
     @property
     def is_skipping(self) -> bool:
         """Whether the rest of an oversized frame, which is discarded, has not been received yet."""
--- a/function_router/net/socket_reader.py
+++ b/function_router/net/socket_reader.py
@@ -2,6 +2,7 @@
 
 import socket
 
+from function_router.net import sockets
 from function_router.net.close_reason import CloseReason, reason_of_broken_connection
 from function_router.net.event_loop import EventLoop
 from function_router.net.receive_timestamps import ANCILLARY_BYTES, receive_delay_ms
@@ -65,6 +66,10 @@
         )
         return data
 
+    def count_unread(self, max_bytes: int) -> int:
+        """Return how many bytes a read of up to `max_bytes` would find, without reading them."""
+        return sockets.count_unread(self._sock, max_bytes)
+
     def should_read_again(self, data: bytes) -> bool:
         """Return whether to read again in this turn after a read that returned `data`.
 
--- a/function_router/net/sockets.py
+++ b/function_router/net/sockets.py
@@ -71,6 +71,14 @@
         return PeekResult.UNKNOWN if is_transient(error) else PeekResult.END
 
 
+def count_unread(sock: socket.socket, max_bytes: int) -> int:
+    """Return how many bytes a read of up to `max_bytes` would find, without reading them."""
+    try:
+        return len(sock.recv(max_bytes, socket.MSG_PEEK))
+    except OSError:  # there is none, or the next read reports the error
+        return 0
+
+
 def has_peer_closed(sock: socket.socket) -> bool:
     """Return whether the peer has closed the connection, even if bytes that it sent before are unread."""
     unread = peek(sock)
