Sort idle connections once when one has to be closed for a new client

Cause: each accept at the limit took the minimum of all idle connections again for each one that could not be closed. Change: they are sorted once. Which connection is closed is the same. Failing before: test_cost_of_an_accept_at_the_limit_grows_in_proportion_to_the_connections.

--- a/function_router/net/client_listener.py
+++ b/function_router/net/client_listener.py
@@ -96,12 +96,8 @@
         closed = [client for client in silent if client.close_unless_data_arrived()]
         if closed:
             return True
-        while idle:
-            candidate = min(idle, key=ClientConnection.eviction_order)
-            idle.remove(candidate)
-            if candidate.close_unless_data_arrived():
-                return True
-        return False
+        candidates = sorted(idle, key=ClientConnection.eviction_order)
+        return any(candidate.close_unless_data_arrived() for candidate in candidates)
 
     # --- connections ----------------------------------------------------------------------------
 
--- a/tests/net/test_client_listener.py
+++ b/tests/net/test_client_listener.py
@@ -5,6 +5,7 @@
 
 import pytest
 from helpers.fake_worker import FakeWorker
+from helpers.function_calls import count_calls
 from helpers.sockets import wait_readable
 
 from function_router.net import client_connection, client_listener, connection, router_process
@@ -117,3 +118,18 @@
     # not accepted.
     with pytest.raises(ConnectionResetError):
         client.sock.recv(1)
+
+
+# Guards against accepts at the connection limit that cost the square of the number of connections.
+def test_cost_of_an_accept_at_the_limit_grows_in_proportion_to_the_connections(start_router):
+    calls = []
+    for count in (20, 80):
+        harness = start_router(limits={"sockets": 1024})
+        listener = harness.router_process.listener
+        clients = [harness.connect_accepted_client() for _ in range(count)]
+        listener._max_connections = count
+        for client in clients:
+            client.sock.sendall(b"\0")  # unread, so that no connection may be closed
+        calls.append(count_calls(lambda listener=listener: listener.ensure_capacity(0)))
+
+    assert calls[1] < 1.5 * (80 / 20) * calls[0]
