Let the bound of the function table follow the size of the fleet

Cause: each function keeps the order of all workers, 8 bytes for each: with 3,200 workers 26 KB beside a record of 4 KB, so that the 1,641 functions of a 64 MB limit could take 48 MB (computed, not run). Found while the table's bytes were written down. Change: the maximum is the share of the memory divided by record and order; the table shrinks when the fleet grows. Failing before: test_number_of_functions_follows_the_number_of_workers, whose setting did not exist; the count was the same for any fleet.

--- a/function_router/config/conversion.py
+++ b/function_router/config/conversion.py
@@ -48,7 +48,7 @@
 def with_memory_limits(settings: Settings, memory: MemoryPlan) -> Settings:
     """Return the settings of the decision module with tables that fit into the memory of the process."""
     return msgspec.structs.replace(
-        settings, max_functions=memory.max_functions, max_pending_probes=memory.max_pending_probes
+        settings, functions_bytes=memory.functions_bytes, max_pending_probes=memory.max_pending_probes
     )
 
 
--- a/function_router/config/memory.py
+++ b/function_router/config/memory.py
@@ -24,10 +24,6 @@
 
 # Minimum for answers in part: two of the largest answers that the codec accepts.
 MIN_WORKER_INPUT_BYTES = 2 * 320 * 1024
-# Memory of a function's record in the decision module, with its pools at a few workers.
-FUNCTION_BYTES = 4 * 1024
-# The function table of a usual deployment; more functions don't improve its decisions.
-MAX_FUNCTIONS = 2_000
 # Memory of a pending probe: its exchange, its frame and its timer.
 PROBE_BYTES = 1024
 
@@ -77,11 +73,6 @@
             probes_bytes=int(0.05 * total_bytes),
         )
 
-    @property
-    def max_functions(self) -> int:
-        """Maximum number of functions in the decision module's table."""
-        return min(MAX_FUNCTIONS, self.functions_bytes // FUNCTION_BYTES)
-
     @property
     def max_pending_probes(self) -> int:
         """Maximum number of pending probes for functions without a known instance."""
--- a/function_router/decisions/fleet.py
+++ b/function_router/decisions/fleet.py
@@ -22,7 +22,7 @@
     def __init__(self, settings: Settings, seed: int, outbox: Outbox) -> None:
         self.process_identity = ProcessIdentity()
         self.workers = WorkerTable(settings, self.process_identity)
-        self.functions = FunctionTable(settings.max_functions)
+        self.functions = FunctionTable(settings)
         self.arrivals = Arrivals(settings)
         self.durations = Durations(settings.shortest_objective_ms)
         self.slow_start = SlowStart(settings, self.workers, self.arrivals, seed)
@@ -43,6 +43,7 @@
     def update_endpoints(self, event: EndpointsChanged, now_ms: float) -> None:
         """Apply a complete endpoint list or the changes in it."""
         self.workers.update(event, now_ms)
+        self.functions.set_worker_count(len(self.workers.by_id))
         self.health.recount_unresponsive()
 
     def evict_unused(self, now_ms: float) -> None:
--- a/function_router/decisions/functions.py
+++ b/function_router/decisions/functions.py
@@ -4,8 +4,13 @@
 
 from function_router.decisions.events import RequestArrived
 from function_router.decisions.records import Function, Worker
+from function_router.decisions.settings import Settings
 from function_router.hashing import hash64
 
+# Memory of a function's record with its pools at a few workers, and of its entry in the order of each worker.
+FUNCTION_BYTES = 4_096
+ORDER_ENTRY_BYTES = 8
+
 # How long a function without requests is kept.
 IDLE_FUNCTION_TTL_MS = 60_000.0
 
@@ -29,9 +34,10 @@
         by_name: The functions by name.
     """
 
-    def __init__(self, max_functions: int) -> None:
+    def __init__(self, settings: Settings) -> None:
         self.by_name: dict[str, Function] = {}
-        self._max_functions = max_functions
+        self._settings = settings
+        self._max_functions = settings.max_functions
         self._rejected_count = 0
         # The functions of both segments, with those whose last requests are oldest first.
         self._probationary: OrderedDict[str, Function] = OrderedDict()
@@ -44,6 +50,13 @@
         rejected = f", {rejected_count} requests rejected" if rejected_count else ""
         return f"functions {len(self.by_name)} of {self._max_functions}{rejected}"
 
+    def set_worker_count(self, worker_count: int) -> None:
+        """Adapt the maximum to the number of workers, whose order is kept for each function."""
+        settings = self._settings
+        if settings.functions_bytes:
+            function_bytes = FUNCTION_BYTES + ORDER_ENTRY_BYTES * worker_count
+            self._max_functions = min(settings.max_functions, settings.functions_bytes // function_bytes)
+
     def find_or_add(self, event: RequestArrived) -> Function | None:
         """Return the function of a request, added if missing, and updated by the request's properties.
 
@@ -78,11 +91,11 @@
         self._protected[function.name] = self._probationary.pop(function.name)
 
     def _make_room(self) -> bool:
-        """Return whether a function may be added, after evicting another one if the table is full."""
-        if len(self.by_name) < self._max_functions:
-            return True
+        """Return whether a function may be added, after evicting others if the table is full."""
         in_use_count = 0
-        while in_use_count < MAX_EXAMINED:
+        while len(self.by_name) >= self._max_functions:
+            if in_use_count == MAX_EXAMINED:
+                return False
             segment = self._segment_to_evict_from()
             function = next(iter(segment.values()))
             if function.was_served and segment is self._probationary:
@@ -92,8 +105,7 @@
                 segment.move_to_end(function.name)
             else:
                 self._evict(function)
-                return True
-        return False
+        return True
 
     def _segment_to_evict_from(self) -> OrderedDict[str, Function]:
         """Return the segment whose oldest function is evicted first; the table must not be empty."""
--- a/function_router/decisions/settings.py
+++ b/function_router/decisions/settings.py
@@ -56,6 +56,7 @@
     overload_multiple: float = 2.0  # multiple of its capacity above which a worker in slow start fails
 
     max_functions: int = 2_000  # maximum number of functions that are known at the same time
+    functions_bytes: int = 0  # maximum memory of these functions; 0: no such limit
     max_pending_probes: int = 4_000  # maximum number of pending probes for functions without known instances
 
     @property
--- a/tests/decisions/test_functions.py
+++ b/tests/decisions/test_functions.py
@@ -5,7 +5,8 @@
 from helpers.function_calls import count_calls
 
 from function_router.decisions.actions import RejectRequest
-from function_router.decisions.events import RequestCancelled
+from function_router.decisions.events import Endpoint, EndpointsChanged, RequestCancelled
+from function_router.decisions.functions import FUNCTION_BYTES
 
 MAX_FUNCTIONS = 40
 
@@ -98,6 +99,33 @@
     harness.report_instances(order.worker_id, 1, "starting")  # must not fail
 
 
+# Guards against a large fleet, where the order of its workers takes more memory than a record of a function.
+def test_number_of_functions_follows_the_number_of_workers():
+    functions_bytes = 100 * FUNCTION_BYTES
+    counts = []
+    for workers in (4, 512):
+        harness = DecisionHarness(workers=workers, functions_bytes=functions_bytes)
+        for number in range(200):
+            harness.request(f"r{number}", f"f{number}")
+            harness.feed(RequestCancelled(f"r{number}"))
+        counts.append(len(names(harness)))
+
+    assert counts == [99, 50]
+
+
+def test_table_shrinks_when_workers_are_added():
+    harness = DecisionHarness(workers=4, functions_bytes=100 * FUNCTION_BYTES)
+    for number in range(99):
+        harness.request(f"r{number}", f"f{number}")
+        harness.feed(RequestCancelled(f"r{number}"))
+    added = [Endpoint(worker_id) for worker_id in range(1, 513)]
+
+    harness.feed(EndpointsChanged(added, is_complete=True))
+    harness.request("r", "new")
+
+    assert len(names(harness)) == 50
+
+
 # Guards against an arrival that sorted and searched the whole table once it was full.
 @pytest.mark.parametrize("is_rejected", [True, False], ids=["rejected", "admitted"])
 def test_arrival_at_a_full_table_costs_the_same_at_any_size(is_rejected):
