Take a client for stalled only if the rest of its message has not arrived

Cause, three parts, all in this change set: a read that ended within the four bytes of a frame's size left the message without a known size, which counted as 'has not arrived'; the time of an incomplete first message ran from the connect; and a client that was over its share and not paused yet was not asked at all. Paused clients that have gone are examined 256 at a time, as a busy machine's turns are long. Failing before: two cases of test_message_of_which_only_a_few_bytes_are_read_can_be_completed, 'assert False'.

--- a/function_router/net/client_connection.py
+++ b/function_router/net/client_connection.py
@@ -251,13 +251,16 @@
             self.close_unless_data_arrived()
         elif self.messages.is_overdue(now_ms, self.connection.last_received_ms):
             self._close_overdue()
-        elif (
-            self._input_memory.is_over_threshold()
-            and self.messages.partial_ms(now_ms) > MESSAGE_TIMEOUT_WITHOUT_MEMORY_MS
-        ):
+        elif self._stalls_over_share(now_ms):
             self._owner.telemetry.count(CLIENTS_OVER_SHARE, MemoryOwner.CLIENT_INPUT)
             self._close_overdue()
 
+    def _stalls_over_share(self, now_ms: float) -> bool:
+        """Return whether the client uses more than its share for a message that it does not complete."""
+        if not self._input_memory.is_over_threshold() or self.can_complete_message():
+            return False
+        return self.messages.partial_ms(now_ms) > MESSAGE_TIMEOUT_WITHOUT_MEMORY_MS
+
     def _close_overdue(self) -> None:
         if self.messages.has_received_data:
             self.session.fail_pending_and_close(CloseReason.READ_TIMEOUT)
--- a/function_router/net/client_messages.py
+++ b/function_router/net/client_messages.py
@@ -30,7 +30,7 @@
         has_received_message: Whether a complete message, valid or not, has been received.
     """
 
-    __slots__ = ("_chunk_count", "_frames", "_waiting_since_ms", "has_received_message")
+    __slots__ = ("_chunk_count", "_frames", "_partial_since_ms", "_waiting_since_ms", "has_received_message")
 
     def __init__(self) -> None:
         """Start to wait for the first message."""
@@ -38,6 +38,7 @@
         self._frames = thrift.FrameReader()
         self._chunk_count = 0  # reads since the last one that completed a message, which counts as well
         self._waiting_since_ms = monotonic_ms()  # when the client connected, or the partial message began
+        self._partial_since_ms = self._waiting_since_ms  # when the partial message began
 
     @property
     def has_partial_message(self) -> bool:
@@ -51,7 +52,7 @@
 
     @property
     def missing_bytes(self) -> int:
-        """How many bytes of the message that is received in part are missing; 0 if that is unknown."""
+        """How many bytes of the message that is received in part are missing, at least; 0 without one."""
         return self._frames.missing_bytes
 
     @property
@@ -61,12 +62,14 @@
 
     def partial_ms(self, now_ms: float) -> float:
         """Return how long ago the message that is received in part began; 0 if there is none."""
-        return now_ms - self._waiting_since_ms if self._frames.has_partial_frame else 0.0
+        return now_ms - self._partial_since_ms if self._frames.has_partial_frame else 0.0
 
     def feed(self, data: bytes) -> list[thrift.Frame]:
         """Add received bytes; return the messages that they complete, in order and not parsed yet."""
         had_partial_message = self._frames.has_partial_frame
         frames = self._frames.feed(data)
+        if frames or not had_partial_message:
+            self._partial_since_ms = monotonic_ms()
         if frames or (self.has_received_message and not had_partial_message):
             self._waiting_since_ms = monotonic_ms()
         if frames:
--- a/function_router/net/codecs/thrift_reader.py
+++ b/function_router/net/codecs/thrift_reader.py
@@ -128,9 +128,12 @@
 
     @property
     def missing_bytes(self) -> int:
-        """How many bytes of the incomplete frame have not been received; 0 if its size is unknown."""
+        """How many bytes of the incomplete frame have not been received, at least; 0 if there is none."""
+        if not self._buffer:
+            return 0
         size = self._frame_size(0)
-        return 0 if size is None else max(0, _U32.size + size - len(self._buffer))
+        frame_bytes = _U32.size + (MIN_MESSAGE_BYTES if size is None else size)
+        return max(0, frame_bytes - len(self._buffer))
 
     @property
     def is_skipping(self) -> bool:
--- a/function_router/net/paused_clients.py
+++ b/function_router/net/paused_clients.py
@@ -10,7 +10,7 @@
 RESUME_INTERVAL_MS = 20.0
 # Maximum number of clients that are examined at each of these times, in turn: whether they have disconnected,
 # and whether the rest of their message has arrived.
-MAX_EXAMINED = 64
+MAX_EXAMINED = 256
 # Maximum number of clients whose messages are completed at each of these times though the memory is used up.
 # Without them, incomplete messages could use it up, and none of them would ever be completed.
 MAX_COMPLETED = 4
--- a/tests/net/test_client_memory.py
+++ b/tests/net/test_client_memory.py
@@ -6,6 +6,8 @@
 from helpers.client_messages import AnswerKind
 from helpers.fake_worker import FakeWorker
 
+from function_router.net.client_connection import MESSAGE_TIMEOUT_WITHOUT_MEMORY_MS
+from function_router.net.clock import monotonic_ms
 from function_router.net.codecs import thrift
 from function_router.net.paused_clients import MAX_COMPLETED
 
@@ -150,3 +152,33 @@
 
     assert not usual.is_closed
     assert memory.client_input.used_bytes <= max_input_bytes(memory)
+
+
+# Guards against a request that is taken for a stalled one as a read has ended within the size of its frame.
+@pytest.mark.parametrize("read_bytes", [1, 3, 4, 9])
+def test_message_of_which_only_a_few_bytes_are_read_can_be_completed(harness, read_bytes):
+    client = harness.connect_accepted_client()
+    [connection] = harness.router_process.listener.connections
+    client.send_request(call="ab" * 8)
+    connection.on_data(connection.connection._sock.recv(read_bytes))
+
+    can_complete = connection.can_complete_message()
+    connection.complete_message()
+    harness.run_until(lambda: harness.table.pending, "the request is pending")
+
+    assert can_complete
+
+
+# Guards against a request whose client is taken for one that stalls as it had connected long before.
+def test_client_over_its_share_whose_message_has_arrived_is_not_closed(harness, memory):
+    client = harness.connect_client()
+    harness.run_until(lambda: harness.router_process.listener.connections, "the client is accepted")
+    [connection] = harness.router_process.listener.connections
+    memory.client_input.add(memory.client_input.capacity_bytes, memory.client_input.capacity_bytes)
+    client.send_request(body=LARGE_BODY, call="ab" * 8)
+    connection.on_data(connection.connection._sock.recv(10_000))
+
+    connection.check_timeouts(monotonic_ms() + MESSAGE_TIMEOUT_WITHOUT_MEMORY_MS + 1.0)
+
+    assert connection.messages.partial_ms(monotonic_ms()) < MESSAGE_TIMEOUT_WITHOUT_MEMORY_MS
+    assert not connection.connection.is_closing
