Soak: draw the ids of bulk withdrawals and floods from seeds of their own

A fault of the test, not of the router: no rule is changed, and an id of one kind of client can't be drawn by another any more.

--- a/soak/clients.py
+++ b/soak/clients.py
@@ -36,7 +36,9 @@
         self._functions = [f"{self._rng.getrandbits(64):016x}" for _ in range(function_count)]
         self._weights = [1 / (rank + 1) for rank in range(function_count)]  # Zipf's law
         # Encoded once and before the traffic, as encoding takes long enough to delay the other clients.
-        self._withdrawn_requests = encode_withdrawn_requests(self._functions, random.Random(seed))
+        # Their ids are drawn from another seed than those of the usual requests, as they must differ.
+        bulk_rng = random.Random(f"bulk withdrawals of {seed}")
+        self._withdrawn_requests = encode_withdrawn_requests(self._functions, bulk_rng)
         self._command = ClientsCommand([], 0.0)
         self._connections = ClientConnections(self._rng, connections_per_router)
         self._requests = RequestClient(self._connections, recorder, self._rng)
--- a/soak/floods.py
+++ b/soak/floods.py
@@ -158,7 +158,7 @@
     kind, router, port, client_count, seconds, seed, record_path = arguments
     recorder = Recorder(Path(record_path))
     until = time.monotonic() + float(seconds)
-    flood = Flood(int(router), int(port), until, random.Random(int(seed)), recorder)
+    flood = Flood(int(router), int(port), until, random.Random(f"flood of {seed}"), recorder)
     await flood.run(kind, int(client_count))
     recorder.close()
 
