Log when the heartbeats of the endpoint log are late, by how much and on what evidence

Change: `HeartbeatTimeline` bounds from below when each heartbeat was sent: the first one not before the request, each next one at least an interval after the one before. No decision uses it.

--- a/function_router/net/endpoint_list_status.py
+++ b/function_router/net/endpoint_list_status.py
@@ -4,8 +4,11 @@
 
 from function_router.decisions.events import EndpointListConfirmed, EndpointListInterrupted
 from function_router.decisions.router import Router
+from function_router.net.endpoint_log_lateness import EndpointLogLateness
 from function_router.net.event_loop import EventLoop
+from function_router.net.heartbeat_timeline import HeartbeatTimeline
 from function_router.net.start_times import StartTimes
+from function_router.net.telemetry import WITHHELD, Telemetry
 
 
 class EndpointListStatus:
@@ -17,7 +20,7 @@
         loop: EventLoop,
         start_times: StartTimes,
         read_last_sequence: Callable[[], int],
-        log: Callable[[str], None],
+        telemetry: Telemetry,
     ) -> None:
         """Create the status of a list that the log has not confirmed yet.
 
@@ -26,17 +29,22 @@
             loop: The event loop, to which events for the decision module are submitted.
             start_times: The converter of start times, which also has to know when the list was confirmed.
             read_last_sequence: Returns the sequence number of the last event that was applied.
-            log: Called with the text of a log line.
+            telemetry: Writes the log lines, and counts the requests that are withheld from workers.
         """
         self._router = router
         self._loop = loop
         self._start_times = start_times
         self._read_last_sequence = read_last_sequence
-        self._log = log
+        self._log = telemetry.log
+        self._lateness = EndpointLogLateness(lambda: telemetry.totals[WITHHELD], telemetry.log)
         self._created_at_ms = loop.clock.now_ms()
         self._confirmed_at_ms: float | None = None
         self._is_stale = False
 
+    def on_heartbeat(self, timeline: HeartbeatTimeline) -> None:
+        """Report a heartbeat of the log, whatever the number in it, with what is known of its send time."""
+        self._lateness.record_heartbeat(timeline, self._loop.previous_poll_ms)
+
     def on_confirmed(self) -> None:
         """Report that all events of the log have been received.
 
--- a/function_router/net/endpoint_log_client.py
+++ b/function_router/net/endpoint_log_client.py
@@ -11,6 +11,7 @@
 from function_router.net.close_reason import CloseReason
 from function_router.net.connection import Connection
 from function_router.net.event_loop import EventLoop
+from function_router.net.heartbeat_timeline import HEARTBEAT_INTERVAL_MS, HeartbeatTimeline
 from function_router.net.timer_wheel import Timer
 
 # Silence after which events are requested again. The log sends a heartbeat each second. If a silent log
@@ -22,9 +23,8 @@
 # Delay of a reconnect. If an event is published while the connection is broken, the router is expected to
 # know the event 2 s after its publication.
 RECONNECT_DELAY_MS = 200.0
-# Interval of the heartbeats of the log. The log sends the first one within this time after a request.
-HEARTBEAT_INTERVAL_MS = 1_000.0
-# Maximum time by which the first line after a request may exceed HEARTBEAT_INTERVAL_MS. A first line that
+# The log sends the first heartbeat within HEARTBEAT_INTERVAL_MS after a request.
+# Maximum time by which the first line after a request may exceed that interval. A first line that
 # arrives later than that shows that all lines of the log are delayed by as much.
 MAX_FIRST_LINE_DELAY_MS = 300.0
 # Time after which a log whose lines are delayed is requested again, as the delay may have passed.
@@ -78,6 +78,7 @@
         self._last_line_ms = now_ms  # when the last complete line arrived
         self._requested_ms: float | None = None  # when events were requested; None after the first line
         self._is_delayed = False  # whether the first line took too long
+        self._timeline = HeartbeatTimeline(now_ms)  # of the current connection
         self._partial_line = b""
 
     @property
@@ -90,6 +91,11 @@
         """Whether the first line took so long that the heartbeats of the log are out of date."""
         return self._is_delayed
 
+    def record_heartbeat(self) -> HeartbeatTimeline:
+        """Record a heartbeat that was just received, and return what is known of the heartbeats so far."""
+        self._timeline.record_heartbeat(monotonic_ms())
+        return self._timeline
+
     # --- connecting -----------------------------------------------------------------------------
 
     def connect(self) -> None:
@@ -174,6 +180,7 @@
         """Request the events after the last applied one."""
         self._last_line_ms = monotonic_ms()
         self._requested_ms = self._last_line_ms
+        self._timeline = HeartbeatTimeline(self._last_line_ms)
         if self._connection is not None:
             self._connection.write(REQUEST_FORMAT % self._read_last_sequence())
 
--- a/function_router/net/endpoint_watch.py
+++ b/function_router/net/endpoint_watch.py
@@ -1,6 +1,7 @@
 """The watch on the endpoint log, which applies events in order and requests missing events again."""
 
 from collections.abc import Callable, Iterable
+from typing import Protocol
 
 from function_router.config import (
     INITIAL_EVENTS_KEY,
@@ -12,6 +13,7 @@
 from function_router.net.endpoint_log_client import EndpointLogClient
 from function_router.net.endpoint_messages import EndpointEvent, SequenceAnnouncement, parse_line
 from function_router.net.event_loop import EventLoop
+from function_router.net.heartbeat_timeline import HeartbeatTimeline
 from function_router.net.sequence_tracker import InvalidLineResponse, SequenceTracker, SyncState
 
 # Maximum length of an invalid line that a log line quotes, and of an invalid event that an error message
@@ -20,6 +22,19 @@
 MAX_QUOTED_EVENT_CHARACTERS = 80
 
 
+class EndpointLogObserver(Protocol):
+    """Is notified of what the endpoint log shows about the age of the endpoint list."""
+
+    def on_heartbeat(self, timeline: HeartbeatTimeline) -> None:
+        """Handle a heartbeat, whatever the number in it."""
+
+    def on_confirmed(self) -> None:
+        """Handle an announcement in time by which all events of the log have been applied or skipped."""
+
+    def on_interrupted(self) -> None:
+        """Handle that the watch does not follow the log any more, or not yet."""
+
+
 class EndpointWatch:
     """Follows the endpoint log, and applies each event once and in order.
 
@@ -33,9 +48,7 @@
         address: The address on which the log listens.
         on_endpoints: Called with the endpoint list of each event; a ConfigurationError that the callback
             raises makes the event invalid.
-        on_caught_up: Called when an announcement that is not delayed shows that all events of the log have
-            been applied or skipped.
-        on_interrupted: Called when the watch does not follow the log any more, or not yet.
+        observer: Is notified of heartbeats, confirmations and interruptions.
         log: Called with the text of a log line.
 
     Attributes:
@@ -47,17 +60,16 @@
         loop: EventLoop,
         address: Address,
         on_endpoints: Callable[[EndpointList], None],
-        on_caught_up: Callable[[], None],
-        on_interrupted: Callable[[], None],
+        observer: EndpointLogObserver,
         log: Callable[[str], None],
     ) -> None:
         """Create a watch on the log at `address`, from the first event or after `apply_initial_events`."""
         self._on_endpoints = on_endpoints
-        self._on_caught_up = on_caught_up
+        self._observer = observer
         self._log = log
         self._tracker = SequenceTracker(0)
         self.client = EndpointLogClient(
-            loop, address, self._on_line, lambda: self.last_sequence, on_interrupted, log
+            loop, address, self._on_line, lambda: self.last_sequence, observer.on_interrupted, log
         )
 
     @property
@@ -96,13 +108,14 @@
 
     def _on_announcement(self, sequence: int) -> None:
         self.client.reset_backoff()
+        self._observer.on_heartbeat(self.client.record_heartbeat())
         may_repeat_request = self.client.may_repeat_request
         state = self._tracker.record_announcement(sequence, may_repeat_request=may_repeat_request)
         if state is SyncState.SNAPSHOT_REVOKED:
             self.client.request_again(f"last event {sequence} precedes the received snapshot")
         elif state is SyncState.CAUGHT_UP:
             if not self.client.is_delayed:
-                self._on_caught_up()
+                self._observer.on_confirmed()
         elif state is SyncState.EVENTS_MISSING:
             self.client.request_again(f"events up to {sequence} are missing")
 
--- /dev/null
+++ b/function_router/net/heartbeat_timeline.py
@@ -0,0 +1,59 @@
+"""A lower bound of the time at which the endpoint log sent its last heartbeat.
+
+A heartbeat has no time stamp. It may arrive late, as the log or the network may delay all lines of a
+connection, so its arrival says only that it was not sent later. Two facts say how long before the arrival it
+may have been sent. The log sends the first heartbeat after it has received the request, thus not before the
+request was sent. It sends the next ones at an interval, thus each at least one interval after the previous
+one.
+
+If the lines are in time, the bound is exact at the first heartbeat. It falls behind by what the log's
+intervals are longer in reality, and becomes exact again with a new request. (Bounds from a request and its
+answer: Cristian, "Probabilistic Clock Synchronization", 1989.)
+"""
+
+# Interval of the heartbeats of the log.
+HEARTBEAT_INTERVAL_MS = 1_000.0
+# Maximum time by which an interval may be shorter than HEARTBEAT_INTERVAL_MS. A line that arrives earlier is
+# not one of the periodic heartbeats, so nothing is known of the time since the previous one.
+MAX_EARLY_MS = 20.0
+
+
+class HeartbeatTimeline:
+    """Bounds the send times of the heartbeats on one connection. All times are on the monotonic clock.
+
+    Attributes:
+        requested_ms: When the events were requested on the connection.
+        count: Number of heartbeats received, without those that came too early.
+        sent_ms: The time at which the last heartbeat was sent, or an earlier one; None before the first
+            heartbeat.
+    """
+
+    __slots__ = ("count", "requested_ms", "sent_ms")
+
+    def __init__(self, requested_ms: float) -> None:
+        self.requested_ms = requested_ms
+        self.count = 0
+        self.sent_ms: float | None = None
+
+    @property
+    def next_due_ms(self) -> float:
+        """The time at which the next heartbeat is sent at the latest, if none is late."""
+        last_ms = self.requested_ms if self.sent_ms is None else self.sent_ms
+        return last_ms + HEARTBEAT_INTERVAL_MS
+
+    def record_heartbeat(self, read_ms: float) -> float:
+        """Record a heartbeat that was read from the connection, and return `sent_ms`.
+
+        Args:
+            read_ms: When it was read. It may have arrived long before, as the process may have been
+                suspended.
+        """
+        if self.sent_ms is None:
+            self.count = 1
+            self.sent_ms = self.requested_ms
+            return self.sent_ms
+        is_periodic = self.sent_ms + HEARTBEAT_INTERVAL_MS <= read_ms + MAX_EARLY_MS
+        if is_periodic:
+            self.count += 1
+            self.sent_ms = min(self.sent_ms + HEARTBEAT_INTERVAL_MS, read_ms)
+        return self.sent_ms
--- a/function_router/net/router_process.py
+++ b/function_router/net/router_process.py
@@ -123,20 +123,18 @@
     def _create_endpoint_list_status(self) -> EndpointListStatus:
         """Create the status of the endpoint list; the endpoint watch that it refers to is created later."""
         return EndpointListStatus(
-            self.router, self.loop, self._start_times, lambda: self.endpoint_watch.last_sequence, self.log
+            self.router,
+            self.loop,
+            self._start_times,
+            lambda: self.endpoint_watch.last_sequence,
+            self.telemetry,
         )
 
     def _create_endpoint_watch(self) -> EndpointWatch:
         """Create the endpoint watch, and apply the initial events of the configuration."""
         registry = EndpointRegistry(self.pool, self.loop.submit, self._start_times, self.log)
-        status = self.endpoint_list_status
         watch = EndpointWatch(
-            self.loop,
-            self.config.endpoint_log,
-            registry.apply,
-            status.on_confirmed,
-            status.on_interrupted,
-            self.log,
+            self.loop, self.config.endpoint_log, registry.apply, self.endpoint_list_status, self.log
         )
         watch.apply_initial_events(self.config.initial_events, self.config.initial_sequence)
         return watch
--- a/function_router/net/telemetry.py
+++ b/function_router/net/telemetry.py
@@ -31,19 +31,23 @@
     Attributes:
         log: Writes the log lines.
         counters: The counters since they were last logged.
+        totals: The counters since the start.
         invariants: The run-time checks, which write to the same log.
     """
 
-    __slots__ = ("counters", "invariants", "log")
+    __slots__ = ("counters", "invariants", "log", "totals")
 
     def __init__(self, log: RateLimitedLog) -> None:
         self.log = log
         self.counters: Counter[str] = Counter()
+        self.totals: Counter[str] = Counter()
         self.invariants = InvariantMonitor(log)
 
     def count(self, name: str, detail: str = "") -> None:
         """Add one to a counter; `detail` distinguishes counters of the same name."""
-        self.counters[f"{name} {detail}" if detail else name] += 1
+        counter = f"{name} {detail}" if detail else name
+        self.counters[counter] += 1
+        self.totals[counter] += 1
 
     def take_counters(self) -> str:
         """Return the counters as one line and reset them; the line is empty if nothing was counted."""
