Request the last event once more to tell a late log from one whose heartbeat waits

With a log that sends its first heartbeat up to a second after a request, as the protocol allows, the commit before takes every line for late: workers are asked for ever, 8 health checks in 6 s at 50 requests a second. Cause: the first heartbeat counts from the request, as nothing else bounds when it was sent. Change: if it comes over 100 ms after the request, the next request is for the last event, too. The log sends events at once: one in time shows that lines are in time, and that the heartbeat behind it counts from its arrival, less what the event took. Tests: test_log_that_sends_its_first_heartbeat_late_is_not_taken_for_a_late_log fails on the commit before in both cases (`assert 8 == 0`). Open: if the lines become late just between the event and the heartbeat, by less than a second, that passes for the log's wait until the next request.

--- a/function_router/net/endpoint_log_connection.py
+++ b/function_router/net/endpoint_log_connection.py
@@ -28,8 +28,8 @@
 class EndpointLogConnectionOwner(Protocol):
     """The owner of connections to the endpoint log, which is notified of their events."""
 
-    def read_last_sequence(self) -> int:
-        """Return the sequence number after which events are requested."""
+    def sequence_to_request(self, *, repeats_event: bool) -> int:
+        """Return the sequence number after which events are requested, to get the last one again or not."""
 
     def on_requested(self, connection: "EndpointLogConnection", /) -> None:
         """Handle that the connection was established and the events have been requested on it."""
@@ -49,8 +49,9 @@
         timeline: What is known of the heartbeats; before the request, as if it were sent at the connect.
     """
 
-    def __init__(self, owner: EndpointLogConnectionOwner) -> None:
+    def __init__(self, owner: EndpointLogConnectionOwner, *, repeats_event: bool) -> None:
         """Create an object without a TCP connection, for `connect`."""
+        self._repeats_event = repeats_event
         self.is_requested = False
         self.timeline = HeartbeatTimeline(monotonic_ms())
         self._owner = owner
@@ -61,13 +62,19 @@
 
     @classmethod
     def connect(
-        cls, loop: EventLoop, address: Address, owner: EndpointLogConnectionOwner
+        cls, loop: EventLoop, address: Address, owner: EndpointLogConnectionOwner, *, repeats_event: bool
     ) -> "EndpointLogConnection | CloseReason":
         """Start to connect to the log.
 
         If connecting fails at once, the reason is returned instead, and the owner is not notified.
+
+        Args:
+            loop: The event loop.
+            address: The address on which the log listens.
+            owner: Is notified of the lines and of the end of the connection.
+            repeats_event: Whether the last event is requested once more, as the log sends it at once.
         """
-        log_connection = cls(owner)
+        log_connection = cls(owner, repeats_event=repeats_event)
         connection = Connection.connect(loop, address, log_connection, CONNECT_TIMEOUT_MS)
         if isinstance(connection, CloseReason):
             return connection
@@ -96,7 +103,8 @@
         self.timeline = HeartbeatTimeline(now_ms)
         self._last_line_ms = now_ms
         if self._connection is not None:
-            self._connection.write(REQUEST_FORMAT % self._owner.read_last_sequence())
+            sequence = self._owner.sequence_to_request(repeats_event=self._repeats_event)
+            self._connection.write(REQUEST_FORMAT % sequence)
         self._owner.on_requested(self)
 
     def on_flushed(self) -> None:
--- a/function_router/net/endpoint_watch.py
+++ b/function_router/net/endpoint_watch.py
@@ -58,6 +58,7 @@
 
     Attributes:
         client: The client of the endpoint log, which has the connection.
+        is_last_event_complete: Whether the last event that was applied has a complete list.
     """
 
     def __init__(
@@ -73,9 +74,8 @@
         self._observer = observer
         self._log = telemetry.log
         self._tracker = SequenceTracker(0)
-        self.client = EndpointLogClient(
-            loop, address, self._on_line, lambda: self.last_sequence, observer.on_interrupted, telemetry
-        )
+        self.is_last_event_complete = False
+        self.client = EndpointLogClient(loop, address, self, telemetry)
 
     @property
     def last_sequence(self) -> int:
@@ -104,16 +104,26 @@
 
     # --- callbacks of the client ----------------------------------------------------------------
 
-    def _on_line(self, line: bytes) -> None:
+    def on_interrupted(self) -> None:
+        """Report that the watch does not follow the log any more, or not yet."""
+        self._observer.on_interrupted()
+
+    def on_line(self, line: bytes) -> None:
+        """Apply an event, compare an announcement with the position, or handle an invalid line."""
         message = parse_line(line)
         if isinstance(message, SequenceAnnouncement):
             self._on_announcement(message.sequence)
-        elif message is None or not self._try_apply(message):
+            return
+        if message is not None:
+            self.client.record_event()
+        if message is None or not self._try_apply(message):
             self._on_invalid_line(message, line)
 
     def _on_announcement(self, sequence: int) -> None:
         self.client.reset_backoff()
         timeline = self.client.record_heartbeat()
+        if timeline is None:
+            return
         self._observer.on_heartbeat(timeline)
         may_repeat_request = self.client.may_repeat_request
         state = self._tracker.record_announcement(sequence, may_repeat_request=may_repeat_request)
@@ -155,6 +165,7 @@
             return False
         if not self._deliver(event):
             return False
+        self.is_last_event_complete = event.is_snapshot
         self._tracker.record_applied(event.sequence, is_after_gap=is_after_gap, is_snapshot=event.is_snapshot)
         self.client.reset_backoff()
         return True
--- a/function_router/net/heartbeat_timeline.py
+++ b/function_router/net/heartbeat_timeline.py
@@ -6,6 +6,10 @@
 request was sent. It sends the next ones at an interval, thus each at least one interval after the previous
 one.
 
+A log may send the first heartbeat up to an interval after the request. It sends events at once, though: if an
+event came in time before the first heartbeat, the lines were in time, and so was the heartbeat, unless they
+have become late in between.
+
 If the lines are in time, the bound is exact at the first heartbeat. It falls behind by what the log's
 intervals are longer in reality, and becomes exact again with a new request. (Bounds from a request and its
 answer: Cristian, "Probabilistic Clock Synchronization", 1989.)
@@ -16,6 +20,8 @@
 # Maximum time by which an interval may be shorter than HEARTBEAT_INTERVAL_MS. A line that arrives earlier is
 # not one of the periodic heartbeats, so nothing is known of the time since the previous one.
 MAX_EARLY_MS = 20.0
+# Maximum time from a request to a first line that counts as in time.
+MAX_FIRST_LINE_DELAY_MS = 100.0
 
 
 class HeartbeatTimeline:
@@ -24,15 +30,18 @@
     Attributes:
         requested_ms: When the events were requested on the connection.
         count: Number of heartbeats received, without those that came too early.
+        first_delay_ms: The time from the request to the first heartbeat; None before it.
         sent_ms: The time at which the last heartbeat was sent, or an earlier one; None before the first
             heartbeat.
     """
 
-    __slots__ = ("count", "requested_ms", "sent_ms")
+    __slots__ = ("_first_event_ms", "count", "first_delay_ms", "requested_ms", "sent_ms")
 
     def __init__(self, requested_ms: float) -> None:
         self.requested_ms = requested_ms
         self.count = 0
+        self.first_delay_ms: float | None = None
+        self._first_event_ms: float | None = None  # when the first event was read
         self.sent_ms: float | None = None
 
     @property
@@ -41,6 +50,11 @@
         last_ms = self.requested_ms if self.sent_ms is None else self.sent_ms
         return last_ms + HEARTBEAT_INTERVAL_MS
 
+    def record_event(self, read_ms: float) -> None:
+        """Record an event that was read from the connection."""
+        if self._first_event_ms is None:
+            self._first_event_ms = read_ms
+
     def record_heartbeat(self, read_ms: float) -> float:
         """Record a heartbeat that was read from the connection, and return `sent_ms`.
 
@@ -50,10 +64,21 @@
         """
         if self.sent_ms is None:
             self.count = 1
-            self.sent_ms = self.requested_ms
+            self.first_delay_ms = read_ms - self.requested_ms
+            self.sent_ms = self._first_sent_ms(read_ms)
             return self.sent_ms
         is_periodic = self.sent_ms + HEARTBEAT_INTERVAL_MS <= read_ms + MAX_EARLY_MS
         if is_periodic:
             self.count += 1
             self.sent_ms = min(self.sent_ms + HEARTBEAT_INTERVAL_MS, read_ms)
         return self.sent_ms
+
+    def _first_sent_ms(self, read_ms: float) -> float:
+        """Return when the first heartbeat was sent, or an earlier time."""
+        if self._first_event_ms is None:
+            return self.requested_ms
+        event_delay_ms = self._first_event_ms - self.requested_ms
+        was_in_time = event_delay_ms <= MAX_FIRST_LINE_DELAY_MS
+        if not was_in_time or read_ms - self._first_event_ms > HEARTBEAT_INTERVAL_MS + MAX_EARLY_MS:
+            return self.requested_ms
+        return max(self.requested_ms, read_ms - event_delay_ms)
--- a/tests/helpers/late_endpoint_log.py
+++ b/tests/helpers/late_endpoint_log.py
@@ -10,9 +10,9 @@
 class _Stream:
     """The lines to one connection: what was sent, and what is still on its way."""
 
-    def __init__(self, sequence):
+    def __init__(self, sequence, heartbeat_at_s):
         self.sequence = sequence  # the last event that was sent
-        self.heartbeat_at_s = 0.0  # when the next heartbeat is due; 0 before the first one
+        self.heartbeat_at_s = heartbeat_at_s  # when the next heartbeat is due
         self.on_their_way = []  # (when a line arrives, the line), in order
 
     def send(self, line, arrives_at_s):
@@ -36,14 +36,16 @@
         lateness_s: Called with the index of a connection; returns how late a line arrives that is sent to it
             now.
         heartbeat_s: The interval of the heartbeats.
+        first_heartbeat_s: How long after a request the first heartbeat is sent.
         heartbeat_at_s: When the last heartbeat was sent on any connection, on the monotonic clock.
     """
 
-    def __init__(self, lateness_s=lambda _index: 0.0, heartbeat_s=HEARTBEAT_S):
+    def __init__(self, lateness_s=lambda _index: 0.0, heartbeat_s=HEARTBEAT_S, first_heartbeat_s=0.0):
         """Listen with one event, which the configuration of the router has already."""
         super().__init__(confirms_first_request=False)
         self.lateness_s = lateness_s
         self.heartbeat_s = heartbeat_s
+        self.first_heartbeat_s = first_heartbeat_s
         self.heartbeat_at_s = 0.0
         self._events = [b""]
         self._streams = {}  # by connection
@@ -58,7 +60,8 @@
         super().receive()
         for connection in self.connections:
             if connection.data.endswith(b"\n") and connection not in self._streams:
-                self._streams[connection] = _Stream(int(connection.data.split()[1]))
+                first_heartbeat_at_s = time.monotonic() + self.first_heartbeat_s
+                self._streams[connection] = _Stream(int(connection.data.split()[1]), first_heartbeat_at_s)
         self._send_all()
 
     def _send_all(self):
@@ -77,6 +80,6 @@
             stream.send(event, now_s + lateness_s)
         stream.sequence = len(self._events)
         if now_s >= stream.heartbeat_at_s:
-            stream.heartbeat_at_s = (stream.heartbeat_at_s or now_s) + self.heartbeat_s
+            stream.heartbeat_at_s += self.heartbeat_s
             self.heartbeat_at_s = now_s
             stream.send(HEARTBEAT % stream.sequence, now_s + lateness_s)
--- a/tests/net/test_heartbeat_timeline.py
+++ b/tests/net/test_heartbeat_timeline.py
@@ -102,3 +102,21 @@
     assert timeline.sent_ms is None
     assert timeline.record_heartbeat(REQUESTED_MS + 700.0) == REQUESTED_MS
     assert timeline.next_due_ms == REQUESTED_MS + HEARTBEAT_INTERVAL_MS
+
+
+@pytest.mark.parametrize("wait_ms", [0.0, 500.0, HEARTBEAT_INTERVAL_MS])
+def test_event_in_time_shows_that_the_first_heartbeat_is_in_time_too(wait_ms):
+    timeline = HeartbeatTimeline(REQUESTED_MS)
+    timeline.record_event(REQUESTED_MS + ROUND_TRIP_MS)
+
+    bound_ms = timeline.record_heartbeat(REQUESTED_MS + ROUND_TRIP_MS + wait_ms)
+
+    assert bound_ms == REQUESTED_MS + wait_ms
+
+
+@pytest.mark.parametrize(("event_delay_ms", "wait_ms"), [(900.0, 0.0), (ROUND_TRIP_MS, 1_100.0)])
+def test_late_event_or_a_heartbeat_long_after_it_shows_nothing(event_delay_ms, wait_ms):
+    timeline = HeartbeatTimeline(REQUESTED_MS)
+    timeline.record_event(REQUESTED_MS + event_delay_ms)
+
+    assert timeline.record_heartbeat(REQUESTED_MS + event_delay_ms + wait_ms) == REQUESTED_MS
--- a/tests/test_late_endpoint_log.py
+++ b/tests/test_late_endpoint_log.py
@@ -172,3 +172,22 @@
 
     assert 0 < checks_while_late <= 2 * MAX_CHECKS_PER_S * (8.0 + 3.6)
     assert cluster.health_check_count() == checks_before
+
+
+@pytest.mark.parametrize("first_heartbeat_s", [0.5, 1.0])
+def test_log_that_sends_its_first_heartbeat_late_is_not_taken_for_a_late_log(make_cluster, first_heartbeat_s):
+    log = LateEndpointLog(first_heartbeat_s=first_heartbeat_s)
+    cluster = make_cluster(endpoint_log=log)
+    [draining, other] = cluster.workers
+    log.publish(endpoint_event(2, other.record()))
+    cluster.run(4.0)
+    checks_before = cluster.health_check_count()
+    cluster.run(6.0)
+    checks_in_time = cluster.health_check_count() - checks_before
+
+    log.lateness_s = lambda _index: 3.6
+    drained_s = drain(cluster, draining, sequence=3)
+    cluster.run(2 * GRACE_S)
+
+    assert checks_in_time == 0
+    assert draining.new_work_after(drained_s + GRACE_S) == []
