Soak: endpoint logs whose lines come late, in drawn courses beside drains and restarts

Meanwhile workers drain and restart, and routers are killed and start with late logs. Events count as notified once they are in the log.

--- a/soak/endpoint_log.py
+++ b/soak/endpoint_log.py
@@ -7,6 +7,7 @@
 The rules on drains and slow starts (`soak/worker_rules.py`) apply to a router from the time when it counts as
 notified of the event. This is normally the time of publication. After a fault of the log, it is no earlier
 than 2 s after connections broke, or 4 s after the log fell silent or moved, even if the fault lasts longer.
+Lines that are late (`soak/late_lines.py`) don't change it.
 """
 
 import asyncio
@@ -18,6 +19,7 @@
 import msgspec
 
 from soak.endpoint_events import EndpointEvent
+from soak.late_lines import LatenessCourse, LateWriter
 from soak.ports import PortAllocator, listen
 
 HEARTBEAT = b'{"seq":%d}\n'
@@ -65,6 +67,7 @@
         self._ports = ports
         self._is_silent = False
         self._failure: EndpointLogFailure | None = None
+        self._lateness: LatenessCourse | None = None
         self._earliest_notified_at = 0.0  # monotonic seconds; no event counts as notified earlier
         self._server: asyncio.Server | None = None
         self._connections: set[asyncio.Task[None]] = set()
@@ -128,6 +131,12 @@
         await self.start()
         await self.publish()
 
+    async def be_late(self, course: LatenessCourse) -> None:
+        """Let lines arrive late until the end of a course."""
+        self._lateness = course
+        await asyncio.sleep(course.ends_at - time.monotonic())
+        self._lateness = None
+
     async def _flap(self, seconds: float) -> None:
         end = time.monotonic() + seconds
         while time.monotonic() < end:
@@ -169,9 +178,10 @@
         self, writer: asyncio.StreamWriter, known_sequence: int, server: asyncio.Server | None
     ) -> None:
         """Send events as they are published, but none during a silence or after a move replaced `server`."""
+        late_writer = LateWriter(writer, lambda: self._lateness)
         while not writer.is_closing():
             if server is self._server and not self._is_silent:
-                known_sequence = self._send_update(writer, known_sequence)
+                known_sequence = self._send_update(late_writer, known_sequence)
                 await writer.drain()
             async with self._published:
                 pause_s = TRICKLE_INTERVAL_S if self._failure is EndpointLogFailure.TRICKLES else HEARTBEAT_S
@@ -180,7 +190,7 @@
                 except TimeoutError:
                     continue
 
-    def _send_update(self, writer: asyncio.StreamWriter, known_sequence: int) -> int:
+    def _send_update(self, writer: LateWriter, known_sequence: int) -> int:
         """Send new events and a heartbeat, or what the failure prescribes; return the new known sequence."""
         last_sequence = self._events[-1].sequence
         match self._failure:
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -3,7 +3,7 @@
 Each function injects its fault, and returns when the fault is over. Most faults last for their planned
 duration. Restarts and kills of processes, replacements of workers, reloads, series of signals, resets, loads
 and clock steps ignore that duration, and a clock step is never undone. An outage of all endpoint logs lasts
-for a multiple of it, or for the plan's `log_outage_s`.
+for a multiple of it, or for the plan's `log_outage_s`; late lines of all logs last for a multiple of it.
 """
 
 import asyncio
@@ -13,7 +13,7 @@
 from typing import Final
 
 from soak.cluster import Cluster
-from soak.log_outage import inject_endpoint_log_outage
+from soak.log_outage import inject_endpoint_log_outage, inject_late_endpoint_logs
 from soak.plan import FLOOD_KINDS, Fault, FaultKind
 from soak.router_changes import kill_and_restart, terminate_and_restart
 from soak.router_slot import RouterSlot
@@ -284,6 +284,7 @@
     FaultKind.BURST: ClientFault(raise_request_rate),
     FaultKind.BAD_CLIENTS: ClientFault(add_bad_clients),
     FaultKind.ENDPOINT_LOGS_OUT: EndpointLogFault(inject_endpoint_log_outage),
+    FaultKind.ENDPOINT_LOGS_LATE: EndpointLogFault(inject_late_endpoint_logs),
     FaultKind.SIGNAL_SERIES: RouterFault(send_signal_series),
     FaultKind.BULK_WITHDRAWALS: ClientFault(withdraw_in_bulk),
     FaultKind.OVERLOAD: ClientFault(overload_router),
--- a/soak/log_outage.py
+++ b/soak/log_outage.py
@@ -1,10 +1,12 @@
-"""A long outage of all endpoint logs, during which workers drain and restart, and routers restart."""
+"""Faults of all endpoint logs, an outage or late lines, while workers and routers are replaced."""
 
 import asyncio
 import time
+from collections.abc import Awaitable, Sequence
 
 from soak.cluster import Cluster
 from soak.endpoint_log import EndpointLogFailure
+from soak.late_lines import LatenessCourse
 from soak.plan import Fault
 from soak.router_changes import KILL_DETECTION_S, ROUTER_DOWNTIME_S, kill_and_restart
 from soak.router_slot import RouterSlot
@@ -34,8 +36,30 @@
     failures = list(EndpointLogFailure)
     failure = failures[int(fault.intensity * len(failures))]
     outage_s = cluster.plan.log_outage_s or LOG_OUTAGE_FACTOR * fault.duration_s
+    faults = [server.fail(failure, outage_s) for server in cluster.endpoints.servers]
+    await _change_fleet_during(cluster, slots, routers, failure.name, outage_s, faults)
+
+
+async def inject_late_endpoint_logs(
+    cluster: Cluster, slots: list[WorkerSlot], routers: list[RouterSlot], fault: Fault
+) -> None:
+    """Let the lines of all endpoint logs be late, and meanwhile replace workers and restart routers."""
+    course = LatenessCourse.of_fault(fault)
+    faults = [server.be_late(course) for server in cluster.endpoints.servers]
+    duration_s = course.ends_at - course.began_at
+    await _change_fleet_during(cluster, slots, routers, f"LATE {course.shape.name}", duration_s, faults)
+
+
+async def _change_fleet_during(
+    cluster: Cluster,
+    slots: list[WorkerSlot],
+    routers: list[RouterSlot],
+    name: str,
+    outage_s: float,
+    faults: Sequence[Awaitable[None]],
+) -> None:
+    """Replace workers and restart routers while the endpoint logs have faults, and record the outage."""
     began = time.monotonic()
-    outages = [server.fail(failure, outage_s) for server in cluster.endpoints.servers]
     last_slots: list[WorkerSlot] = []
     if outage_s >= MIN_OUTAGE_WITH_RESTARTS_S:
         last_slots = slots[-1:]
@@ -43,11 +67,11 @@
     else:
         routers = []
     await asyncio.gather(
-        *outages,
+        *faults,
         _replace_workers(cluster, slots, outage_s),
         _restart_routers(cluster, routers, last_slots, outage_s),
     )
-    cluster.endpoint_log_outages.append(EndpointLogOutage(failure.name, began, time.monotonic()))
+    cluster.endpoint_log_outages.append(EndpointLogOutage(name, began, time.monotonic()))
 
 
 async def _restart_routers(
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -56,6 +56,7 @@
     HALF_REQUESTS = "half-requests"
     RECONNECTS = "reconnects"
     REPEATED_IDS = "repeated-ids"
+    ENDPOINT_LOGS_LATE = "endpoint-logs-late"
 
 
 LOAD_KINDS = (FaultKind.BULK_WITHDRAWALS, FaultKind.OVERLOAD)
@@ -68,6 +69,10 @@
     FaultKind.REPEATED_IDS,
 )
 """The kinds of `soak/floods.py`, which hit single routers and are drawn separately from all others."""
+SEPARATE_KINDS = (*LOAD_KINDS, *FLOOD_KINDS, FaultKind.ENDPOINT_LOGS_LATE)
+"""The kinds that are drawn from random generators of their own, in addition to all others."""
+MIN_LATE_LOGS_INTERVAL_S = 20.0  # from the start of a course of late lines to the next one
+MAX_LATE_LOGS_INTERVAL_S = 40.0
 MEMORY_LIMITS_MB = (32, 48, 64, 96, 192)
 DESCRIPTOR_LIMITS = (256, 1024)  # with 256, the usual clients alone come near the limit on connections
 
@@ -104,6 +109,7 @@
         function_count: Number of functions that clients call.
         faults: The faults without the loads, ordered by start time.
         loads: The loads and floods, ordered by start time.
+        late_logs: The courses of late lines of all endpoint logs, ordered by start time.
         memory_mb: The memory limit of each router.
         max_sockets: The limit on file descriptors of each router.
         connections_per_router: Minimum number of connections that clients open to each router in use.
@@ -120,13 +126,14 @@
     connections_per_router: int
     log_outage_s: float = 0.0
     loads: list[Fault] = []
+    late_logs: list[Fault] = []
     memory_mb: int = MEMORY_LIMITS_MB[-1]
     max_sockets: int = DESCRIPTOR_LIMITS[-1]
 
     @property
     def faults_and_loads(self) -> list[Fault]:
         """All faults and loads, ordered by start time."""
-        return sorted([*self.faults, *self.loads], key=lambda fault: fault.start_s)
+        return sorted([*self.faults, *self.loads, *self.late_logs], key=lambda fault: fault.start_s)
 
 
 def draw_plan(
@@ -143,7 +150,7 @@
     Loads among the kinds come in addition, one every few seconds.
     """
     rng = random.Random(seed)
-    fault_kinds = [kind for kind in kinds if kind not in LOAD_KINDS + FLOOD_KINDS]
+    fault_kinds = [kind for kind in kinds if kind not in SEPARATE_KINDS]
     memory_mb, max_sockets = _draw_limits(seed)
     return Plan(
         seed=seed,
@@ -155,6 +162,7 @@
         function_count=rng.randint(MIN_FUNCTIONS, MAX_FUNCTIONS),
         connections_per_router=MANY_CONNECTIONS if rng.random() < MANY_CONNECTIONS_SHARE else 1,
         loads=_draw_loads_and_floods(seed, router_count, worker_count, duration_s, kinds),
+        late_logs=_draw_late_logs(seed, router_count, worker_count, duration_s, kinds),
         memory_mb=memory_mb,
         max_sockets=max_sockets,
     )
@@ -204,6 +212,20 @@
     return loads
 
 
+def _draw_late_logs(
+    seed: int, router_count: int, worker_count: int, duration_s: float, kinds: Sequence[FaultKind]
+) -> list[Fault]:
+    """Draw courses of late lines, if they are among the given kinds."""
+    rng = random.Random(f"late logs of {seed}")
+    kind = FaultKind.ENDPOINT_LOGS_LATE
+    faults: list[Fault] = []
+    start_s = WARM_UP_S + rng.uniform(0.0, MAX_LOAD_INTERVAL_S)
+    while kind in kinds and start_s < duration_s - COOL_DOWN_S:
+        faults.append(_draw_fault(rng, kind, start_s, router_count, worker_count))
+        start_s += rng.uniform(MIN_LATE_LOGS_INTERVAL_S, MAX_LATE_LOGS_INTERVAL_S)
+    return faults
+
+
 def _draw_fault(
     rng: random.Random, kind: FaultKind, injection_s: float, router_count: int, worker_count: int
 ) -> Fault:
--- a/soak/run_record.py
+++ b/soak/run_record.py
@@ -65,7 +65,7 @@
     """An outage of the endpoint logs of all routers, and the replacement of workers that accompanies it.
 
     Attributes:
-        failure: The name of an `EndpointLogFailure`.
+        failure: The name of an `EndpointLogFailure`, or of a `LatenessShape` after the word LATE.
         began_at: When the logs began to fail.
         ended_at: When the logs worked again and the last replacement of a worker was over. The logs may have
             worked for a while by then.
--- a/tests/soak_test/test_plan.py
+++ b/tests/soak_test/test_plan.py
@@ -5,7 +5,7 @@
 import msgspec
 import pytest
 
-from soak.plan import FLOOD_KINDS, LOAD_KINDS, FaultKind, draw_plan
+from soak.plan import FLOOD_KINDS, LOAD_KINDS, SEPARATE_KINDS, FaultKind, draw_plan
 
 ROUTERS = 9
 WORKERS = 7
@@ -47,17 +47,25 @@
 
 def test_loads_are_drawn_in_addition_and_leave_the_faults_as_they_are():
     plan = draw(1)
-    without_loads = draw(1, [kind for kind in FaultKind if kind not in LOAD_KINDS + FLOOD_KINDS])
+    without_loads = draw(1, [kind for kind in FaultKind if kind not in SEPARATE_KINDS])
 
     assert {load.kind for load in plan.loads} >= set(LOAD_KINDS)
     assert {load.kind for seed in (1, 2) for load in draw(seed).loads} == {*LOAD_KINDS, *FLOOD_KINDS}
     assert plan.faults == without_loads.faults
     assert without_loads.loads == []
     assert [fault.start_s for fault in plan.faults_and_loads] == sorted(
-        fault.start_s for fault in plan.faults + plan.loads
+        fault.start_s for fault in plan.faults + plan.loads + plan.late_logs
     )
 
 
+def test_late_lines_are_drawn_in_addition_and_only_if_requested():
+    plans = [draw(seed) for seed in range(1, 6)]
+
+    assert {fault.kind for plan in plans for fault in plan.late_logs} == {FaultKind.ENDPOINT_LOGS_LATE}
+    assert all(plan.late_logs for plan in plans)
+    assert draw(1, [kind for kind in FaultKind if kind is not FaultKind.ENDPOINT_LOGS_LATE]).late_logs == []
+
+
 def test_plan_without_kinds_has_no_faults():
     assert draw(1, []).faults_and_loads == []
 
