--- a/function_router/decisions/endpoint_leases.py
+++ b/function_router/decisions/endpoint_leases.py
@@ -198,8 +198,9 @@
     def is_within_grace(self, worker_id: int, at_ms: float) -> bool:
         """Return whether new work that was sent at `at_ms` was within the drain grace, as far as is known.
 
-        This includes the margin by which a lease ends earlier. A drain grace below 200 ms, for which
-        `MIN_LEASE_FRACTION` determines the duration of a lease, counts as longer than it is.
+        Each lease counts as longer by the margin, as a write may be delayed after its check. For the lease of
+        a worker, this is the drain grace, unless that is below 200 ms: `MIN_LEASE_FRACTION` then determines
+        the lease.
         """
         worker = self._workers.by_id.get(worker_id)
         expires_ms = self.list_expires_ms
--- a/function_router/net/endpoint_list_status.py
+++ b/function_router/net/endpoint_list_status.py
@@ -40,7 +40,7 @@
         self._start_times = start_times
         self._read_last_sequence = read_last_sequence
         self._log = telemetry.log
-        self._lateness = EndpointLogLateness(lambda: telemetry.totals[WITHHELD], telemetry.log)
+        self._lateness = EndpointLogLateness(lambda: telemetry.total(WITHHELD), telemetry.log)
         self._created_at_ms = loop.clock.now_ms()
         self._as_of_ms: float | None = None  # when the list was complete, as far as is known
         self._last_stale_ms = -math.inf  # when the list was last seen to be out of date
--- a/function_router/net/telemetry.py
+++ b/function_router/net/telemetry.py
@@ -32,27 +32,29 @@
     Attributes:
         log: Writes the log lines.
         counters: The counters since they were last logged.
-        totals: The counters since the start.
         invariants: The run-time checks, which write to the same log.
     """
 
-    __slots__ = ("counters", "invariants", "log", "totals")
+    __slots__ = ("_taken", "counters", "invariants", "log")
 
     def __init__(self, log: RateLimitedLog) -> None:
         self.log = log
         self.counters: Counter[str] = Counter()
-        self.totals: Counter[str] = Counter()
+        self._taken: Counter[str] = Counter()  # those that were logged
         self.invariants = InvariantMonitor(log)
 
     def count(self, name: str, detail: str = "") -> None:
         """Add one to a counter; `detail` distinguishes counters of the same name."""
-        counter = f"{name} {detail}" if detail else name
-        self.counters[counter] += 1
-        self.totals[counter] += 1
+        self.counters[f"{name} {detail}" if detail else name] += 1
+
+    def total(self, name: str) -> int:
+        """Return the value of a counter without a detail since the start."""
+        return self._taken[name] + self.counters[name]
 
     def take_counters(self) -> str:
         """Return the counters as one line and reset them; the line is empty if nothing was counted."""
         counters = dict(self.counters)
+        self._taken.update(self.counters)
         self.counters.clear()
         if violations := self.invariants.violations.total():
             counters[VIOLATIONS] = violations
