Soak: wake each connection of an endpoint log by its own event, without a lock

Cause: a connection that is cancelled a second time while asyncio.Condition.wait gets its lock back leaves the lock held (Python 3.11). No event was published any more, and the fault that waited for it never ended. More connections to the logs make it likelier. Change: an asyncio.Event for each connection, which `publish` sets; no lock. Failing before: test_log_publishes_after_its_connections_were_cancelled_more_than_once, `TimeoutError` after 5 s.

--- a/soak/endpoint_log.py
+++ b/soak/endpoint_log.py
@@ -11,6 +11,7 @@
 """
 
 import asyncio
+import contextlib
 import time
 from collections.abc import Callable, Sequence
 from enum import Enum, auto
@@ -71,7 +72,7 @@
         self._earliest_notified_at = 0.0  # monotonic seconds; no event counts as notified earlier
         self._server: asyncio.Server | None = None
         self._connections: set[asyncio.Task[None]] = set()
-        self._published = asyncio.Condition()
+        self._wakeups: set[asyncio.Event] = set()  # one for each connection, set when events are published
 
     def notified_at(self, published_at: float) -> float:
         """Return the time from which the router counts as notified of an event that is published now."""
@@ -85,8 +86,8 @@
 
     async def publish(self) -> None:
         """Wake all connections, so that they send the events that were added to the list."""
-        async with self._published:
-            self._published.notify_all()
+        for wakeup in self._wakeups:
+            wakeup.set()
 
     async def move(self) -> None:
         """Move to another port; stop sending on connections to the old port, and close them later."""
@@ -164,18 +165,25 @@
         if connection:
             self._connections.add(connection)
         server = self._server
+        wakeup = asyncio.Event()
+        self._wakeups.add(wakeup)
         try:
             request = await reader.readline()
-            await self._send_events(writer, int(request.split()[KNOWN_SEQUENCE_INDEX]), server)
+            await self._send_events(writer, int(request.split()[KNOWN_SEQUENCE_INDEX]), server, wakeup)
         except (OSError, IndexError, ValueError, asyncio.CancelledError):
             pass
         finally:
             writer.close()
+            self._wakeups.discard(wakeup)
             if connection:
                 self._connections.discard(connection)
 
     async def _send_events(
-        self, writer: asyncio.StreamWriter, known_sequence: int, server: asyncio.Server | None
+        self,
+        writer: asyncio.StreamWriter,
+        known_sequence: int,
+        server: asyncio.Server | None,
+        wakeup: asyncio.Event,
     ) -> None:
         """Send events as they are published, but none during a silence or after a move replaced `server`."""
         late_writer = LateWriter(writer, lambda: self._lateness)
@@ -183,12 +191,10 @@
             if server is self._server and not self._is_silent:
                 known_sequence = self._send_update(late_writer, known_sequence)
                 await writer.drain()
-            async with self._published:
-                pause_s = TRICKLE_INTERVAL_S if self._failure is EndpointLogFailure.TRICKLES else HEARTBEAT_S
-                try:
-                    await asyncio.wait_for(self._published.wait(), pause_s)
-                except TimeoutError:
-                    continue
+            pause_s = TRICKLE_INTERVAL_S if self._failure is EndpointLogFailure.TRICKLES else HEARTBEAT_S
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(wakeup.wait(), pause_s)
+            wakeup.clear()
 
     def _send_update(self, writer: LateWriter, known_sequence: int) -> int:
         """Send new events and a heartbeat, or what the failure prescribes; return the new known sequence."""
--- a/tests/soak_test/test_endpoint_log.py
+++ b/tests/soak_test/test_endpoint_log.py
@@ -138,6 +138,26 @@
     assert with_log(scenario) == (None, [2, 2], True)
 
 
+def test_log_publishes_after_its_connections_were_cancelled_more_than_once(with_log):
+    # Guards against a lock that a connection leaves held if it is cancelled while it gets the lock back.
+    async def scenario(harness):
+        for _ in range(2):
+            old = await harness.connect(known_sequence=2)
+            await old.read_line()
+        for _ in range(3):
+            for connection in list(harness.server._connections):
+                connection.cancel()
+            publishing = asyncio.create_task(harness.server.publish())
+            await asyncio.sleep(0)
+        await asyncio.wait_for(publishing, READ_TIMEOUT_S)
+        harness.events.append(event(3))
+        new = await harness.connect(known_sequence=2)
+        await asyncio.wait_for(harness.server.publish(), READ_TIMEOUT_S)
+        return await new.read_sequences(2)
+
+    assert with_log(scenario) == [3, 3]
+
+
 def test_moved_log_publishes_only_at_its_new_address(with_log):
     async def scenario(harness):
         old = await harness.connect(known_sequence=2)
