Soak: no late line overtakes another, also if the soak test itself runs late

Cause: a line that was due by the time it was written went out at once, although an earlier one still waited for its timer, and timers for the same time may fire in either order. The soak test's late logs could so send an event behind its heartbeat, which a router takes for missing. Change: late lines wait in a queue, and each timer sends the first one. The test no longer depends on how fast it runs. Failing before: that test as it is now, and test_line_does_not_overtake_one_that_is_overdue (`[b'in time', b'late']`).

--- a/soak/late_lines.py
+++ b/soak/late_lines.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import time
+from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum, auto
@@ -90,6 +91,7 @@
         self._read_course = read_course
         self._connected_at = time.monotonic()
         self._last_arrival_at = 0.0
+        self._late_lines: deque[bytes] = deque()  # lines that have not arrived yet, in order
 
     def write(self, line: bytes) -> None:
         """Write a line now or later; one that is due after the connection has ended is dropped."""
@@ -97,12 +99,14 @@
         course = self._read_course()
         lateness_s = course.lateness_s(now, self._connected_at) if course else 0.0
         arrives_at = max(now + lateness_s, self._last_arrival_at)
-        if arrives_at <= now:
+        if arrives_at <= now and not self._late_lines:
             self._writer.write(line)
             return
         self._last_arrival_at = arrives_at
-        asyncio.get_running_loop().call_later(arrives_at - now, self._write_late, line)
+        self._late_lines.append(line)
+        asyncio.get_running_loop().call_later(arrives_at - now, self._write_first_late_line)
 
-    def _write_late(self, line: bytes) -> None:
+    def _write_first_late_line(self) -> None:
+        line = self._late_lines.popleft()
         if not self._writer.is_closing():
             self._writer.write(line)
--- a/tests/soak_test/test_late_lines.py
+++ b/tests/soak_test/test_late_lines.py
@@ -1,6 +1,7 @@
 """Tests of the soak test's late lines: the courses of their lateness, and the writer that delays them."""
 
 import asyncio
+import math
 import time
 
 import pytest
@@ -89,21 +90,40 @@
         self.lines.append((line, time.monotonic()))
 
 
+def always_late():
+    return LatenessCourse(LatenessShape.JUMP, 0.0, math.inf, LATENESS_S)
+
+
 def test_lines_arrive_late_and_in_order():
     async def scenario():
-        began_at = time.monotonic()
-        late = LatenessCourse(LatenessShape.JUMP, began_at, began_at + LATENESS_S / 2, LATENESS_S)
+        courses = [always_late()]
         writer = RecordingWriter()
-        late_writer = LateWriter(writer, lambda: late)
+        late_writer = LateWriter(writer, lambda: courses[0])
+        written_at = time.monotonic()
         late_writer.write(b"late")
-        await asyncio.sleep(LATENESS_S / 2)
+        courses[0] = None
         late_writer.write(b"behind it")
         await asyncio.sleep(2 * LATENESS_S)
         late_writer.write(b"in time")
-        return began_at, writer.lines
+        return written_at, writer.lines
 
-    began_at, lines = asyncio.run(scenario())
+    written_at, lines = asyncio.run(scenario())
 
     assert [line for line, _ in lines] == [b"late", b"behind it", b"in time"]
-    assert lines[0][1] - began_at >= LATENESS_S
-    assert lines[1][1] >= lines[0][1]
+    assert lines[0][1] - written_at >= LATENESS_S
+
+
+def test_line_does_not_overtake_one_that_is_overdue():
+    # Guards against a soak test whose own delay changes the order of events.
+    async def scenario():
+        courses = [always_late()]
+        writer = RecordingWriter()
+        late_writer = LateWriter(writer, lambda: courses[0])
+        late_writer.write(b"late")
+        courses[0] = None
+        time.sleep(2 * LATENESS_S)  # the process is suspended
+        late_writer.write(b"in time")
+        await asyncio.sleep(LATENESS_S)
+        return [line for line, _ in writer.lines]
+
+    assert asyncio.run(scenario()) == [b"late", b"in time"]
