Move the lease on the endpoint list to a module of its own

Decisions are unchanged: the tests of the decision module, of heartbeats, of health checks and of the repository pass. The list of modules that decisions may import names the new one.

--- a/function_router/decisions/__init__.py
+++ b/function_router/decisions/__init__.py
@@ -21,7 +21,8 @@
     placement                           order of workers, fan-out and headroom
     instances                           instances that are presumed to exist
     health, circuit_breakers            which workers are usable
-    endpoint_leases                     how long the endpoint list and a worker's health check stay valid
+    endpoint_leases                     which workers may get new work, by the list or by a health check
+    list_lease                          how long the endpoint list stays valid
     capacity, slow_start                limits of workers, and send budgets of those in slow start
     arrivals, durations                 request rates, run times and start times
     workers, functions, requests        tables that own the records; the first two evict old ones
--- a/function_router/decisions/endpoint_leases.py
+++ b/function_router/decisions/endpoint_leases.py
@@ -1,13 +1,11 @@
 """Leases on the endpoint list and on single workers, which decide whether a worker may get new work.
 
-The endpoint log reports past states. Its heartbeats renew a lease on the whole list, as of when they were
-sent at the earliest: a heartbeat that arrives late shows only that the list was complete some time ago. The
-first heartbeat starts this lease, as nobody knows how old the list in the configuration of a new process is.
-Without the lease, a worker may have drained or restarted unnoticed. New work then goes only to workers with a
-lease of their own, which they get by answering a health check with ready. A lease starts when the health
-check is sent. It ends before the drain grace, which is how long new work may still go to a worker after its
-drain is announced. (Leases: Gray and Cheriton, "Leases: An Efficient Fault-Tolerant Mechanism for Distributed
-File Cache Consistency", 1989.)
+The endpoint log reports past states. Its heartbeats renew a lease on the whole list (`list_lease`). Without
+that lease, a worker may have drained or restarted unnoticed. New work then goes only to workers with a lease
+of their own, which they get by answering a health check with ready. A lease starts when the health check is
+sent. It ends before the drain grace, which is how long new work may still go to a worker after its drain is
+announced. (Leases: Gray and Cheriton, "Leases: An Efficient Fault-Tolerant Mechanism for Distributed File
+Cache Consistency", 1989.)
 
 A lease covers one process. A health check is answered on one connection. A connection that is established
 later may reach another process, which needs a health check of its own. The worker is assumed to have
@@ -20,27 +18,13 @@
 
 from function_router.decisions.actions import CheckHealth, LogMessage
 from function_router.decisions.events import EndpointListConfirmed, HealthChecked
+from function_router.decisions.list_lease import ListLease
 from function_router.decisions.outbox import Outbox
 from function_router.decisions.records import RECHECK_INTERVAL_MS, Worker
 from function_router.decisions.settings import Settings
 from function_router.decisions.types import Readiness, WorkerState
 from function_router.decisions.workers import WorkerTable
 
-# Interval of the heartbeats of the endpoint log.
-HEARTBEAT_INTERVAL_MS = 1_000.0
-
-# How long the lease on the list lasts beyond the drain grace, or beyond the interval of heartbeats if that
-# is longer, so that the next heartbeat may arrive some milliseconds late. On sockets, the operator allows
-# each time limit 50 ms more.
-LIST_LEASE_ALLOWANCE_MS = 40.0
-
-# Maximum lateness of a heartbeat that renews the lease on the list. If the log is later, restarts of workers
-# are as unknown as their drains.
-MAX_LATENESS_MS = 100.0
-
-# Maximum age of the list at which it supersedes what workers have reported.
-MAX_UP_TO_DATE_AGE_MS = 100.0
-
 # How long before the end of the drain grace a lease ends. This allows for the transfer of a frame to the
 # worker, and for a stall of the process between the check of the lease and the write.
 LEASE_MARGIN_MS = 100.0
@@ -89,14 +73,9 @@
     def __init__(self, settings: Settings, workers: WorkerTable, outbox: Outbox) -> None:
         grace_ms = settings.drain_grace_ms
         self._lease_ms = max(grace_ms * MIN_LEASE_FRACTION, grace_ms - LEASE_MARGIN_MS)
-        self._list_lease_ms = max(grace_ms, HEARTBEAT_INTERVAL_MS) + LIST_LEASE_ALLOWANCE_MS
+        self._list = ListLease(grace_ms, self._lease_ms)
         self._workers = workers
         self._outbox = outbox
-        # Latest time at which the list is known to have been complete; None before the first confirmation.
-        self._complete_as_of_ms: float | None = None
-        self._is_late = False  # whether the last confirmation arrived late
-        self._interrupted_ms = math.inf  # time of the first interruption since the last confirmation
-        self._follows_since_ms = math.inf  # time of the first interruption, which is reported at startup
         # By id, the workers with results of health checks that the list has not superseded yet.
         self._checked: dict[int, Worker] = {}
 
@@ -104,19 +83,12 @@
 
     @property
     def list_expires_ms(self) -> float:
-        """The time at which the lease on the list ends unless it is renewed.
-
-        A list that the log has never confirmed has no lease, nor has one while the log is late.
-        """
-        if self._complete_as_of_ms is None:
-            return -math.inf if self._follows_since_ms < math.inf else math.inf
-        if self._is_late:
-            return -math.inf
-        return min(self._interrupted_ms + self._lease_ms, self._complete_as_of_ms + self._list_lease_ms)
+        """The time at which the lease on the list ends unless it is renewed."""
+        return self._list.expires_ms
 
     def is_list_current(self, now_ms: float) -> bool:
         """Return whether the lease on the list is valid."""
-        return now_ms < self.list_expires_ms
+        return self._list.is_valid(now_ms)
 
     def record_confirmed(self, confirmation: EndpointListConfirmed, now_ms: float) -> bool:
         """Renew the lease on the list, unless the log is late, and clear what the list supersedes.
@@ -125,13 +97,8 @@
             Whether the set of ready workers has changed.
         """
         ready = self._workers.ready
-        as_of_ms = confirmation.as_of_ms
-        if self._complete_as_of_ms is None or as_of_ms > self._complete_as_of_ms:
-            self._complete_as_of_ms = as_of_ms
-        self._interrupted_ms = math.inf
-        self._is_late = confirmation.arrived_ms - as_of_ms > MAX_LATENESS_MS
-        if not self._is_late and now_ms - as_of_ms <= MAX_UP_TO_DATE_AGE_MS:
-            self._clear_outdated_answers(as_of_ms)
+        if self._list.record_confirmed(confirmation, now_ms):
+            self._clear_outdated_answers(confirmation.as_of_ms)
         return self._workers.ready is not ready
 
     def _clear_outdated_answers(self, as_of_ms: float) -> None:
@@ -144,12 +111,8 @@
                 del self._checked[worker.id]
 
     def record_interrupted(self, now_ms: float) -> None:
-        """Let the lease on the list expire, as the router is not connected to the log.
-
-        Its remaining time counts from the first interruption since the last confirmation.
-        """
-        self._interrupted_ms = min(self._interrupted_ms, now_ms)
-        self._follows_since_ms = min(self._follows_since_ms, now_ms)
+        """Let the lease on the list expire, as the router is not connected to the log."""
+        self._list.record_interrupted(now_ms)
 
     # --- workers --------------------------------------------------------------------------------
 
@@ -274,8 +237,7 @@
         connection since that evidence.
         """
         lease = worker.lease
-        list_as_of_ms = self._follows_since_ms if self._complete_as_of_ms is None else self._complete_as_of_ms
-        process_seen_ms = max(list_as_of_ms, lease.process_seen_ms)
+        process_seen_ms = max(self._list.known_as_of_ms, lease.process_seen_ms)
         if event.connected_at_ms <= process_seen_ms:
             return False
         disruptions_ms = [event.connection_lost_at_ms, lease.drain_reported_ms, worker.unresponsive_since_ms]
--- a/function_router/net/heartbeat_timeline.py
+++ b/function_router/net/heartbeat_timeline.py
@@ -15,7 +15,7 @@
 answer: Cristian, "Probabilistic Clock Synchronization", 1989.)
 """
 
-from function_router.decisions.endpoint_leases import HEARTBEAT_INTERVAL_MS
+from function_router.decisions.list_lease import HEARTBEAT_INTERVAL_MS
 
 # Maximum time by which an interval may be shorter than HEARTBEAT_INTERVAL_MS. A line that arrives earlier is
 # not one of the periodic heartbeats, so nothing is known of the time since the previous one.
--- a/tests/decisions/test_endpoint_leases.py
+++ b/tests/decisions/test_endpoint_leases.py
@@ -7,14 +7,9 @@
 from helpers.lease_harness import DRAIN_GRACE_MS, LEASE_MS, LeaseHarness, checked, sent_to
 
 from function_router.decisions.actions import LogMessage, NoteWithheld, SendRequest
-from function_router.decisions.endpoint_leases import (
-    CHECK_LEAD_MS,
-    CHECK_WAIT_MS,
-    HEARTBEAT_INTERVAL_MS,
-    MAX_LATENESS_MS,
-    RENEWAL_LEAD_MS,
-)
+from function_router.decisions.endpoint_leases import CHECK_LEAD_MS, CHECK_WAIT_MS, RENEWAL_LEAD_MS
 from function_router.decisions.events import EndpointListConfirmed, EndpointListInterrupted
+from function_router.decisions.list_lease import HEARTBEAT_INTERVAL_MS, MAX_LATENESS_MS
 from function_router.decisions.records import RECHECK_INTERVAL_MS
 from function_router.decisions.types import Outcome, Readiness
 
--- a/tests/decisions/test_endpoint_leases_recovery.py
+++ b/tests/decisions/test_endpoint_leases_recovery.py
@@ -5,14 +5,9 @@
 import pytest
 from helpers.lease_harness import DRAIN_GRACE_MS, LEASE_MS, LeaseHarness, checked, sent_to
 
-from function_router.decisions.endpoint_leases import (
-    CHECK_EXPIRY_MS,
-    DRAIN_REPORT_TTL_MS,
-    LEASE_MARGIN_MS,
-    MAX_LATENESS_MS,
-    MAX_UP_TO_DATE_AGE_MS,
-)
+from function_router.decisions.endpoint_leases import CHECK_EXPIRY_MS, DRAIN_REPORT_TTL_MS, LEASE_MARGIN_MS
 from function_router.decisions.events import Endpoint, EndpointListConfirmed, EndpointsChanged
+from function_router.decisions.list_lease import MAX_LATENESS_MS, MAX_UP_TO_DATE_AGE_MS
 from function_router.decisions.types import Readiness, WorkerState
 
 # --- restarts
--- a/tests/net/test_endpoint_log_client.py
+++ b/tests/net/test_endpoint_log_client.py
@@ -8,7 +8,7 @@
 from helpers.fake_endpoint_log import FakeEndpointLog
 from helpers.fake_worker import FakeWorker
 
-from function_router.decisions.endpoint_leases import HEARTBEAT_INTERVAL_MS
+from function_router.decisions.list_lease import HEARTBEAT_INTERVAL_MS
 from function_router.decisions.types import WorkerState
 from function_router.net import clock, endpoint_log_client, endpoint_log_connection
 from function_router.net.heartbeat_timeline import MAX_FIRST_LINE_DELAY_MS
--- a/tests/net/test_heartbeat_timeline.py
+++ b/tests/net/test_heartbeat_timeline.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from function_router.decisions.endpoint_leases import HEARTBEAT_INTERVAL_MS
+from function_router.decisions.list_lease import HEARTBEAT_INTERVAL_MS
 from function_router.net.heartbeat_timeline import HeartbeatTimeline
 
 REQUESTED_MS = 5_000.0
