Log the lease of each attempt, rejected attempts, and the time of each line

The logs of the incident can't tell whether the list or a worker's answer to a health check had let the late attempts go: the trace said neither, a request that was served in time after a rejection left no line at all, and no line had a time.

The trace of a request now says by what each attempt and start order went, and how old the evidence was (list N ms old, health check N ms old), each rejected attempt has a line with the same, and each line begins with the time of day in UTC.

--- a/function_router/decisions/connection_policy.py
+++ b/function_router/decisions/connection_policy.py
@@ -45,3 +45,10 @@
         This is for the run-time check of invariants, not for decisions.
         """
         return self._leases.is_within_grace(worker_id, at_ms)
+
+    def describe_lease(self, worker_id: int, now_ms: float) -> str:
+        """Return by which lease new work may go to a worker now, and how old its evidence is, for the log."""
+        lease = self._leases.lease_in_use(worker_id, now_ms)
+        if lease.as_of_ms is None:
+            return lease.kind.value
+        return f"{lease.kind.value} {now_ms - lease.as_of_ms:.0f} ms old"
--- a/function_router/decisions/endpoint_leases.py
+++ b/function_router/decisions/endpoint_leases.py
@@ -16,13 +16,15 @@
 import math
 from enum import Enum, auto
 
+from msgspec import Struct
+
 from function_router.decisions.actions import CheckHealth, LogMessage
 from function_router.decisions.events import EndpointListConfirmed, HealthChecked
 from function_router.decisions.list_lease import ListLease
 from function_router.decisions.outbox import Outbox
 from function_router.decisions.records import RECHECK_INTERVAL_MS, Worker
 from function_router.decisions.settings import Settings
-from function_router.decisions.types import Readiness, WorkerState
+from function_router.decisions.types import LeaseKind, Readiness, WorkerState
 from function_router.decisions.workers import WorkerTable
 
 # How long before the end of the drain grace a lease ends. This allows for the transfer of a frame to the
@@ -64,6 +66,19 @@
     MISSING = auto()  # neither lease is valid, and no health check is pending
 
 
+class LeaseInUse(Struct, frozen=True):
+    """The lease by which new work may go to a worker, and the time of the evidence for it.
+
+    Attributes:
+        kind: Which lease it is.
+        as_of_ms: When the list was complete, or when the health check was sent; None if there is no lease, or
+            one that nothing has ended so far.
+    """
+
+    kind: LeaseKind
+    as_of_ms: float | None
+
+
 class EndpointLeases:
     """Owns the lease on the endpoint list and those of single workers, which are stored in their records.
 
@@ -171,6 +186,15 @@
             expires_ms = max(expires_ms, worker.lease.process_seen_ms + self._lease_ms)
         return at_ms < expires_ms + LEASE_MARGIN_MS
 
+    def lease_in_use(self, worker_id: int, now_ms: float) -> LeaseInUse:
+        """Return the lease by which new work may go to a worker now; for the log, not for decisions."""
+        if self.is_list_current(now_ms):
+            return LeaseInUse(LeaseKind.LIST, self._list.complete_as_of_ms)
+        worker = self._workers.by_id.get(worker_id)
+        if worker is not None and now_ms < self._expires_ms(worker):
+            return LeaseInUse(LeaseKind.WORKER, worker.lease.ready_as_of_ms)
+        return LeaseInUse(LeaseKind.NONE, None)
+
     def revoke(self, worker: Worker) -> None:
         """Revoke the lease of a worker, which may run a different process by now."""
         worker.lease.ready_as_of_ms = -math.inf
--- a/function_router/decisions/types.py
+++ b/function_router/decisions/types.py
@@ -35,6 +35,14 @@
     UNKNOWN = "unknown"  # no usable answer
 
 
+class LeaseKind(Enum):
+    """The lease by which new work may go to a worker."""
+
+    LIST = "list"  # the lease on the endpoint list
+    WORKER = "health check"  # the worker's own lease, after a health check
+    NONE = "no lease"
+
+
 class Outcome(Enum):
     """Result of an attempt, start order, probe or health check.
 
--- a/function_router/net/attempts_in_flight.py
+++ b/function_router/net/attempts_in_flight.py
@@ -63,7 +63,8 @@
         attempt = self._create(request, number, worker_id)
         self.by_key[request.key, number] = attempt
         self._memory.charge(attempt.size_bytes)
-        request.add_trace_step(f"sent to {worker_id}")
+        attempt.lease = self._pool.describe_lease(worker_id)
+        request.add_trace_step(f"sent to {worker_id} by {attempt.lease}")
         self._pool.send(attempt)
 
     def cancel(self, key: str, number: int) -> None:
@@ -143,6 +144,8 @@
         )
         if request := self._requests.by_key.get(key):
             self._record_ended(request, attempt, report)
+        if report.outcome is Outcome.QUEUE_FULL:
+            self._pool.log_rejected(attempt)
         if isinstance(result, WorkerAnswer) and report.outcome is Outcome.OK:
             self._on_served(key, Served(result.body))
         self._loop.submit(
--- a/function_router/net/log.py
+++ b/function_router/net/log.py
@@ -5,9 +5,10 @@
 import select
 import sys
 from collections.abc import Callable
+from datetime import UTC, datetime
 from typing import TextIO
 
-from function_router.net.clock import monotonic_ms
+from function_router.net.clock import monotonic_ms, unix_ms
 
 # Maximum number of lines per source and second; further lines are dropped and counted.
 MAX_LINES_PER_SECOND = 20
@@ -23,12 +24,24 @@
     """
 
     def __init__(
-        self, name: str, out: TextIO | None = None, read_monotonic_ms: Callable[[], float] = monotonic_ms
+        self,
+        name: str,
+        out: TextIO | None = None,
+        read_monotonic_ms: Callable[[], float] = monotonic_ms,
+        read_unix_ms: Callable[[], float] = unix_ms,
     ) -> None:
-        """Create a log that writes lines with the prefix `name` to `out`, by default to standard error."""
+        """Create a log.
+
+        Args:
+            name: The name of the process, with which each line begins, followed by the time in UTC.
+            out: Where the lines are written, by default standard error.
+            read_monotonic_ms: Returns the time by which the rate is limited.
+            read_unix_ms: Returns the time that the lines state.
+        """
         self._name = name
         self._output = _output_to(out or sys.stderr)
         self._read_monotonic_ms = read_monotonic_ms
+        self._read_unix_ms = read_unix_ms
         self._second = 0  # the current second on the monotonic clock
         self._dropped_count = 0  # number of lines dropped since it was last logged
         self._lines_by_source: dict[str, int] = {}  # number of lines in the current second
@@ -56,11 +69,17 @@
         """
         line = "".join(char if char.isprintable() else "?" for char in text[:MAX_LINE_LENGTH])
         try:
-            return self._output(f"{self._name}: {line}\n")
+            return self._output(f"{self._name} {_format_time(self._read_unix_ms())}: {line}\n")
         except OSError:  # the router continues to serve without a log
             return False
 
 
+def _format_time(unix_time_ms: float) -> str:
+    """Return a time of day in UTC, with milliseconds."""
+    time_of_day = datetime.fromtimestamp(unix_time_ms / 1000, UTC).time()
+    return time_of_day.isoformat("milliseconds")
+
+
 def _output_to(out: TextIO | None) -> Callable[[str], bool]:
     """Return a function that writes a line and returns whether it did; without a file it drops lines."""
     if out is None:
--- a/function_router/net/readiness.py
+++ b/function_router/net/readiness.py
@@ -29,6 +29,9 @@
     def is_within_drain_grace(self, worker_id: int, at_ms: float) -> bool:
         """Return whether new work that was sent at `at_ms` was within the operator's drain grace."""
 
+    def describe_lease(self, worker_id: int, now_ms: float) -> str:
+        """Return by which lease new work may go to a worker now, for the log."""
+
 
 class ReadinessAdapter:
     """Converts times between the policy's clock and the monotonic clock of the connections."""
@@ -59,6 +62,10 @@
         """Return whether a connection that was established at this time leads to the worker for certain."""
         return self._policy.is_process_known(worker_id, self._clock.from_monotonic_ms(connected_at_ms))
 
+    def describe_lease(self, worker_id: int) -> str:
+        """Return by which lease new work may go to a worker now, for the log."""
+        return self._policy.describe_lease(worker_id, self._clock.from_monotonic_ms(monotonic_ms()))
+
     def conditions_of_send(
         self, worker_id: int, state: WorkerState, written_at_ms: float, connected_at_ms: float
     ) -> SendConditions:
--- a/function_router/net/start_orders.py
+++ b/function_router/net/start_orders.py
@@ -86,9 +86,10 @@
             decided_at_ms: The time of the batch of events that led to the action, on the decision module's
                 clock.
         """
-        self._requests.add_trace_step(
-            action.function, f"ensure {action.instances} instances at {action.worker_id}"
-        )
+        text = f"ensure {action.instances} instances at {action.worker_id}"
+        if action.instances:
+            text += f" by {self._pool.describe_lease(action.worker_id)}"
+        self._requests.add_trace_step(action.function, text)
         order = StartOrder(
             worker_id=action.worker_id,
             on_done=self._on_done,
--- a/function_router/net/worker_messages.py
+++ b/function_router/net/worker_messages.py
@@ -251,6 +251,7 @@
         idempotency_key: The key by which workers recognize a repeated attempt; empty if the class needs none.
         body: The request's body.
         deadline_ms: When the client stops waiting, on the monotonic clock.
+        lease: The lease by which it was sent, for the log.
         encoded_timeout_ms: The timeout in the frame: the time left until the deadline when the frame was
             encoded.
     """
@@ -261,6 +262,7 @@
     idempotency_key: str = ""
     body: bytes = b""
     deadline_ms: float
+    lease: str = ""
     encoded_timeout_ms: float = field(default=0.0, init=False)
 
     @property
--- a/function_router/net/worker_pool.py
+++ b/function_router/net/worker_pool.py
@@ -25,6 +25,8 @@
 FIRST_EXCHANGE_ID_BITS = 62
 # Timeout of a health check. Workers answer health checks at once, whatever functions they run.
 HEALTH_CHECK_TIMEOUT_MS = 1_000.0
+# Source of the log lines about rejected attempts. The log limits the rate of its lines per source.
+REJECTIONS_LOG_SOURCE = "rejected attempts"
 # Maximum timeout of a probe. Workers answer probes at once, as they start nothing for them.
 PROBE_TIMEOUT_MS = 2_000.0
 
@@ -108,6 +110,15 @@
         """Return whether a connection that was established at this time leads to a worker for certain."""
         return self._resources.readiness.is_process_known(worker_id, connected_at_ms)
 
+    def describe_lease(self, worker_id: int) -> str:
+        """Return by which lease new work may go to a worker now, for the log."""
+        return self._resources.readiness.describe_lease(worker_id)
+
+    def log_rejected(self, attempt: Attempt) -> None:
+        """Log that a worker, which is full or draining, rejected an attempt, and what had allowed it."""
+        text = f"worker {attempt.worker_id} rejected {attempt.exchange_id.hex()}, sent by {attempt.lease}"
+        self._resources.telemetry.log(text, REJECTIONS_LOG_SOURCE)
+
     def connection_lost_at_ms(self, worker_id: int) -> float | None:
         """Return `ConnectionSet.last_lost_ms` of a worker; None if the pool does not have the worker."""
         worker = self.workers.get(worker_id)
--- a/tests/decisions/test_endpoint_leases.py
+++ b/tests/decisions/test_endpoint_leases.py
@@ -215,6 +215,18 @@
     )
 
 
+def test_log_names_the_lease_that_allows_new_work_and_its_age(harness):
+    policy = harness.router.connection_policy
+    texts = [policy.describe_lease(harness.warm_id, harness.now_ms + 30)]
+    harness.expire_list()
+    harness.request("r1")
+    texts.append(policy.describe_lease(harness.warm_id, harness.now_ms))
+    harness.answer_health_check(harness.warm_id)
+    texts.append(policy.describe_lease(harness.warm_id, harness.now_ms))
+
+    assert texts == ["list 30 ms old", "no lease", "health check 2 ms old"]
+
+
 def test_instance_is_started_elsewhere_when_its_worker_drains(stale_harness):
     [other_id] = checked(stale_harness.answer_health_check(stale_harness.warm_id, Readiness.DRAINING))
 
--- a/tests/net/test_health_checks.py
+++ b/tests/net/test_health_checks.py
@@ -218,7 +218,9 @@
     obtain_lease(stale_harness, worker)
     fleet = stale_harness.router_process.router.fleet
     stale_harness.pool.send(attempt(worker.worker_id, results))
-    fleet.leases._list._interrupted_ms -= 2 * GRACE_MS  # as if the router had not checked just before the write
+    fleet.leases._list._interrupted_ms -= (
+        2 * GRACE_MS
+    )  # as if the router had not checked just before the write
     fleet.workers.by_id[worker.worker_id].lease.process_seen_ms -= 2 * GRACE_MS
 
     stale_harness.run_until(lambda: worker.requests, "the attempt reaches the worker")
--- a/tests/net/test_log.py
+++ b/tests/net/test_log.py
@@ -10,6 +10,12 @@
 from function_router.net.log import MAX_LINE_LENGTH, MAX_LINES_PER_SECOND, RateLimitedLog
 
 MORE_LINES_THAN_A_PIPE_HOLDS = 400
+NOON_MS = 1_796_644_800_250.0
+PREFIX = "n1 12:00:00.250: "
+
+
+def read_noon_ms():
+    return NOON_MS
 
 
 @pytest.fixture
@@ -24,7 +30,7 @@
 
 @pytest.fixture
 def log(clock, out):
-    return RateLimitedLog("n1", out, clock.read_ms)
+    return RateLimitedLog("n1", out, clock.read_ms, read_noon_ms)
 
 
 def test_lines_beyond_the_rate_are_dropped_and_counted(clock, out, log):
@@ -35,7 +41,7 @@
 
     lines = out.getvalue().splitlines()
     assert len(lines) == MAX_LINES_PER_SECOND + 2
-    assert lines[-2:] == ["n1: 980 lines dropped", "n1: after"]
+    assert lines[-2:] == [f"{PREFIX}980 lines dropped", f"{PREFIX}after"]
 
 
 def test_flood_from_one_source_does_not_hide_another_source(out, log):
@@ -43,15 +49,15 @@
         log("noise", "clients")
     log("news")
 
-    assert "n1: news" in out.getvalue()
+    assert f"{PREFIX}news" in out.getvalue()
 
 
 def test_line_is_truncated_and_cannot_forge_another_line(out, log):
     log("x\nn1: forged\x1b[0m" + "y" * MAX_LINE_LENGTH)
 
     [line] = out.getvalue().splitlines()
-    assert line.startswith("n1: x?n1: forged?[0myy")
-    assert len(line) == len("n1: ") + MAX_LINE_LENGTH
+    assert line.startswith(f"{PREFIX}x?n1: forged?[0myy")
+    assert len(line) == len(PREFIX) + MAX_LINE_LENGTH
 
 
 def test_log_that_cannot_be_written_raises_nothing(clock):
@@ -69,7 +75,7 @@
     exit_stack.callback(os.close, read_end)
     out = os.fdopen(write_end, "w")
     exit_stack.callback(out.close)
-    log = RateLimitedLog("n1", out, clock.read_ms)
+    log = RateLimitedLog("n1", out, clock.read_ms, read_noon_ms)
 
     def fill():
         for second in range(MORE_LINES_THAN_A_PIPE_HOLDS):
@@ -87,4 +93,4 @@
             writer.join(0.05)
 
     assert not was_blocked
-    assert first_line == b"n1: " + b"y" * MAX_LINE_LENGTH
+    assert first_line == PREFIX.encode() + b"y" * MAX_LINE_LENGTH
--- a/tests/net/test_request_table.py
+++ b/tests/net/test_request_table.py
@@ -234,10 +234,19 @@
     [line] = [line for line in harness.log_lines if CLIENT_REQUEST_ID in line]
     worker_id = worker.worker_id
     assert f"view of {FUNCTION} served after" in line
-    assert f"sent to {worker_id}; " in line
+    assert f"sent to {worker_id} by list" in line
     assert f"{worker_id}: OK WARM in flight 0 connection wait " in line
 
 
+def test_rejected_attempt_is_logged_with_the_lease_that_allowed_it(harness, worker):
+    harness.deliver_request(worker)
+    [request] = worker.requests
+
+    worker.answer(request, worker_frames.QUEUE_FULL, fields="company=0")
+    text = f"worker {worker.worker_id} rejected {request.frame.exchange_id.hex()}, sent by list"
+    harness.run_until(lambda: any(text in line for line in harness.log_lines), "the rejection is logged")
+
+
 def test_request_served_in_time_is_not_logged(harness, worker):
     client = harness.deliver_request(worker)
 
