Let no lease outlast the grace of a drain that its evidence shows late

What callers saw: workers got new work up to 2.1 s after their drain was in the log; they turned most of it away, so that the requests took a retry, and two clients got a rejection.

Cause: each lease took its evidence for as new as the log. A heartbeat was taken to show all that the log had when it was sent, and a health check that was answered with ready to prove that the log had no drain of the worker. A rejection changed nothing either: one request went three times to the same worker within 31 ms.

Change: four tenths of the grace are kept for this lag. A worker's lease lasts 0.5 s from the send of its health check. A worker that rejects new work gets no more until it has answered a later health check, unless the list has not changed for 10 s.

The bound on health checks was 1.5 a second for each worker, from leases of 0.9 s that are renewed 0.15 s before their end. It is 2.5 now, from 0.5 s and 0.1 s: without shorter leases the rule can't be kept, and the bound follows from their length alone.

--- a/function_router/decisions/endpoint_leases.py
+++ b/function_router/decisions/endpoint_leases.py
@@ -4,8 +4,11 @@
 that lease, a worker may have drained or restarted unnoticed. New work then goes only to workers with a lease
 of their own, which they get by answering a health check with ready. A lease starts when the health check is
 sent. It ends before the drain grace, which is how long new work may still go to a worker after its drain is
-announced. (Leases: Gray and Cheriton, "Leases: An Efficient Fault-Tolerant Mechanism for Distributed File
-Cache Consistency", 1989.)
+announced, by so much that the worker itself may learn of its drain later than the log. (Leases: Gray and
+Cheriton, "Leases: An Efficient Fault-Tolerant Mechanism for Distributed File Cache Consistency", 1989.)
+
+A worker that rejects new work is full, or has drained unnoticed. Unless the list shows for certain that it is
+ready, it gets no more until it has answered another health check.
 
 A lease covers one process. A health check is answered on one connection. A connection that is established
 later may reach another process, which needs a health check of its own. The worker is assumed to have
@@ -20,7 +23,7 @@
 
 from function_router.decisions.actions import CheckHealth, LogMessage
 from function_router.decisions.events import EndpointListConfirmed, HealthChecked
-from function_router.decisions.list_lease import ListLease
+from function_router.decisions.list_lease import NOTICE_LAG_FRACTION, ListLease
 from function_router.decisions.outbox import Outbox
 from function_router.decisions.records import RECHECK_INTERVAL_MS, Worker
 from function_router.decisions.settings import Settings
@@ -35,7 +38,7 @@
 MIN_LEASE_FRACTION = 0.5
 
 # How long before its end a lease in use is renewed, so that requests rarely wait for a health check.
-RENEWAL_LEAD_MS = 150.0
+RENEWAL_LEAD_MS = 100.0
 
 # Workers in use get a first health check this long before the lease on the list ends. The time has to be
 # short, as the lease is usually renewed shortly before.
@@ -87,8 +90,11 @@
 
     def __init__(self, settings: Settings, workers: WorkerTable, outbox: Outbox) -> None:
         grace_ms = settings.drain_grace_ms
-        self._lease_ms = max(grace_ms * MIN_LEASE_FRACTION, grace_ms - LEASE_MARGIN_MS)
-        self._list = ListLease(grace_ms, self._lease_ms)
+        self._grace_ms = grace_ms
+        margin_ms = LEASE_MARGIN_MS + NOTICE_LAG_FRACTION * grace_ms
+        self._lease_ms = max(grace_ms * MIN_LEASE_FRACTION, grace_ms - margin_ms)
+        interrupted_lease_ms = max(grace_ms * MIN_LEASE_FRACTION, grace_ms - LEASE_MARGIN_MS)
+        self._list = ListLease(grace_ms, interrupted_lease_ms)
         self._workers = workers
         self._outbox = outbox
         # By id, the workers with results of health checks that the list has not superseded yet.
@@ -113,18 +119,26 @@
         """
         ready = self._workers.ready
         if self._list.record_confirmed(confirmation, now_ms):
-            self._clear_outdated_answers(confirmation.as_of_ms)
+            self._clear_outdated_answers(confirmation.as_of_ms, is_settled=self._list.is_settled(now_ms))
         return self._workers.ready is not ready
 
-    def _clear_outdated_answers(self, as_of_ms: float) -> None:
-        """Clear assumed starts of workers, and reported drains that the list should have contained then."""
+    def _clear_outdated_answers(self, as_of_ms: float, *, is_settled: bool) -> None:
+        """Clear assumed starts of workers, and drains and rejections that the list should have shown then."""
         for worker in list(self._checked.values()):
             worker.assumed_started_ms = None
             lease = worker.lease
+            if is_settled:
+                lease.rejected_ms = None
+            if lease.rejected_ms is not None:
+                continue
             if lease.drain_reported_ms is None or as_of_ms - lease.drain_reported_ms > DRAIN_REPORT_TTL_MS:
                 self._workers.set_drain_reported(worker, None)
                 del self._checked[worker.id]
 
+    def record_changed(self, now_ms: float) -> None:
+        """Shorten the lease on the list for some time, as a worker in it has changed."""
+        self._list.record_changed(now_ms)
+
     def record_interrupted(self, now_ms: float) -> None:
         """Let the lease on the list expire, as the router is not connected to the log."""
         self._list.record_interrupted(now_ms)
@@ -141,7 +155,9 @@
             now_ms: The current time.
             may_check: Whether a health check may be sent.
         """
-        expires_ms = max(self.list_expires_ms - CHECK_LEAD_MS, self._expires_ms(worker) - RENEWAL_LEAD_MS)
+        expires_ms = max(
+            self._list_expires_ms(worker) - CHECK_LEAD_MS, self._expires_ms(worker) - RENEWAL_LEAD_MS
+        )
         if now_ms < expires_ms:
             return LeaseStatus.VALID
         if may_check:
@@ -154,7 +170,7 @@
 
     def has_valid_lease(self, worker: Worker, now_ms: float) -> bool:
         """Return whether the lease on the list or that of the worker is valid."""
-        return self.is_list_current(now_ms) or now_ms < self._expires_ms(worker)
+        return now_ms < max(self._list_expires_ms(worker), self._expires_ms(worker))
 
     def connection_cutoff_ms(self, worker_id: int, now_ms: float) -> float:
         """Return the time by which a connection to a worker must have been established to carry new work now.
@@ -167,7 +183,7 @@
         worker = self._workers.by_id.get(worker_id)
         if worker is not None and worker.lease.drain_reported_ms is not None:
             return -math.inf
-        if self.is_list_current(now_ms):
+        if now_ms < self._list_expires_ms(worker):
             return math.inf
         if worker is None or now_ms >= self._expires_ms(worker):
             return -math.inf
@@ -176,21 +192,20 @@
     def is_within_grace(self, worker_id: int, at_ms: float) -> bool:
         """Return whether new work that was sent at `at_ms` was within the drain grace, as far as is known.
 
-        Each lease counts as longer by the margin, as a write may be delayed after its check. For the lease of
-        a worker, this is the drain grace, unless that is below 200 ms: `MIN_LEASE_FRACTION` then determines
-        the lease.
+        The lease on the list counts as longer by a margin, as a write may be delayed after its check. That of
+        a worker counts as the whole grace.
         """
         worker = self._workers.by_id.get(worker_id)
-        expires_ms = self.list_expires_ms
+        within_ms = self.list_expires_ms + LEASE_MARGIN_MS
         if worker is not None:
-            expires_ms = max(expires_ms, worker.lease.process_seen_ms + self._lease_ms)
-        return at_ms < expires_ms + LEASE_MARGIN_MS
+            within_ms = max(within_ms, worker.lease.process_seen_ms + self._grace_ms)
+        return at_ms < within_ms
 
     def lease_in_use(self, worker_id: int, now_ms: float) -> LeaseInUse:
         """Return the lease by which new work may go to a worker now; for the log, not for decisions."""
-        if self.is_list_current(now_ms):
-            return LeaseInUse(LeaseKind.LIST, self._list.complete_as_of_ms)
         worker = self._workers.by_id.get(worker_id)
+        if now_ms < self._list_expires_ms(worker):
+            return LeaseInUse(LeaseKind.LIST, self._list.complete_as_of_ms)
         if worker is not None and now_ms < self._expires_ms(worker):
             return LeaseInUse(LeaseKind.WORKER, worker.lease.ready_as_of_ms)
         return LeaseInUse(LeaseKind.NONE, None)
@@ -199,6 +214,23 @@
         """Revoke the lease of a worker, which may run a different process by now."""
         worker.lease.ready_as_of_ms = -math.inf
 
+    def record_rejected(self, worker: Worker, now_ms: float) -> None:
+        """Withhold new work from a worker that rejected some, unless the list is settled.
+
+        It gets new work again once it has answered a later health check, or the list is settled.
+        """
+        if self._list.is_settled(now_ms):
+            return
+        self.revoke(worker)
+        worker.lease.rejected_ms = now_ms
+        self._checked[worker.id] = worker
+
+    def _list_expires_ms(self, worker: Worker | None) -> float:
+        """Return when the lease on the list ends for a worker; a worker that rejected new work has none."""
+        if worker is not None and worker.lease.rejected_ms is not None:
+            return -math.inf
+        return self._list.expires_ms
+
     def _expires_ms(self, worker: Worker) -> float:
         return worker.lease.ready_as_of_ms + self._lease_ms
 
@@ -247,7 +279,10 @@
             self._outbox.add(LogMessage(f"worker {worker.id} is ready, perhaps restarted"))
         elif lease.drain_reported_ms is not None:
             self._outbox.add(LogMessage(f"worker {worker.id} is ready again"))
-        lease.ready_as_of_ms = max(lease.ready_as_of_ms, event.sent_at_ms)
+        if lease.rejected_ms is not None and event.sent_at_ms > lease.rejected_ms:
+            lease.rejected_ms = None
+        if lease.rejected_ms is None:
+            lease.ready_as_of_ms = max(lease.ready_as_of_ms, event.sent_at_ms)
         lease.process_seen_ms = max(lease.process_seen_ms, event.sent_at_ms)
         lease.next_check_ms = -math.inf
         lease.recheck_interval_ms = RECHECK_INTERVAL_MS
--- a/function_router/decisions/fleet.py
+++ b/function_router/decisions/fleet.py
@@ -45,6 +45,7 @@
         self.workers.update(event, now_ms)
         self.functions.set_worker_count(len(self.workers.by_id))
         self.health.recount_unresponsive()
+        self.leases.record_changed(now_ms)
 
     def evict_unused(self, now_ms: float) -> None:
         """Evict idle functions, and workers that were removed long ago."""
--- a/function_router/decisions/records.py
+++ b/function_router/decisions/records.py
@@ -45,6 +45,7 @@
 
     ready_as_of_ms: float = -math.inf  # send time of the last health check that was answered with ready
     process_seen_ms: float = -math.inf  # latest time at which its current process is known to have run
+    rejected_ms: float | None = None  # when it rejected new work although it counted as ready
     drain_reported_ms: float | None = None  # when the worker last reported a drain; None if ready since
     pending_check_ms: float | None = None  # when the pending health check was decided; None if there is none
     next_check_ms: float = -math.inf  # earliest time of the next health check
--- a/function_router/decisions/router.py
+++ b/function_router/decisions/router.py
@@ -212,7 +212,7 @@
             return
         function = attempt.function
         became_unresponsive = self._feedback.record_attempt(event, attempt, now_ms)
-        self._revoke_lease_after(event.outcome, attempt.worker)
+        self._update_lease_after(event.outcome, attempt.worker, now_ms)
         if became_unresponsive:
             self._retries.retry_elsewhere(attempt.worker, now_ms)
         request = self.requests.by_id.get(event.request_id)
@@ -233,7 +233,7 @@
         pool = function.pool_at(worker) if function is not None else None
         is_start = pool is not None and pool.is_start_report(event)
         became_unresponsive = self._feedback.record_report(event, function, worker, now_ms)
-        self._revoke_lease_after(event.outcome, worker)
+        self._update_lease_after(event.outcome, worker, now_ms)
         if became_unresponsive:
             self._retries.retry_elsewhere(worker, now_ms)
         if function is None or pool is None:
@@ -244,10 +244,12 @@
             self._scaling.record_probe_answer(function, worker, event, now_ms)
         self._dispatcher.dispatch(function, now_ms)
 
-    def _revoke_lease_after(self, outcome: Outcome, worker: Worker) -> None:
-        """Revoke a worker's lease if the outcome suggests that its process or its connections are gone."""
+    def _update_lease_after(self, outcome: Outcome, worker: Worker, now_ms: float) -> None:
+        """Revoke a worker's lease if the outcome suggests that its process is gone, or that it may drain."""
         if outcome in LEASE_REVOKING_OUTCOMES:
             self.fleet.leases.revoke(worker)
+        elif outcome is Outcome.QUEUE_FULL:
+            self.fleet.leases.record_rejected(worker, now_ms)
 
     def _on_timer_fired(self, _event: events.TimerFired, now_ms: float) -> None:
         """Do the periodic checks: due requests, hedges, lost attempts, silent workers and limits."""
--- a/function_router/decisions/workers.py
+++ b/function_router/decisions/workers.py
@@ -98,8 +98,9 @@
 
 
 def _record_start(worker: Worker, started_ms: float) -> None:
-    """Record the start of a worker's process; the drain of an earlier process has ended."""
+    """Record the start of a worker's process; the drain and the rejections of an earlier one have ended."""
     worker.started_ms = started_ms
+    worker.lease.rejected_ms = None
     drain_reported_ms = worker.lease.drain_reported_ms
     if drain_reported_ms is not None and started_ms > drain_reported_ms:
         worker.lease.drain_reported_ms = None
