--- a/soak/cluster.py
+++ b/soak/cluster.py
@@ -32,6 +32,7 @@
     Attributes:
         plan: The plan of the run, with the size of the cluster.
         rng: The random generator for seeds and delays that aren't part of the plan.
+        drain_lags_rng: The random generator for the lags of drains.
         routers: The routers; the index is the router's number.
         workers: The worker slots; the index is the slot's number.
         endpoints: The endpoint events, and the endpoint log of each router.
@@ -45,6 +46,7 @@
     def __init__(self, plan: Plan, folder: RunFolder, shim: Path | None) -> None:
         self.plan = plan
         self.rng = random.Random(plan.seed + 1)
+        self.drain_lags_rng = random.Random(f"drain lags of {plan.seed}")
         self.routers: list[RouterSlot] = []
         self.workers: list[WorkerSlot] = []
         self.endpoint_log_outages: list[EndpointLogOutage] = []
--- a/soak/endpoint_feed.py
+++ b/soak/endpoint_feed.py
@@ -1,5 +1,6 @@
 """The endpoint events of a run, which each router gets from an endpoint log of its own."""
 
+import asyncio
 import time
 from collections.abc import Sequence
 from functools import partial
@@ -21,6 +22,7 @@
         """Create a log server for each router; `proxy_ports` are the ports of the worker slots, by router."""
         self._proxy_ports = proxy_ports
         self._events: list[EndpointEvent] = []
+        self._showing: set[asyncio.Task[None]] = set()
         self.servers = [
             EndpointLogServer(self._events, partial(self._to_wire, router=router), ports)
             for router in range(len(proxy_ports))
@@ -37,14 +39,28 @@
         for server in self.servers:
             await server.start()
 
-    async def publish(self, endpoint: Endpoint) -> dict[int, float]:
-        """Publish a changed endpoint; return, by router, the time from which it counts as notified."""
-        self._append_event([endpoint], is_complete=False)
+    async def publish(self, endpoint: Endpoint, *, shown_after_s: float = 0.0) -> dict[int, float]:
+        """Publish a changed endpoint; return, by router, the time from which it counts as notified.
+
+        Args:
+            endpoint: The changed endpoint.
+            shown_after_s: How long neither events nor heartbeats of the logs show the change.
+        """
         now = time.monotonic()
         notified_at = {router: server.notified_at(now) for router, server in enumerate(self.servers)}
+        showing = asyncio.create_task(self._show(endpoint, shown_after_s))
+        self._showing.add(showing)
+        showing.add_done_callback(self._showing.discard)
+        if not shown_after_s:
+            await showing
+        return notified_at
+
+    async def _show(self, endpoint: Endpoint, after_s: float) -> None:
+        """Let the logs show a changed endpoint, after some time."""
+        await asyncio.sleep(after_s)
+        self._append_event([endpoint], is_complete=False)
         for server in self.servers:
             await server.publish()
-        return notified_at
 
     def events_for(self, router: int) -> list[dict[str, Any]]:
         """Return all events in the form in which the log of this router sends them."""
