Don't confirm the endpoint list while an event in a skipped gap is missing

What callers would see: new work to a worker whose drain the log has left out twice, for as long as the router runs.

Cause: an event that can't be read keeps the list from being confirmed until it arrives or a complete list does, but a gap that was requested again once and then skipped did not; the next heartbeat then confirmed a list without the events in it. Both are kept in one place now.

test_list_is_incomplete_after_a_skipped_gap_until_its_last_event_arrives failed before with CAUGHT_UP. test_announced_position_clears_skips_beyond_it expected CAUGHT_UP of a list that lacks events 6 and 7, which was the fault; it expects EVENT_SKIPPED now, and the rest of it is unchanged.

--- a/function_router/net/endpoint_watch.py
+++ b/function_router/net/endpoint_watch.py
@@ -147,7 +147,7 @@
         is_unreadable = event is None or event.sequence < skipped_through or not self._deliver(event)
         if event is not None and not is_unreadable:
             skipped_through = event.sequence
-        self._tracker.skip_through(skipped_through, is_unreadable=is_unreadable)
+        self._tracker.skip_through(skipped_through, is_last_applied=not is_unreadable)
         self._log(f"endpoint log: skipped events up to {skipped_through}")
 
     # --- events ---------------------------------------------------------------------------------
--- a/function_router/net/sequence_tracker.py
+++ b/function_router/net/sequence_tracker.py
@@ -9,7 +9,7 @@
     CAUGHT_UP = auto()  # no event is missing
     EVENTS_MISSING = auto()  # events are missing, and have to be requested again
     EVENTS_STILL_MISSING = auto()  # events are missing, but the last request is too recent to be repeated
-    EVENT_UNREADABLE = auto()  # an unreadable event was skipped, and no snapshot has been applied since
+    EVENT_SKIPPED = auto()  # an event was skipped, and no snapshot has been applied since
     LOG_IS_BEHIND = auto()  # the announced number is below that of the last applied event
     SNAPSHOT_REVOKED = auto()  # a snapshot after a gap had a sequence number beyond the end of the log
 
@@ -37,14 +37,14 @@
         "_missing_after",
         "_sequence_before_snapshot",
         "_skipped_through",
-        "_unreadable_sequence",
+        "_skipped_sequence",
         "last_sequence",
     )
 
     def __init__(self, last_sequence: int) -> None:
         self.last_sequence = last_sequence
         self._skipped_through = 0  # events up to this number were requested again without success
-        self._unreadable_sequence: int | None = None  # the last number skipped as its line was unreadable
+        self._skipped_sequence: int | None = None  # the last event that was skipped and not applied since
         self._invalid_line_position: int | None = None  # position at which an invalid line led to a request
         self._missing_after: int | None = None  # `last_sequence` when missing events led to a request
         # The value of `last_sequence` before a snapshot after a gap was applied. It is kept until an
@@ -75,8 +75,8 @@
 
     def record_applied(self, sequence: int, *, is_after_gap: bool = False, is_snapshot: bool = False) -> None:
         """Record an applied event; only a snapshot may be applied after a gap, and it fills the gap."""
-        if is_snapshot or sequence == self._unreadable_sequence:
-            self._unreadable_sequence = None
+        if is_snapshot or sequence == self._skipped_sequence:
+            self._skipped_sequence = None
         if is_after_gap:
             self._sequence_before_snapshot = self.last_sequence
         self.last_sequence = sequence
@@ -90,16 +90,15 @@
         self._invalid_line_position = None
         return InvalidLineResponse.SKIP
 
-    def skip_through(self, sequence: int, *, is_unreadable: bool) -> None:
+    def skip_through(self, sequence: int, *, is_last_applied: bool) -> None:
         """Stop waiting for the events up to this number.
 
         Args:
-            sequence: The number of the last event to skip.
-            is_unreadable: Whether the line of that event was received, but could not be applied.
+            sequence: The number of the last event that is not awaited any more.
+            is_last_applied: Whether that event itself was applied, so that only those before it are missing.
         """
         self._skipped_through = sequence
-        if is_unreadable:
-            self._unreadable_sequence = sequence
+        self._skipped_sequence = sequence - 1 if is_last_applied else sequence
 
     def record_announcement(self, sequence: int, *, may_repeat_request: bool) -> SyncState:
         """Compare the position with the last sequence number that the log announces.
@@ -118,15 +117,15 @@
                 return SyncState.EVENTS_STILL_MISSING
             self._missing_after = self.last_sequence
             return SyncState.EVENTS_MISSING
-        if self._unreadable_sequence is not None and sequence < self._unreadable_sequence:
+        if self._skipped_sequence is not None and sequence < self._skipped_sequence:
             # The log has no event with this number, so the unreadable line was not an event.
-            self._unreadable_sequence = None
+            self._skipped_sequence = None
         self._skipped_through = sequence  # skipped numbers beyond the end of the log belong to future events
         self._invalid_line_position = None
         self._sequence_before_snapshot = None
         if sequence < self.last_sequence:
             return SyncState.LOG_IS_BEHIND
-        return SyncState.CAUGHT_UP if self._unreadable_sequence is None else SyncState.EVENT_UNREADABLE
+        return SyncState.CAUGHT_UP if self._skipped_sequence is None else SyncState.EVENT_SKIPPED
 
     def reset_requests(self) -> None:
         """Allow all requests to be repeated, as the log has moved to another address."""
--- a/tests/net/test_sequence_tracker.py
+++ b/tests/net/test_sequence_tracker.py
@@ -48,7 +48,7 @@
 
 
 def test_skipped_event_is_still_applied_if_it_arrives_late(tracker):
-    tracker.skip_through(8, is_unreadable=False)
+    tracker.skip_through(8, is_last_applied=True)
 
     assert tracker.position == 8
     assert not tracker.is_applied(7)
@@ -56,12 +56,12 @@
 
 
 def test_announced_position_clears_skips_beyond_it(tracker):
-    tracker.skip_through(8, is_unreadable=False)
+    tracker.skip_through(8, is_last_applied=True)
     tracker.record_invalid_line()
 
     announcement = tracker.record_announcement(7, may_repeat_request=False)
 
-    assert announcement is SyncState.CAUGHT_UP
+    assert announcement is SyncState.EVENT_SKIPPED
     assert tracker.position == 7
     assert not tracker.awaits_repeat
 
@@ -112,18 +112,29 @@
 
 
 def test_list_is_incomplete_after_an_unreadable_event_until_a_snapshot_is_applied(tracker):
-    tracker.skip_through(6, is_unreadable=True)
-    assert announce(tracker, 6) is SyncState.EVENT_UNREADABLE
+    tracker.skip_through(6, is_last_applied=False)
+    assert announce(tracker, 6) is SyncState.EVENT_SKIPPED
     tracker.record_applied(7)
-    assert announce(tracker, 7) is SyncState.EVENT_UNREADABLE
+    assert announce(tracker, 7) is SyncState.EVENT_SKIPPED
 
     tracker.record_applied(8, is_snapshot=True)
 
     assert announce(tracker, 8) is SyncState.CAUGHT_UP
 
 
+def test_list_is_incomplete_after_a_skipped_gap_until_its_last_event_arrives(tracker):
+    # Guards against a lease on a list that lacks a drain because the log has left out its event twice.
+    tracker.skip_through(8, is_last_applied=True)
+    state = announce(tracker, 8)
+
+    tracker.record_applied(7)
+
+    assert state is SyncState.EVENT_SKIPPED
+    assert announce(tracker, 8) is SyncState.CAUGHT_UP
+
+
 def test_unreadable_event_that_can_be_read_later_completes_the_list(tracker):
-    tracker.skip_through(6, is_unreadable=True)
+    tracker.skip_through(6, is_last_applied=False)
 
     tracker.record_applied(6)
 
@@ -131,7 +142,7 @@
 
 
 def test_unreadable_line_beyond_the_end_of_the_log_was_no_event(tracker):
-    tracker.skip_through(6, is_unreadable=True)
+    tracker.skip_through(6, is_last_applied=False)
 
     assert announce(tracker, 5) is SyncState.CAUGHT_UP
     tracker.record_applied(6)
