--- a/function_router/net/sequence_tracker.py
+++ b/function_router/net/sequence_tracker.py
@@ -36,8 +36,8 @@
         "_invalid_line_position",
         "_missing_after",
         "_sequence_before_snapshot",
-        "_skipped_through",
         "_skipped_sequence",
+        "_skipped_through",
         "last_sequence",
     )
 
--- a/soak/worker_changes.py
+++ b/soak/worker_changes.py
@@ -13,7 +13,8 @@
 from soak.endpoint_events import EndpointPhase
 from soak.worker_slot import WorkerSlot
 
-MAX_DRAIN_LAG_S = 0.35
+MAX_WORKER_LAG_S = 0.45
+MAX_LOG_LAG_S = 0.4
 
 
 @dataclass(frozen=True, slots=True)
@@ -31,7 +32,7 @@
     @classmethod
     def draw(cls, rng: random.Random) -> Self:
         """Draw both lags independently."""
-        return cls(rng.uniform(0.0, MAX_DRAIN_LAG_S), rng.uniform(0.0, MAX_DRAIN_LAG_S))
+        return cls(rng.uniform(0.0, MAX_WORKER_LAG_S), rng.uniform(0.0, MAX_LOG_LAG_S))
 
 
 async def drain_and_replace(cluster: Cluster, slot: WorkerSlot, drain_s: float, new_name: str) -> None:
