Confirm the list after a skipped gap only once all its events have arrived

Found when the change was read once more: only the last event of a gap was remembered, so that its late arrival confirmed a list that still lacked the events before it. The range of skipped events is kept now; they count as arrived in their order, since an event before the last applied one is no longer applied.

test_list_is_incomplete_after_a_skipped_gap_until_all_its_events_arrive failed before for the late event 7 alone, with CAUGHT_UP.

--- a/function_router/net/sequence_tracker.py
+++ b/function_router/net/sequence_tracker.py
@@ -36,7 +36,7 @@
         "_invalid_line_position",
         "_missing_after",
         "_sequence_before_snapshot",
-        "_skipped_sequence",
+        "_skipped_events",
         "_skipped_through",
         "last_sequence",
     )
@@ -44,7 +44,7 @@
     def __init__(self, last_sequence: int) -> None:
         self.last_sequence = last_sequence
         self._skipped_through = 0  # events up to this number were requested again without success
-        self._skipped_sequence: int | None = None  # the last event that was skipped and not applied since
+        self._skipped_events = range(0)  # from the first to the last one that was skipped and not applied
         self._invalid_line_position: int | None = None  # position at which an invalid line led to a request
         self._missing_after: int | None = None  # `last_sequence` when missing events led to a request
         # The value of `last_sequence` before a snapshot after a gap was applied. It is kept until an
@@ -75,8 +75,10 @@
 
     def record_applied(self, sequence: int, *, is_after_gap: bool = False, is_snapshot: bool = False) -> None:
         """Record an applied event; only a snapshot may be applied after a gap, and it fills the gap."""
-        if is_snapshot or sequence == self._skipped_sequence:
-            self._skipped_sequence = None
+        if is_snapshot:
+            self._skipped_events = range(0)
+        elif self._skipped_events and sequence == self._skipped_events.start:
+            self._skipped_events = self._skipped_events[1:]
         if is_after_gap:
             self._sequence_before_snapshot = self.last_sequence
         self.last_sequence = sequence
@@ -93,12 +95,15 @@
     def skip_through(self, sequence: int, *, is_last_applied: bool) -> None:
         """Stop waiting for the events up to this number.
 
+        Without them the list is incomplete, until they arrive in order or a snapshot is applied.
+
         Args:
             sequence: The number of the last event that is not awaited any more.
             is_last_applied: Whether that event itself was applied, so that only those before it are missing.
         """
+        first_skipped = self._skipped_events.start if self._skipped_events else self.position + 1
         self._skipped_through = sequence
-        self._skipped_sequence = sequence - 1 if is_last_applied else sequence
+        self._skipped_events = range(first_skipped, sequence if is_last_applied else sequence + 1)
 
     def record_announcement(self, sequence: int, *, may_repeat_request: bool) -> SyncState:
         """Compare the position with the last sequence number that the log announces.
@@ -117,15 +122,14 @@
                 return SyncState.EVENTS_STILL_MISSING
             self._missing_after = self.last_sequence
             return SyncState.EVENTS_MISSING
-        if self._skipped_sequence is not None and sequence < self._skipped_sequence:
-            # The log has no event with this number, so the unreadable line was not an event.
-            self._skipped_sequence = None
+        # The log has no events beyond this number, so lines with such numbers were not events.
+        self._skipped_events = range(self._skipped_events.start, min(self._skipped_events.stop, sequence + 1))
         self._skipped_through = sequence  # skipped numbers beyond the end of the log belong to future events
         self._invalid_line_position = None
         self._sequence_before_snapshot = None
         if sequence < self.last_sequence:
             return SyncState.LOG_IS_BEHIND
-        return SyncState.CAUGHT_UP if self._skipped_sequence is None else SyncState.EVENT_SKIPPED
+        return SyncState.EVENT_SKIPPED if self._skipped_events else SyncState.CAUGHT_UP
 
     def reset_requests(self) -> None:
         """Allow all requests to be repeated, as the log has moved to another address."""
--- a/tests/net/test_sequence_tracker.py
+++ b/tests/net/test_sequence_tracker.py
@@ -122,15 +122,23 @@
     assert announce(tracker, 8) is SyncState.CAUGHT_UP
 
 
-def test_list_is_incomplete_after_a_skipped_gap_until_its_last_event_arrives(tracker):
+@pytest.mark.parametrize(
+    ("late_sequences", "state"),
+    [
+        ([], SyncState.EVENT_SKIPPED),
+        ([6], SyncState.EVENT_SKIPPED),
+        ([7], SyncState.EVENT_SKIPPED),
+        ([6, 7], SyncState.CAUGHT_UP),
+    ],
+)
+def test_list_is_incomplete_after_a_skipped_gap_until_all_its_events_arrive(tracker, late_sequences, state):
     # Guards against a lease on a list that lacks a drain because the log has left out its event twice.
     tracker.skip_through(8, is_last_applied=True)
-    state = announce(tracker, 8)
 
-    tracker.record_applied(7)
+    for sequence in late_sequences:
+        tracker.record_applied(sequence)
 
-    assert state is SyncState.EVENT_SKIPPED
-    assert announce(tracker, 8) is SyncState.CAUGHT_UP
+    assert announce(tracker, 8) is state
 
 
 def test_unreadable_event_that_can_be_read_later_completes_the_list(tracker):
