Let a reported drain expire although the worker has rejected new work

Found when the change was read once more: a rejection kept a drain that the worker had reported, and that no list confirmed, until the list had not changed for 10 s. A worker that fails a health check now and then answers it as a draining one does, and would have been out of use for as long as a release goes on.

test_rejection_does_not_prolong_a_reported_drain failed before.

--- a/function_router/decisions/endpoint_leases.py
+++ b/function_router/decisions/endpoint_leases.py
@@ -129,10 +129,10 @@
             lease = worker.lease
             if is_settled:
                 lease.rejected_ms = None
-            if lease.rejected_ms is not None:
-                continue
-            if lease.drain_reported_ms is None or as_of_ms - lease.drain_reported_ms > DRAIN_REPORT_TTL_MS:
+            drain_reported_ms = lease.drain_reported_ms
+            if drain_reported_ms is not None and as_of_ms - drain_reported_ms > DRAIN_REPORT_TTL_MS:
                 self._workers.set_drain_reported(worker, None)
+            if lease.drain_reported_ms is None and lease.rejected_ms is None:
                 del self._checked[worker.id]
 
     def record_changed(self, now_ms: float) -> None:
--- a/tests/decisions/test_endpoint_leases_late_knowledge.py
+++ b/tests/decisions/test_endpoint_leases_late_knowledge.py
@@ -5,10 +5,10 @@
 from helpers.lease_harness import DRAIN_GRACE_MS, LEASE_MS, checked, sent_to
 
 from function_router.decisions.actions import SendRequest
-from function_router.decisions.endpoint_leases import CHECK_WAIT_MS
+from function_router.decisions.endpoint_leases import CHECK_WAIT_MS, DRAIN_REPORT_TTL_MS
 from function_router.decisions.events import Endpoint, EndpointsChanged
 from function_router.decisions.list_lease import HEARTBEAT_INTERVAL_MS, NOTICE_LAG_FRACTION, UNSETTLED_MS
-from function_router.decisions.types import Outcome
+from function_router.decisions.types import Outcome, Readiness
 
 # By how much the operator's protocol extends each time limit on sockets.
 SOCKET_ALLOWANCE_MS = 50.0
@@ -103,3 +103,16 @@
         harness.confirm_list()
 
     assert harness.leases.has_valid_lease(worker, harness.now_ms)
+
+
+def test_rejection_does_not_prolong_a_reported_drain(harness):
+    worker = harness.worker(harness.warm_id)
+    harness.answer_health_check(harness.warm_id, Readiness.DRAINING)
+    change_another_worker(harness)
+    harness.leases.record_rejected(worker, harness.now_ms)
+    harness.now_ms += DRAIN_REPORT_TTL_MS + 1
+
+    harness.confirm_list()
+
+    assert worker.is_ready
+    assert not harness.leases.has_valid_lease(worker, harness.now_ms)
