--- a/function_router/net/attempts_in_flight.py
+++ b/function_router/net/attempts_in_flight.py
@@ -63,8 +63,7 @@
         attempt = self._create(request, number, worker_id)
         self.by_key[request.key, number] = attempt
         self._memory.charge(attempt.size_bytes)
-        attempt.lease = self._pool.describe_lease(worker_id)
-        request.add_trace_step(f"sent to {worker_id} by {attempt.lease}")
+        request.add_trace_step(f"sent to {worker_id} by {self._pool.describe_lease(worker_id)}")
         self._pool.send(attempt)
 
     def cancel(self, key: str, number: int) -> None:
--- a/function_router/net/worker_connection.py
+++ b/function_router/net/worker_connection.py
@@ -278,8 +278,10 @@
         self._unwritten_at_flush = self.unwritten()
 
     def _check_send(self, exchange: Exchange) -> None:
-        """Record the invariants that an exchange violated when its first byte was written."""
+        """Record by which lease a first byte was written, and the invariants that its exchange violated."""
         owner = self._owner
+        if exchange.is_new_work:
+            exchange.lease = self._readiness.describe_lease(owner.worker_id)
         conditions = self._readiness.conditions_of_send(
             owner.worker_id, owner.state, self.connection.writer.last_write_ms, self.established_at_ms
         )
--- a/function_router/net/worker_messages.py
+++ b/function_router/net/worker_messages.py
@@ -121,6 +121,7 @@
         is_done: Whether the exchange has its result.
         connection_wait_ms: The time from the creation of the exchange to its assignment to a connection.
         connected_at_ms: When the connection of the exchange was established, on the monotonic clock.
+        lease: The lease by which the first byte of new work was written, for the log; empty before that.
     """
 
     worker_id: int
@@ -135,6 +136,7 @@
     is_done: bool = field(default=False, init=False)
     connection_wait_ms: float = field(default=0.0, init=False)
     connected_at_ms: float = field(default=0.0, init=False)
+    lease: str = field(default="", init=False)
 
     @property
     def is_started(self) -> bool:
@@ -251,7 +253,6 @@
         idempotency_key: The key by which workers recognize a repeated attempt; empty if the class needs none.
         body: The request's body.
         deadline_ms: When the client stops waiting, on the monotonic clock.
-        lease: The lease by which it was sent, for the log.
         encoded_timeout_ms: The timeout in the frame: the time left until the deadline when the frame was
             encoded.
     """
@@ -262,7 +263,6 @@
     idempotency_key: str = ""
     body: bytes = b""
     deadline_ms: float
-    lease: str = ""
     encoded_timeout_ms: float = field(default=0.0, init=False)
 
     @property
