--- a/soak/endpoint_feed.py
+++ b/soak/endpoint_feed.py
@@ -22,7 +22,7 @@
         """Create a log server for each router; `proxy_ports` are the ports of the worker slots, by router."""
         self._proxy_ports = proxy_ports
         self._events: list[EndpointEvent] = []
-        self._showing: set[asyncio.Task[None]] = set()
+        self._showing: set[asyncio.Task[None]] = set()  # changes that the logs do not show yet
         self.servers = [
             EndpointLogServer(self._events, partial(self._to_wire, router=router), ports)
             for router in range(len(proxy_ports))
@@ -67,7 +67,9 @@
         return [self._to_wire(event, router=router) for event in self._events]
 
     async def close(self) -> None:
-        """Stop all servers, and close their connections."""
+        """Stop all servers, and close their connections; changes that are not shown yet are dropped."""
+        for showing in self._showing:
+            showing.cancel()
         for server in self.servers:
             await server.close()
 
--- a/tests/test_late_endpoint_log.py
+++ b/tests/test_late_endpoint_log.py
@@ -17,9 +17,7 @@
 ANSWER_WAIT_S = 0.5  # wait for the answers to the last requests
 MIN_SERVED_RATIO = 0.98  # ratio of the share that is served while the log is late to the share before
 MAX_CHECKS_PER_S = 2.5  # for each worker: one 100 ms before the end of each lease of 500 ms
-MAX_REJECTED = (
-    3  # new work that a draining worker rejects until the router knows: what is sent in one round trip
-)
+MAX_REJECTED = 3  # of new work by a draining worker, until its router knows: that of one round trip
 
 
 class Course:
@@ -129,21 +127,28 @@
 # --- workers and logs that learn of a drain late
 
 
-@pytest.mark.parametrize("learns_after_s", [0.3, 0.4])
-def test_worker_that_learns_of_its_drain_late_gets_no_new_work_after_the_grace(make_cluster, learns_after_s):
-    # Guards against a health check that is taken to prove that the log has no drain of the worker.
+def run_until_the_log_is_late(make_cluster):
+    """Return a cluster whose log is so late that only health checks allow new work."""
     course = Course(lambda _at_s: 8.8)
     cluster = make_cluster(endpoint_log=LateEndpointLog(course))
-    [draining, _] = cluster.workers
     cluster.run(BASELINE_S)
     course.start()
     cluster.run(2.0)
+    return cluster
+
+
+@pytest.mark.parametrize("learns_after_s", [0.3, 0.4])
+def test_worker_that_learns_of_its_drain_late_gets_no_new_work_after_the_grace(make_cluster, learns_after_s):
+    # Guards against a health check that is taken to prove that the log has no drain of the worker.
+    cluster = run_until_the_log_is_late(make_cluster)
+    [draining, _] = cluster.workers
     checks = len(draining.health_checks)
     while len(draining.health_checks) == checks:
         cluster.run(0.005)
     interval_s = draining.health_checks[-1] - draining.health_checks[-2]
 
-    cluster.run(interval_s - learns_after_s + 0.05)  # the next check comes just before the worker learns
+    # The next check comes just before the worker learns of its drain.
+    cluster.run(interval_s - learns_after_s + 0.05)
     draining.learns_of_drain_at_s = time.monotonic() + learns_after_s
     drained_s = drain(cluster, draining)
     cluster.run(learns_after_s)
@@ -167,9 +172,8 @@
     while log.heartbeat_at_s == heartbeat_at_s:
         cluster.run(0.005)
 
-    cluster.run(
-        log.heartbeat_s - shown_after_s + 0.05
-    )  # the next heartbeat comes just before the drain is shown
+    # The next heartbeat comes just before the drain is shown.
+    cluster.run(log.heartbeat_s - shown_after_s + 0.05)
     draining.is_draining = True
     drained_s = time.monotonic()
     log.publish(endpoint_event(3, draining.record("terminating")), shown_after_s)
@@ -186,12 +190,8 @@
 
 def test_worker_that_rejects_new_work_is_asked_before_it_gets_more_while_the_log_is_late(make_cluster):
     # Guards against attempts that go to a rejecting worker again and again by one health check.
-    course = Course(lambda _at_s: 8.8)
-    cluster = make_cluster(endpoint_log=LateEndpointLog(course))
+    cluster = run_until_the_log_is_late(make_cluster)
     [draining, _] = cluster.workers
-    cluster.run(BASELINE_S)
-    course.start()
-    cluster.run(2.0)
 
     draining.is_draining = True
     drained_s = time.monotonic()
