Judge an earlier send by the lease that was valid when it was written

Cause: a change of the list shortens the lease at once, and the run-time check that follows the write then applied the shorter one. It takes the lease without the shortening now, which is the one it took before the leases were changed.

test_change_of_the_list_does_not_turn_an_earlier_send_into_a_violation failed before.

--- a/function_router/decisions/endpoint_leases.py
+++ b/function_router/decisions/endpoint_leases.py
@@ -102,11 +102,6 @@
 
     # --- the list -------------------------------------------------------------------------------
 
-    @property
-    def list_expires_ms(self) -> float:
-        """The time at which the lease on the list ends unless it is renewed."""
-        return self._list.expires_ms
-
     def is_list_current(self, now_ms: float) -> bool:
         """Return whether the lease on the list is valid."""
         return self._list.is_valid(now_ms)
@@ -196,7 +191,7 @@
         a worker counts as the whole grace.
         """
         worker = self._workers.by_id.get(worker_id)
-        within_ms = self.list_expires_ms + LEASE_MARGIN_MS
+        within_ms = self._list.longest_expires_ms + LEASE_MARGIN_MS
         if worker is not None:
             within_ms = max(within_ms, worker.lease.process_seen_ms + self._grace_ms)
         return at_ms < within_ms
--- a/function_router/decisions/list_lease.py
+++ b/function_router/decisions/list_lease.py
@@ -73,11 +73,21 @@
 
         A list that the log has never confirmed has no lease, nor has one while the log is late.
         """
+        return self._expires_after(self._settled_lease_ms if self._is_settled else self._unsettled_lease_ms)
+
+    @property
+    def longest_expires_ms(self) -> float:
+        """The time at which the lease would end if the list had not changed lately.
+
+        A change shortens the lease, but what was sent before it was in order.
+        """
+        return self._expires_after(self._settled_lease_ms)
+
+    def _expires_after(self, duration_ms: float) -> float:
         if self.complete_as_of_ms is None:
             return -math.inf if self._followed_since_ms < math.inf else math.inf
         if self._is_late:
             return -math.inf
-        duration_ms = self._settled_lease_ms if self._is_settled else self._unsettled_lease_ms
         return min(self._interrupted_ms + self._interrupted_lease_ms, self.complete_as_of_ms + duration_ms)
 
     def is_valid(self, now_ms: float) -> bool:
--- a/tests/decisions/test_endpoint_leases_late_knowledge.py
+++ b/tests/decisions/test_endpoint_leases_late_knowledge.py
@@ -42,6 +42,18 @@
     assert harness.router.is_endpoint_list_current(harness.now_ms + HEARTBEAT_INTERVAL_MS)
 
 
+def test_change_of_the_list_does_not_turn_an_earlier_send_into_a_violation(harness):
+    # Guards against a run-time check that applies the shorter lease to what was written before the change.
+    written_ms = harness.now_ms + HEARTBEAT_INTERVAL_MS
+    was_valid = harness.router.is_endpoint_list_current(written_ms)
+    harness.now_ms = written_ms + 1
+
+    change_another_worker(harness)
+
+    assert was_valid
+    assert harness.router.connection_policy.is_within_drain_grace(harness.warm_id, written_ms)
+
+
 @pytest.mark.parametrize("learned_after_ms", [0.0, 200.0, NOTICE_LAG_MS])
 def test_lease_does_not_outlast_the_grace_of_a_drain_of_which_its_worker_learns_late(
     stale_harness, learned_after_ms
