Begin each log line with the name and a colon again, the time after it

Before lines began with "NAME: ", and excerpts had them; since then they began with "NAME HH:MM:SS.mmm: ". Collectors that select by the first word find nothing. The time now follows the name and its colon. The test compares a whole line.

--- a/tests/net/test_log.py
+++ b/tests/net/test_log.py
@@ -11,7 +11,7 @@
 
 MORE_LINES_THAN_A_PIPE_HOLDS = 400
 NOON_MS = 1_796_644_800_250.0
-PREFIX = "n1 12:00:00.250: "
+PREFIX = "n1: 12:00:00.250 "
 
 
 def read_noon_ms():
@@ -52,6 +52,13 @@
     assert f"{PREFIX}news" in out.getvalue()
 
 
+def test_line_begins_with_the_name_and_a_colon(out, log):
+    # Guards against collectors that find no line of a process, as they select lines by "NAME: ".
+    log("serving")
+
+    assert out.getvalue() == "n1: 12:00:00.250 serving\n"
+
+
 def test_line_is_truncated_and_cannot_forge_another_line(out, log):
     log("x\nn1: forged\x1b[0m" + "y" * MAX_LINE_LENGTH)
 
