Audit what was sent to workers whose drain arrived late, and count sends by lease

When a drain or a removal arrives, the router knows now when it was published at the earliest: at the last confirmation of the list. What was sent later than the grace after that is logged, with its leases and the age of their evidence. The counters say how many first bytes were written by which lease. No decision changes.

--- a/function_router/decisions/__init__.py
+++ b/function_router/decisions/__init__.py
@@ -21,6 +21,7 @@
     placement                           order of workers, fan-out and headroom
     instances                           instances that are presumed to exist
     health, circuit_breakers            which workers are usable
+    late_send_audit                     new work that was sent although a drain was published already
     endpoint_leases                     which workers may get new work, by the list or by a health check
     list_lease                          how long the endpoint list stays valid
     capacity, slow_start                limits of workers, and send budgets of those in slow start
--- a/function_router/decisions/connection_policy.py
+++ b/function_router/decisions/connection_policy.py
@@ -6,7 +6,23 @@
 
 import math
 
+from msgspec import Struct
+
+from function_router.decisions.endpoint_leases import LeaseInUse
 from function_router.decisions.fleet import Fleet
+from function_router.decisions.types import LeaseKind
+
+
+class SentLease(Struct, frozen=True):
+    """The lease by which new work was sent.
+
+    Attributes:
+        kind: Which lease it was, for the counters.
+        description: The lease and the age of its evidence, for the log.
+    """
+
+    kind: LeaseKind
+    description: str
 
 
 class ConnectionPolicy:
@@ -15,6 +31,7 @@
     def __init__(self, fleet: Fleet) -> None:
         self._workers = fleet.workers
         self._leases = fleet.leases
+        self._late_send_audit = fleet.late_send_audit
         self._process_identity = fleet.process_identity
 
     def connection_cutoff_ms(self, worker_id: int, now_ms: float) -> float:
@@ -48,7 +65,16 @@
 
     def describe_lease(self, worker_id: int, now_ms: float) -> str:
         """Return by which lease new work may go to a worker now, and how old its evidence is, for the log."""
-        lease = self._leases.lease_in_use(worker_id, now_ms)
-        if lease.as_of_ms is None:
-            return lease.kind.value
-        return f"{lease.kind.value} {now_ms - lease.as_of_ms:.0f} ms old"
+        return _describe(self._leases.lease_in_use(worker_id, now_ms), now_ms)
+
+    def record_sent(self, worker_id: int, sent_ms: float) -> SentLease:
+        """Record for the audit that the first byte of new work was written, and return by which lease."""
+        lease = self._leases.lease_in_use(worker_id, sent_ms)
+        self._late_send_audit.record_sent(worker_id, lease, sent_ms)
+        return SentLease(lease.kind, _describe(lease, sent_ms))
+
+
+def _describe(lease: LeaseInUse, now_ms: float) -> str:
+    if lease.as_of_ms is None:
+        return lease.kind.value
+    return f"{lease.kind.value} {now_ms - lease.as_of_ms:.0f} ms old"
--- a/function_router/decisions/fleet.py
+++ b/function_router/decisions/fleet.py
@@ -8,6 +8,7 @@
 from function_router.decisions.functions import FunctionTable
 from function_router.decisions.health import Health
 from function_router.decisions.instances import Instances
+from function_router.decisions.late_send_audit import LateSendAudit
 from function_router.decisions.outbox import Outbox
 from function_router.decisions.placement import Placement
 from function_router.decisions.process_identity import ProcessIdentity
@@ -28,6 +29,7 @@
         self.slow_start = SlowStart(settings, self.workers, self.arrivals, seed)
         self.capacity = Capacity(settings, self.workers, self.slow_start, self.durations)
         self.leases = EndpointLeases(settings, self.workers, outbox)
+        self.late_send_audit = LateSendAudit(settings, self.workers, outbox)
         self.health = Health(settings, self.workers, self.durations, self.capacity, outbox)
         self.instances = Instances(settings, self.capacity)
         self.placement = Placement(
@@ -43,6 +45,7 @@
     def update_endpoints(self, event: EndpointsChanged, now_ms: float) -> None:
         """Apply a complete endpoint list or the changes in it."""
         self.workers.update(event, now_ms)
+        self.late_send_audit.report_late_sends(now_ms)
         self.functions.set_worker_count(len(self.workers.by_id))
         self.health.recount_unresponsive()
         self.leases.record_changed(now_ms)
--- /dev/null
+++ b/function_router/decisions/late_send_audit.py
@@ -0,0 +1,105 @@
+"""Audit of new work that was sent to a worker whose drain the endpoint log had published already.
+
+An event of the log shows a drain, but not when it was published: at some time between the last confirmation
+of the list and its arrival. New work that was sent later than the drain grace after that confirmation may
+have been late. The audit says so in the log when the event arrives, with the leases by which the work was
+sent, as only this shows afterwards which evidence was wrong. It has no effect on decisions.
+"""
+
+from collections import Counter, deque
+
+from msgspec import Struct, field
+
+from function_router.decisions.actions import LogMessage
+from function_router.decisions.endpoint_leases import LeaseInUse
+from function_router.decisions.outbox import Outbox
+from function_router.decisions.records import Worker
+from function_router.decisions.settings import Settings
+from function_router.decisions.types import WorkerState
+from function_router.decisions.workers import WorkerTable
+
+# Maximum number of sends that are remembered for each worker. Of more, the latest are.
+MAX_SENDS_PER_WORKER = 64
+
+
+class SentWork(Struct, frozen=True):
+    """New work whose first byte was written to a worker.
+
+    Attributes:
+        sent_ms: When it was written.
+        lease: The lease by which it was sent.
+    """
+
+    sent_ms: float
+    lease: LeaseInUse
+
+
+def _new_sends() -> deque[SentWork]:
+    return deque(maxlen=MAX_SENDS_PER_WORKER)
+
+
+class _WorkerSends(Struct, eq=False):
+    """What was sent to a worker since the list was last known to show it as ready."""
+
+    sends: deque[SentWork] = field(default_factory=_new_sends)
+
+    def drop_until(self, time_ms: float) -> None:
+        while self.sends and self.sends[0].sent_ms <= time_ms:
+            self.sends.popleft()
+
+
+class LateSendAudit:
+    """Owns the latest sends to each worker, and reports those that may have been late."""
+
+    def __init__(self, settings: Settings, workers: WorkerTable, outbox: Outbox) -> None:
+        self._grace_ms = settings.drain_grace_ms
+        self._workers = workers
+        self._outbox = outbox
+        # When the list was last known to be complete; before that, when work was first sent.
+        self._complete_as_of_ms: float | None = None
+        self._by_worker_id: dict[int, _WorkerSends] = {}
+
+    def record_sent(self, worker_id: int, lease: LeaseInUse, sent_ms: float) -> None:
+        """Record that the first byte of new work was written."""
+        if self._complete_as_of_ms is None:
+            self._complete_as_of_ms = sent_ms
+        worker_sends = self._by_worker_id.setdefault(worker_id, _WorkerSends())
+        worker_sends.sends.append(SentWork(sent_ms, lease))
+
+    def record_confirmed(self, as_of_ms: float) -> None:
+        """Forget the sends within the grace of any drain that is published after `as_of_ms`."""
+        self._complete_as_of_ms = as_of_ms
+        for worker_id, worker_sends in list(self._by_worker_id.items()):
+            worker_sends.drop_until(as_of_ms + self._grace_ms)
+            if not worker_sends.sends:
+                del self._by_worker_id[worker_id]
+
+    def report_late_sends(self, now_ms: float) -> None:
+        """Report the sends to workers that the list shows as not ready now, and forget them."""
+        as_of_ms = self._complete_as_of_ms
+        if as_of_ms is None:
+            return
+        for worker_id in list(self._by_worker_id):
+            worker = self._workers.by_id.get(worker_id)
+            if worker is not None and worker.endpoint.state is WorkerState.READY:
+                continue
+            worker_sends = self._by_worker_id.pop(worker_id)
+            worker_sends.drop_until(as_of_ms + self._grace_ms)
+            if worker is not None and worker_sends.sends:
+                self._outbox.add(LogMessage(_describe(worker, worker_sends.sends, now_ms, as_of_ms)))
+
+
+def _describe(worker: Worker, sends: deque[SentWork], now_ms: float, as_of_ms: float) -> str:
+    """Return a log line about sends of which at least one may have been late."""
+    state = worker.endpoint.state.name
+    kinds = Counter(sent.lease.kind.value for sent in sends)
+    counts = ", ".join(f"{count} by {kind}" for kind, count in kinds.items())
+    last = sends[-1]
+    text = (
+        f"worker {worker.id}: {state} was published up to {now_ms - as_of_ms:.0f} ms ago; "
+        f"sent later than the grace after that: {counts}, "
+        f"the last {now_ms - last.sent_ms:.0f} ms ago by {last.lease.kind.value}"
+    )
+    if last.lease.as_of_ms is not None:
+        text += f" {last.sent_ms - last.lease.as_of_ms:.0f} ms old"
+    return text
--- a/function_router/decisions/router.py
+++ b/function_router/decisions/router.py
@@ -129,6 +129,7 @@
         """Renew the lease on the list, and dispatch the requests withheld while it was out of date."""
         was_current = self.fleet.leases.is_list_current(now_ms)
         self.fleet.process_identity.record_list_confirmed(event.as_of_ms)
+        self.fleet.late_send_audit.record_confirmed(event.as_of_ms)
         if self.fleet.leases.record_confirmed(event, now_ms):
             self._on_ready_changed(now_ms)
         if not was_current:
--- a/function_router/net/readiness.py
+++ b/function_router/net/readiness.py
@@ -2,6 +2,7 @@
 
 from typing import Protocol
 
+from function_router.decisions.connection_policy import SentLease
 from function_router.decisions.types import WorkerState
 from function_router.net.clock import Clock, monotonic_ms
 from function_router.net.send_checks import SendConditions
@@ -32,6 +33,9 @@
     def describe_lease(self, worker_id: int, now_ms: float) -> str:
         """Return by which lease new work may go to a worker now, for the log."""
 
+    def record_sent(self, worker_id: int, sent_ms: float) -> SentLease:
+        """Record that the first byte of new work was written to a worker, and return by which lease."""
+
 
 class ReadinessAdapter:
     """Converts times between the policy's clock and the monotonic clock of the connections."""
@@ -66,6 +70,10 @@
         """Return by which lease new work may go to a worker now, for the log."""
         return self._policy.describe_lease(worker_id, self._clock.from_monotonic_ms(monotonic_ms()))
 
+    def record_sent(self, worker_id: int) -> SentLease:
+        """Record that the first byte of new work was written to a worker now, and return by which lease."""
+        return self._policy.record_sent(worker_id, self._clock.from_monotonic_ms(monotonic_ms()))
+
     def conditions_of_send(
         self, worker_id: int, state: WorkerState, written_at_ms: float, connected_at_ms: float
     ) -> SendConditions:
--- a/function_router/net/telemetry.py
+++ b/function_router/net/telemetry.py
@@ -11,6 +11,7 @@
 ATTEMPTS = "attempts"
 START_ORDERS = "start orders"
 PROBES = "probes"
+SENT = "sent by"  # attempts and start orders of which a byte was written; detail: the lease
 HEALTH_CHECKS = "health checks"  # ended health checks; detail: the readiness, or the outcome on failure
 WITHHELD = "withheld"  # requests not sent to a worker without a valid lease, once per request and worker
 ENDPOINT_LOG_REQUESTS = "endpoint log requests"  # on a second connection; detail: answered, if it was kept
--- a/function_router/net/worker_connection.py
+++ b/function_router/net/worker_connection.py
@@ -16,7 +16,7 @@
 from function_router.net.readiness import ReadinessAdapter
 from function_router.net.send_checks import check_exchange, check_readiness, find_send_violations
 from function_router.net.sockets import PeekResult
-from function_router.net.telemetry import Telemetry
+from function_router.net.telemetry import SENT, Telemetry
 from function_router.net.timer_wheel import Timer
 from function_router.net.used_exchange_ids import UsedExchangeIds
 from function_router.net.worker_messages import Attempt, Exchange
@@ -281,7 +281,8 @@
         """Record by which lease a first byte was written, and the invariants that its exchange violated."""
         owner = self._owner
         if exchange.is_new_work:
-            exchange.lease = self._readiness.describe_lease(owner.worker_id)
+            exchange.lease = self._readiness.record_sent(owner.worker_id)
+            self._telemetry.count(SENT, exchange.lease.kind.value)
         conditions = self._readiness.conditions_of_send(
             owner.worker_id, owner.state, self.connection.writer.last_write_ms, self.established_at_ms
         )
--- a/function_router/net/worker_messages.py
+++ b/function_router/net/worker_messages.py
@@ -12,6 +12,7 @@
 
 from msgspec import Struct
 
+from function_router.decisions.connection_policy import SentLease
 from function_router.decisions.events import Transmission
 from function_router.decisions.types import Outcome, Readiness, StartKind
 from function_router.net.clock import monotonic_ms
@@ -121,7 +122,7 @@
         is_done: Whether the exchange has its result.
         connection_wait_ms: The time from the creation of the exchange to its assignment to a connection.
         connected_at_ms: When the connection of the exchange was established, on the monotonic clock.
-        lease: The lease by which the first byte of new work was written, for the log; empty before that.
+        lease: The lease by which the first byte of new work was written, for the log; None before that.
     """
 
     worker_id: int
@@ -136,7 +137,7 @@
     is_done: bool = field(default=False, init=False)
     connection_wait_ms: float = field(default=0.0, init=False)
     connected_at_ms: float = field(default=0.0, init=False)
-    lease: str = field(default="", init=False)
+    lease: SentLease | None = field(default=None, init=False)
 
     @property
     def is_started(self) -> bool:
--- a/function_router/net/worker_pool.py
+++ b/function_router/net/worker_pool.py
@@ -116,7 +116,9 @@
 
     def log_rejected(self, attempt: Attempt) -> None:
         """Log that a worker, which is full or draining, rejected an attempt, and what had allowed it."""
-        text = f"worker {attempt.worker_id} rejected {attempt.exchange_id.hex()}, sent by {attempt.lease}"
+        text = f"worker {attempt.worker_id} rejected {attempt.exchange_id.hex()}"
+        if attempt.lease is not None:
+            text += f", sent by {attempt.lease.description}"
         self._resources.telemetry.log(text, REJECTIONS_LOG_SOURCE)
 
     def connection_lost_at_ms(self, worker_id: int) -> float | None:
--- a/tests/test_repository.py
+++ b/tests/test_repository.py
@@ -45,6 +45,7 @@
     "function_router.decisions.functions",
     "function_router.decisions.health",
     "function_router.decisions.instances",
+    "function_router.decisions.late_send_audit",
     "function_router.decisions.list_lease",
     "function_router.decisions.outbox",
     "function_router.decisions.placement",
