--- a/tests/test_late_endpoint_log.py
+++ b/tests/test_late_endpoint_log.py
@@ -159,6 +159,22 @@
     assert draining.new_work_after(drained_s + GRACE_S) == []
 
 
+@pytest.mark.parametrize("learns_after_s", [0.8, 1.25])
+def test_worker_that_accepts_work_for_some_time_after_its_drain_gets_none_after_the_grace(
+    make_cluster, learns_after_s
+):
+    # Guards against health checks of workers that count as ready until they reject work (issue 50).
+    cluster = run_until_the_log_is_late(make_cluster)
+    [draining, _] = cluster.workers
+
+    draining.learns_of_drain_at_s = time.monotonic() + learns_after_s
+    drained_s = drain(cluster, draining)
+    cluster.run(3 * GRACE_S)
+
+    assert draining.new_work, "the worker got work before it drained"
+    assert draining.new_work_after(drained_s + GRACE_S) == []
+
+
 @pytest.mark.parametrize("shown_after_s", [0.2, 0.4])
 def test_drain_that_the_log_shows_late_during_a_release_ends_new_work_in_time(make_cluster, shown_after_s):
     # Guards against heartbeats that confirm the list although they do not show the latest events yet.
