Need both leases with few routers, and none of a worker that may have restarted

Cause: evidence of one side was taken for a proof. A heartbeat with the number of the last event renews the lease on the list although the log may show events seconds late; a worker's answer "ready" was taken for a new process as well; and an answer that contradicts the list changed nothing.

Change: - With at most 8 routers, new work needs the lease on the list and that of the worker.

Tests of the shortened lease gave way to tests of both leases; the test of a slow start in an outage now wants no work in the outage, and a slow start after it.

--- a/function_router/decisions/fleet.py
+++ b/function_router/decisions/fleet.py
@@ -44,11 +44,11 @@
 
     def update_endpoints(self, event: EndpointsChanged, now_ms: float) -> None:
         """Apply a complete endpoint list or the changes in it."""
-        self.workers.update(event, now_ms)
+        draining = self.workers.update(event, now_ms)
         self.late_send_audit.report_late_sends(now_ms)
         self.functions.set_worker_count(len(self.workers.by_id))
         self.health.recount_unresponsive()
-        self.leases.record_changed(now_ms)
+        self.leases.record_drains(draining, now_ms)
 
     def evict_unused(self, now_ms: float) -> None:
         """Evict idle functions, and workers that were removed long ago."""
--- a/function_router/decisions/instances.py
+++ b/function_router/decisions/instances.py
@@ -44,7 +44,7 @@
 
         With many routers, the idle time is longer, as requests of other routers keep the instances alive.
         """
-        started_ms = worker.latest_start_ms
+        started_ms = worker.started_ms
         if started_ms is not None and pool.last_seen_ms <= started_ms:
             return 0
         if pool.in_flight == 0:
--- a/function_router/decisions/list_lease.py
+++ b/function_router/decisions/list_lease.py
@@ -4,8 +4,8 @@
 was complete some time ago. The first heartbeat starts the lease, as nobody knows how old the list in the
 configuration of a new process is.
 
-A heartbeat may not show the latest events yet, as they take a moment from the log's state to its
-connections. The lease is shorter for some time after the list has changed, when more drains are likely.
+An event counts as published once it is in the log, so a heartbeat with the number of the last event shows
+that no later event was published when it was sent.
 """
 
 import math
@@ -20,13 +20,6 @@
 # 50 ms more.
 LIST_LEASE_ALLOWANCE_MS = 40.0
 
-# By how much a heartbeat, or the worker itself, may know of a drain later than the log, as a fraction of the
-# drain grace. No protocol states a maximum.
-NOTICE_LAG_FRACTION = 0.4
-
-# How long the lease is shorter by this lag after a change of the list.
-UNSETTLED_MS = 10_000.0
-
 # Maximum lateness of a heartbeat that renews the lease. If the log is later, restarts of workers are as
 # unknown as their drains.
 MAX_LATENESS_MS = 100.0
@@ -53,10 +46,7 @@
             interrupted_lease_ms: Maximum duration of the lease once the router does not follow the log.
         """
         self.complete_as_of_ms: float | None = None
-        self._settled_lease_ms = max(drain_grace_ms, HEARTBEAT_INTERVAL_MS) + LIST_LEASE_ALLOWANCE_MS
-        self._unsettled_lease_ms = self._settled_lease_ms - NOTICE_LAG_FRACTION * drain_grace_ms
-        self._unsettled_until_ms = -math.inf
-        self._is_settled = True  # whether the last confirmation came long enough after the last change
+        self._lease_ms = max(drain_grace_ms, HEARTBEAT_INTERVAL_MS) + LIST_LEASE_ALLOWANCE_MS
         self._interrupted_lease_ms = interrupted_lease_ms
         self._is_late = False  # whether the last confirmation arrived late
         self._interrupted_ms = math.inf  # time of the first interruption since the last confirmation
@@ -73,31 +63,16 @@
 
         A list that the log has never confirmed has no lease, nor has one while the log is late.
         """
-        return self._expires_after(self._settled_lease_ms if self._is_settled else self._unsettled_lease_ms)
-
-    @property
-    def longest_expires_ms(self) -> float:
-        """The time at which the lease would end if the list had not changed lately.
-
-        A change shortens the lease, but what was sent before it was in order.
-        """
-        return self._expires_after(self._settled_lease_ms)
-
-    def _expires_after(self, duration_ms: float) -> float:
         if self.complete_as_of_ms is None:
             return -math.inf if self._followed_since_ms < math.inf else math.inf
         if self._is_late:
             return -math.inf
-        return min(self._interrupted_ms + self._interrupted_lease_ms, self.complete_as_of_ms + duration_ms)
+        return min(self._interrupted_ms + self._interrupted_lease_ms, self.complete_as_of_ms + self._lease_ms)
 
     def is_valid(self, now_ms: float) -> bool:
         """Return whether the lease is valid."""
         return now_ms < self.expires_ms
 
-    def is_settled(self, now_ms: float) -> bool:
-        """Return whether the lease is valid, and the list has not changed for some time."""
-        return self._is_settled and self.is_valid(now_ms)
-
     def record_confirmed(self, confirmation: EndpointListConfirmed, now_ms: float) -> bool:
         """Renew the lease, unless the log is late.
 
@@ -109,15 +84,8 @@
             self.complete_as_of_ms = as_of_ms
         self._interrupted_ms = math.inf
         self._is_late = confirmation.arrived_ms - as_of_ms > MAX_LATENESS_MS
-        self._is_settled = now_ms >= self._unsettled_until_ms
         return not self._is_late and now_ms - as_of_ms <= MAX_UP_TO_DATE_AGE_MS
 
-    def record_changed(self, now_ms: float) -> None:
-        """Shorten the lease for some time, as a worker in the list has changed since the startup."""
-        if self.complete_as_of_ms is not None:
-            self._unsettled_until_ms = now_ms + UNSETTLED_MS
-            self._is_settled = False
-
     def record_interrupted(self, now_ms: float) -> None:
         """Let the lease expire, as the router is not connected to the log.
 
--- a/function_router/decisions/records.py
+++ b/function_router/decisions/records.py
@@ -47,6 +47,7 @@
     process_seen_ms: float = -math.inf  # latest time at which its current process is known to have run
     rejected_ms: float | None = None  # when it rejected new work although it counted as ready
     drain_reported_ms: float | None = None  # when the worker last reported a drain; None if ready since
+    has_been_checked: bool = False  # whether a health check has ended, with or without an answer
     pending_check_ms: float | None = None  # when the pending health check was decided; None if there is none
     next_check_ms: float = -math.inf  # earliest time of the next health check
     recheck_interval_ms: float = RECHECK_INTERVAL_MS  # time to the next check of a silent or draining worker
@@ -80,9 +81,8 @@
 
     # Slow start.
     # Start of its process: announced by the endpoint list, or inferred when it returned without instances.
+    # None if that is too long ago to matter.
     started_ms: float | None = None
-    # Set if the worker may have restarted while the endpoint list was out of date.
-    assumed_started_ms: float | None = None
     recent_sends: SlidingWindow = field(default_factory=SlidingWindow)  # sends within the overload window
     slow_start_sends: SlidingWindow = field(default_factory=SlidingWindow)  # recent sends since its start
 
@@ -103,18 +103,9 @@
         """Whether the endpoint list shows the worker as ready and the worker has not reported a drain."""
         return self.endpoint.state is WorkerState.READY and self.lease.drain_reported_ms is None
 
-    @property
-    def latest_start_ms(self) -> float | None:
-        """The latest time at which the worker may have started; None if that is too long ago to matter."""
-        if self.assumed_started_ms is None:
-            return self.started_ms
-        if self.started_ms is None:
-            return self.assumed_started_ms
-        return max(self.assumed_started_ms, self.started_ms)
-
     def recount_slow_start_sends(self) -> None:
         """Recompute the sends since the worker's start, which may be announced after those sends."""
-        started_ms = self.latest_start_ms
+        started_ms = self.started_ms
         self.slow_start_sends.clear()
         for sent_ms in self.recent_sends:
             if started_ms is not None and sent_ms >= started_ms:
--- a/function_router/decisions/router.py
+++ b/function_router/decisions/router.py
@@ -264,7 +264,7 @@
         self._retries.retry_lost_attempts(now_ms)
         self.requests.expire_recent_attempts(capacity.latency_objective_ms, now_ms)
         self.start_order_limits.release_abandoned(now_ms)
-        self.fleet.leases.recheck_draining(now_ms)
+        self.fleet.leases.send_due_checks(now_ms)
         for worker in self.fleet.health.check_timeouts(now_ms):
             self._retries.retry_elsewhere(worker, now_ms)
         if capacity.is_refresh_due(now_ms):
--- a/function_router/decisions/slow_start.py
+++ b/function_router/decisions/slow_start.py
@@ -32,7 +32,7 @@
 
     def capacity_share(self, worker: Worker, now_ms: float) -> float:
         """Return the fraction of its capacity that a worker has now, which grows linearly up to 1."""
-        started_ms = worker.latest_start_ms
+        started_ms = worker.started_ms
         if started_ms is None:
             return 1.0
         initial = self._settings.slow_start_initial
--- a/function_router/decisions/workers.py
+++ b/function_router/decisions/workers.py
@@ -27,13 +27,19 @@
         self.ready_sizes: dict[int, float] = {}  # by id; replaced by a new dict whenever an entry changes
         self.max_total_size = MIN_MACHINE_SIZE  # maximum total size of the ready workers so far
 
-    def update(self, event: EndpointsChanged, now_ms: float) -> None:
-        """Apply a complete endpoint list, or the changes in it."""
+    def update(self, event: EndpointsChanged, now_ms: float) -> list[Worker]:
+        """Apply a complete endpoint list, or the changes in it.
+
+        Returns:
+            The workers that were ready, and drain now.
+        """
+        ready = self.ready
         if event.is_complete:
             self._mark_missing_as_removed(event.endpoints)
         for endpoint in event.endpoints:
             self._apply(endpoint, now_ms)
         self._recompute_ready()
+        return [worker for worker in ready if worker.endpoint.state is WorkerState.DRAINING]
 
     def set_drain_reported(self, worker: Worker, reported_ms: float | None) -> None:
         """Record when a worker reported its drain; None ends the drain. A draining worker is not ready."""
@@ -77,9 +83,8 @@
         worker.endpoint = endpoint
         worker.machine_size = max(endpoint.size, MIN_MACHINE_SIZE) if self._are_sizes_known else 1.0
         worker.removed_since_ms = None
-        started_ms = endpoint.started_at_ms
-        if started_ms is not None and (worker.started_ms is None or started_ms > worker.started_ms):
-            _record_start(worker, started_ms)
+        if endpoint.started_at_ms is not None:
+            _record_start(worker, endpoint.started_at_ms)
 
     def evict_removed(self, now_ms: float) -> list[Worker]:
         """Evict and return the workers that were removed long ago and have no attempts in flight."""
@@ -98,10 +103,15 @@
 
 
 def _record_start(worker: Worker, started_ms: float) -> None:
-    """Record the start of a worker's process; the drain and the rejections of an earlier one have ended."""
-    worker.started_ms = started_ms
-    worker.lease.rejected_ms = None
-    drain_reported_ms = worker.lease.drain_reported_ms
-    if drain_reported_ms is not None and started_ms > drain_reported_ms:
-        worker.lease.drain_reported_ms = None
-    worker.recount_slow_start_sends()
+    """Record the start of a worker's process; the drain and the rejections of an earlier one have ended.
+
+    The worker may be in slow start already, as its restart has shown before the list has it.
+    """
+    lease = worker.lease
+    if lease.rejected_ms is not None and started_ms > lease.rejected_ms:
+        lease.rejected_ms = None
+    if lease.drain_reported_ms is not None and started_ms > lease.drain_reported_ms:
+        lease.drain_reported_ms = None
+    if worker.started_ms is None or started_ms > worker.started_ms:
+        worker.started_ms = started_ms
+        worker.recount_slow_start_sends()
--- a/tests/net/test_health_checks.py
+++ b/tests/net/test_health_checks.py
@@ -31,6 +31,12 @@
             self._submit(event)
 
 
+@pytest.fixture(autouse=True)
+def answers_by_the_test(worker):
+    """Let the tests of this module answer the health checks."""
+    worker.answers_health_checks = False
+
+
 @pytest.fixture
 def reports(harness):
     """The recorder of the reports of health checks, which the decision module does not get."""
--- a/tests/test_repository.py
+++ b/tests/test_repository.py
@@ -37,6 +37,7 @@
     "function_router.decisions.circuit_breakers",
     "function_router.decisions.connection_policy",
     "function_router.decisions.dispatch",
+    "function_router.decisions.drain_reports",
     "function_router.decisions.durations",
     "function_router.decisions.endpoint_leases",
     "function_router.decisions.events",
@@ -65,6 +66,7 @@
     "function_router.decisions.start_orders",
     "function_router.decisions.timed_requests",
     "function_router.decisions.types",
+    "function_router.decisions.worker_leases",
     "function_router.decisions.workers",
     *(f"function_router.{name}" for name in GENERAL_MODULES),
 }
