Soak: logs that show events late, processes that return before the log has them

A process that returns is ready up to 0.75 s before the log has it, and the rule on drains now holds until then.

--- a/soak/cluster.py
+++ b/soak/cluster.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from soak.drain_lags import DrainLags
 from soak.endpoint_events import EndpointPhase
 from soak.endpoint_feed import EndpointFeed
 from soak.module_process import ModuleProcess
@@ -33,6 +34,7 @@
         plan: The plan of the run, with the size of the cluster.
         rng: The random generator for seeds and delays that aren't part of the plan.
         drain_lags_rng: The random generator for the lags of drains.
+        drain_lags: How long after their publication drains are known in this run.
         routers: The routers; the index is the router's number.
         workers: The worker slots; the index is the slot's number.
         endpoints: The endpoint events, and the endpoint log of each router.
@@ -47,6 +49,7 @@
         self.plan = plan
         self.rng = random.Random(plan.seed + 1)
         self.drain_lags_rng = random.Random(f"drain lags of {plan.seed}")
+        self.drain_lags = DrainLags.draw(self.drain_lags_rng, plan.router_count)
         self.routers: list[RouterSlot] = []
         self.workers: list[WorkerSlot] = []
         self.endpoint_log_outages: list[EndpointLogOutage] = []
@@ -145,7 +148,7 @@
             await slot.start(f"s-{number}", is_in_slow_start=False)
 
     async def _start_endpoint_logs(self, proxy_ports: list[list[int]]) -> None:
-        self.endpoints = EndpointFeed(proxy_ports, self._ports)
+        self.endpoints = EndpointFeed(proxy_ports, self._ports, self.drain_lags.log_s)
         self._resources.push_async_callback(self.endpoints.close)
         await self.endpoints.start([slot.endpoint(EndpointPhase.READY) for slot in self.workers])
 
--- a/soak/endpoint_feed.py
+++ b/soak/endpoint_feed.py
@@ -18,9 +18,18 @@
         servers: The endpoint log of each router; the index is the router's number.
     """
 
-    def __init__(self, proxy_ports: Sequence[Sequence[int]], ports: PortAllocator) -> None:
-        """Create a log server for each router; `proxy_ports` are the ports of the worker slots, by router."""
+    def __init__(
+        self, proxy_ports: Sequence[Sequence[int]], ports: PortAllocator, shown_after_s: float = 0.0
+    ) -> None:
+        """Create a log server for each router.
+
+        Args:
+            proxy_ports: The ports of the worker slots, by router.
+            ports: The ports for the logs.
+            shown_after_s: How long neither events nor heartbeats of the logs show a change.
+        """
         self._proxy_ports = proxy_ports
+        self._shown_after_s = shown_after_s
         self._events: list[EndpointEvent] = []
         self._showing: set[asyncio.Task[None]] = set()  # changes that the logs do not show yet
         self.servers = [
@@ -39,19 +48,14 @@
         for server in self.servers:
             await server.start()
 
-    async def publish(self, endpoint: Endpoint, *, shown_after_s: float = 0.0) -> dict[int, float]:
-        """Publish a changed endpoint; return, by router, the time from which it counts as notified.
-
-        Args:
-            endpoint: The changed endpoint.
-            shown_after_s: How long neither events nor heartbeats of the logs show the change.
-        """
+    async def publish(self, endpoint: Endpoint) -> dict[int, float]:
+        """Publish a changed endpoint; return, by router, the time from which it counts as notified."""
         now = time.monotonic()
         notified_at = {router: server.notified_at(now) for router, server in enumerate(self.servers)}
-        showing = asyncio.create_task(self._show(endpoint, shown_after_s))
+        showing = asyncio.create_task(self._show(endpoint, self._shown_after_s))
         self._showing.add(showing)
         showing.add_done_callback(self._showing.discard)
-        if not shown_after_s:
+        if not self._shown_after_s:
             await showing
         return notified_at
 
--- a/soak/worker.py
+++ b/soak/worker.py
@@ -3,7 +3,8 @@
 Its argument is the share of requests that it answers with an error after they have run.
 
 The worker serves the routers' binary frames. It prints its port to standard output once it listens, and runs
-until it is killed. After SIGUSR1 it drains: it finishes accepted requests, and rejects new work.
+until it is killed. After SIGUSR1 it drains: it answers health checks with draining, rejects new work some
+time later, and finishes accepted requests.
 """
 
 import asyncio
@@ -18,6 +19,7 @@
 READ_BYTES = 65_536
 MAX_QUEUED_REQUESTS = 24  # waiting requests per function; more are rejected
 LISTEN_BACKLOG = 512
+ACCEPTS_AFTER_DRAIN_S = 1.25  # from the start of a drain until new work is rejected
 MIN_START_FACTOR = 0.8  # shortest cold start, relative to the mean
 MAX_START_FACTOR = 1.2  # longest cold start, relative to the mean
 
@@ -81,11 +83,15 @@
     def __init__(self, error_share: float) -> None:
         self._error_share = error_share
         self._functions: dict[str, FunctionInstances] = {}
-        self._is_draining = False
+        self._draining_since: float | None = None  # on the clock of the event loop
 
     def start_draining(self) -> None:
-        """Reject new work from now on."""
-        self._is_draining = True
+        """Report the drain from now on, and reject new work soon."""
+        self._draining_since = asyncio.get_running_loop().time()
+
+    def _rejects_new_work(self) -> bool:
+        since = self._draining_since
+        return since is not None and asyncio.get_running_loop().time() - since >= ACCEPTS_AFTER_DRAIN_S
 
     async def serve_connection(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """Answer the frames of a connection until it ends, then cancel all tasks that it started."""
@@ -112,7 +118,8 @@
                 task.cancel()
             return
         if frame.code == frames.CHECK_HEALTH:
-            self._send_answer(frame, writer, frames.DRAINING if self._is_draining else frames.READY, {})
+            is_ready = self._draining_since is None
+            self._send_answer(frame, writer, frames.READY if is_ready else frames.DRAINING, {})
             return
         if frame.fields.get(frames.FUNCTION_FIELD, "").startswith(site.SILENT_FUNCTION_PREFIX):
             return
@@ -122,7 +129,7 @@
     async def _run_request(self, frame: frames.Frame, writer: asyncio.StreamWriter) -> None:
         function = self._functions.setdefault(frame.fields[frames.FUNCTION_FIELD], FunctionInstances())
         in_flight = function.running + function.waiting
-        if self._is_draining or function.waiting >= MAX_QUEUED_REQUESTS:
+        if self._rejects_new_work() or function.waiting >= MAX_QUEUED_REQUESTS:
             self._send_answer(frame, writer, frames.QUEUE_FULL, {frames.IN_FLIGHT_FIELD: in_flight})
             return
         start_kind = function.start_kind
@@ -141,7 +148,7 @@
     async def _ensure_instances(self, frame: frames.Frame, writer: asyncio.StreamWriter) -> None:
         function = self._functions.setdefault(frame.fields[frames.FUNCTION_FIELD], FunctionInstances())
         instances = int(frame.fields[frames.INSTANCES_FIELD])
-        is_rejected = self._is_draining and instances > 0
+        is_rejected = self._rejects_new_work() and instances > 0
         if not is_rejected:
             await function.ensure_count(instances)
         code = frames.QUEUE_FULL if is_rejected else frames.OK
--- a/soak/worker_rules.py
+++ b/soak/worker_rules.py
@@ -35,25 +35,28 @@
 
 
 def _check_drains(history: RunHistory) -> Iterator[Violation]:
-    """Check that a router notified of a drain sends no new work until the slot's next incarnation starts."""
+    """Check that a router notified of a drain sends no new work until the slot's next worker is published."""
     incarnations = history.record.worker_incarnations
     for incarnation in incarnations:
         if incarnation.drain_notified_at:
-            successor_starts = [
-                each.started_at
+            successors = [
+                each
                 for each in incarnations
                 if each.worker == incarnation.worker and each.started_at > incarnation.started_at
             ]
-            yield from _check_drain(history, incarnation, min(successor_starts, default=math.inf))
+            yield from _check_drain(history, incarnation, successors)
 
 
 def _check_drain(
-    history: RunHistory, incarnation: WorkerIncarnation, replaced_at: float
+    history: RunHistory, incarnation: WorkerIncarnation, successors: list[WorkerIncarnation]
 ) -> Iterator[Violation]:
     for at, router in _new_work(history, incarnation.worker):
         notified_at = incarnation.drain_notified_at[router]
-        if notified_at + DRAIN_GRACE_S + MEASUREMENT_SLACK_S < at < replaced_at:
-            text = f"router {router} to {incarnation.name}, {at - notified_at:.3f} s after it was notified"
+        ready_times = [each.ready_notified_at.get(router, math.inf) for each in successors]
+        ready_at = min(ready_times, default=math.inf)
+        if notified_at + DRAIN_GRACE_S + MEASUREMENT_SLACK_S < at < ready_at:
+            late = f"{at - notified_at:.3f} s after it was notified"
+            text = f"router {router} to {incarnation.name} at {at:.3f}, {late}"
             yield Violation(Rule.DRAIN, text)
 
 
