--- a/function_router/decisions/worker_leases.py
+++ b/function_router/decisions/worker_leases.py
@@ -6,9 +6,9 @@
 Efficient Fault-Tolerant Mechanism for Distributed File Cache Consistency", 1989.)
 
 A lease covers the process that the list names. A worker may restart, and be ready before the list shows it
-as ready again. While the list is out of date, an answer therefore counts only on a connection that was
-established while the listed process was known to run. If the worker has reported its drain, the list has to
-show it as started again.
+as ready again. If it has drained, become unresponsive or lost a connection, and then answers on a newer
+connection than before, its answer counts only once the list is current. If it has reported its drain, the
+list has to show it as started again.
 """
 
 import math
@@ -54,7 +54,6 @@
         workers: WorkerTable,
         outbox: Outbox,
     ) -> None:
-        self._drain_grace_ms = drain_grace_ms
         report_lag_ms = REPORT_LAG_FRACTION * drain_grace_ms
         min_lease_ms = MIN_LEASE_FRACTION * drain_grace_ms
         self._lease_ms = max(min_lease_ms, drain_grace_ms - LEASE_MARGIN_MS - report_lag_ms)
@@ -163,16 +162,18 @@
         """Return whether a worker has answered on a connection that may lead to a new process, and log it.
 
         A connection that is no newer than the last evidence of the current process leads to that process. A
-        process that drains goes on for the drain grace at least, so that a list shows which processes run
-        until then.
+        newer one may lead to a new process if the worker has drained, become unresponsive or lost a
+        connection since that evidence.
         """
         drain_reported_ms = worker.lease.drain_reported_ms
         if drain_reported_ms is not None:
             # The list may be some seconds behind, so it is no evidence against the worker's own report.
-            seen_ms = drain_reported_ms
+            may_have_restarted = event.connected_at_ms > drain_reported_ms
         else:
-            seen_ms = max(worker.lease.process_seen_ms, list_as_of_ms + self._drain_grace_ms)
-        may_have_restarted = event.connected_at_ms > seen_ms
+            seen_ms = max(worker.lease.process_seen_ms, list_as_of_ms)
+            disruptions_ms = [event.connection_lost_at_ms, worker.unresponsive_since_ms]
+            was_disrupted = any(time_ms is not None and time_ms > seen_ms for time_ms in disruptions_ms)
+            may_have_restarted = event.connected_at_ms > seen_ms and was_disrupted
         if may_have_restarted:
             self._outbox.add(LogMessage(f"worker {worker.id} is ready, perhaps restarted"))
         return may_have_restarted
