--- a/soak/run_record.py
+++ b/soak/run_record.py
@@ -47,6 +47,8 @@
         is_in_slow_start: Whether it started during the run, so that routers have to give it a slow start.
         cell: The cell whose workers share the idempotency keys of this one.
         ready_notified_at: By router, the time from which it counts as notified that the worker is READY.
+        ready_published_at: When the endpoint logs were given that the worker is READY, or None. A router may
+            learn it from then on.
         drain_notified_at: By router, the time from which it counts as notified of the worker's drain; empty
             if the worker was not drained.
     """
@@ -57,6 +59,7 @@
     is_in_slow_start: bool = field(kw_only=True)
     cell: int = 0
     ready_notified_at: dict[int, float] = field(default_factory=dict)
+    ready_published_at: float | None = None
     drain_notified_at: dict[int, float] = field(default_factory=dict)
 
 
--- a/soak/worker_changes.py
+++ b/soak/worker_changes.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import time
 
 from soak.cluster import Cluster
 from soak.endpoint_events import EndpointPhase
@@ -30,5 +31,6 @@
 
 
 async def publish_ready(cluster: Cluster, slot: WorkerSlot) -> None:
-    """Publish that a worker is ready, and record the time from which each router counts as notified of it."""
+    """Publish that a worker is ready, and record when, and from when on each router counts as notified."""
+    slot.incarnation.ready_published_at = time.monotonic()
     slot.incarnation.ready_notified_at = await cluster.endpoints.publish(slot.endpoint(EndpointPhase.READY))
--- a/soak/worker_rules.py
+++ b/soak/worker_rules.py
@@ -50,11 +50,11 @@
 def _check_drain(
     history: RunHistory, incarnation: WorkerIncarnation, successors: list[WorkerIncarnation]
 ) -> Iterator[Violation]:
+    published = [each.ready_published_at for each in successors if each.ready_published_at is not None]
+    replaced_at = min(published, default=math.inf)
     for at, router in _new_work(history, incarnation.worker):
         notified_at = incarnation.drain_notified_at[router]
-        ready_times = [each.ready_notified_at.get(router, math.inf) for each in successors]
-        ready_at = min(ready_times, default=math.inf)
-        if notified_at + DRAIN_GRACE_S + MEASUREMENT_SLACK_S < at < ready_at:
+        if notified_at + DRAIN_GRACE_S + MEASUREMENT_SLACK_S < at < replaced_at:
             late = f"{at - notified_at:.3f} s after it was notified"
             text = f"router {router} to {incarnation.name} at {at:.3f}, {late}"
             yield Violation(Rule.DRAIN, text)
