Let only a process from before the drain contradict the list

The list showed the drain late, the verification reached the next process at the address, which was rightly ready, and from then on no worker's answer counted.

An answer now contradicts the list only on a connection that was established 10 s before the drain arrived.

--- a/function_router/decisions/drain_reports.py
+++ b/function_router/decisions/drain_reports.py
@@ -3,18 +3,25 @@
 A worker that answers a health check with ready may only say that it still accepts work: no protocol states
 how soon after the publication of its drain it answers otherwise. So one of the workers that drain according
 to the list gets a health check some time later. If it answers with ready, the workers' answers prove nothing.
+
+The list may show the drain some seconds late, when a new process has taken the worker's address. Only an
+answer on a connection from long before the drain arrived is that of the process that drains.
 """
 
 import math
 
 from msgspec import Struct
 
+from function_router.decisions.events import HealthChecked
 from function_router.decisions.records import Worker
 from function_router.decisions.types import Readiness, WorkerState
 
 # Minimum interval of the health checks of draining workers, which are only for this component.
 VERIFICATION_INTERVAL_MS = 2_000.0
 
+# Maximum time from the drain of a worker until the list shows it.
+MAX_LIST_LAG_MS = 10_000.0
+
 
 class ListedDrain(Struct, frozen=True):
     """A drain that the list has shown.
@@ -57,16 +64,19 @@
             return None
         return drain.worker
 
-    def record_answer(self, worker: Worker, readiness: Readiness, sent_at_ms: float) -> bool:
+    def record_answer(self, worker: Worker, event: HealthChecked) -> bool:
         """Record the answer to a health check.
 
         Returns:
             Whether it contradicts the list, and is the first answer that does.
         """
         drain = self._verified
-        if drain is None or drain.worker is not worker or sent_at_ms - drain.arrived_ms < self._max_lag_ms:
+        if drain is None or drain.worker is not worker:
+            return False
+        if event.sent_at_ms - drain.arrived_ms < self._max_lag_ms:
             return False
         self._verified = None
         is_draining = worker.endpoint.state is WorkerState.DRAINING
-        self.are_contradicted = is_draining and readiness is Readiness.READY
+        is_same_process = drain.arrived_ms - event.connected_at_ms >= MAX_LIST_LAG_MS
+        self.are_contradicted = is_draining and is_same_process and event.readiness is Readiness.READY
         return self.are_contradicted
--- a/function_router/decisions/worker_leases.py
+++ b/function_router/decisions/worker_leases.py
@@ -144,7 +144,7 @@
         ready = self._workers.ready
         worker.lease.pending_check_ms = None
         worker.lease.has_been_checked = True
-        if self.drain_reports.record_answer(worker, event.readiness, event.sent_at_ms):
+        if self.drain_reports.record_answer(worker, event):
             text = f"worker {worker.id} is ready although it drains: health checks prove nothing"
             self._outbox.add(LogMessage(text))
         if worker.endpoint.state is not WorkerState.READY:
