--- a/tests/helpers/late_endpoint_log.py
+++ b/tests/helpers/late_endpoint_log.py
@@ -3,6 +3,7 @@
 import json
 import time
 
+from helpers.configuration import endpoint_event
 from helpers.fake_endpoint_log import FakeEndpointLog
 from soak.endpoint_log import HEARTBEAT, HEARTBEAT_S
 
@@ -90,3 +91,42 @@
             stream.heartbeat_at_s += self.heartbeat_s
             self.heartbeat_at_s = now_s
             stream.send(HEARTBEAT % stream.sequence, now_s + lateness_s)
+
+
+class Course:
+    """The lateness of a log over time, from when the course is started."""
+
+    def __init__(self, lateness_s):
+        """Create a course whose lateness after a time is `lateness_s(time)`, both in seconds."""
+        self._lateness_s = lateness_s
+        self._started_s = None
+
+    def start(self):
+        """Let the log become late from now on."""
+        self._started_s = time.monotonic()
+
+    def __call__(self, _connection_index):
+        """Return the current lateness of all connections."""
+        return 0.0 if self._started_s is None else self._lateness_s(time.monotonic() - self._started_s)
+
+
+def drain(cluster, worker, sequence=2):
+    """Drain a worker, publish it in the log, and return when."""
+    worker.is_draining = True
+    cluster.endpoint_log.publish(endpoint_event(sequence, worker.record("terminating")))
+    return time.monotonic()
+
+
+def run_until_the_log_is_late(make_cluster, baseline_s):
+    """Return a cluster whose log is so late that only health checks allow new work.
+
+    Args:
+        make_cluster: Creates the cluster.
+        baseline_s: Duration of the traffic before the log becomes late.
+    """
+    course = Course(lambda _at_s: 8.8)
+    cluster = make_cluster(endpoint_log=LateEndpointLog(course))
+    cluster.run(baseline_s)
+    course.start()
+    cluster.run(2.0)
+    return cluster
