Let the decision module answer first after a stall that spans a request's deadline

The deadline timer and the decision module's own timer were due in the same turn after a stall, and the deadline timer, which comes first, answered as failed a request that was never sent, so that the client could not know that a retry is safe.

The deadline timer now leaves the turn to the decision module, and fails the request in the next one.

--- a/function_router/net/request_table.py
+++ b/function_router/net/request_table.py
@@ -208,6 +208,15 @@
         return self._loop.timers.call_later(within_ms, lambda: self._on_deadline(key))
 
     def _on_deadline(self, key: str) -> None:
+        """Let the decision module finish a request in this turn, and fail it in the next one otherwise.
+
+        After a stall of the process, its timer may be due in the same turn. It knows whether the request may
+        have run, and rejects one that was never sent.
+        """
+        request = self._requests.by_key[key]
+        request.deadline_timer = self._loop.timers.call_later(0.0, lambda: self._fail_overdue(key))
+
+    def _fail_overdue(self, key: str) -> None:
         """Fail a request that the decision module did not finish by its deadline.
 
         Normally the decision module finishes each request earlier. The deadline timer makes sure that the
--- a/tests/net/test_request_table.py
+++ b/tests/net/test_request_table.py
@@ -115,6 +115,20 @@
     ]
 
 
+def test_request_that_was_never_sent_is_rejected_although_the_process_stalled_until_its_deadline(
+    queueing_harness,
+):
+    # Guards against the deadline timer, which answers as failed what the decision module is about to reject.
+    client = queueing_harness.connect_client()
+    seqid = client.send_request(ttl="300")
+    queueing_harness.run_until(lambda: queueing_harness.table.pending, "the request is read")
+
+    time.sleep(0.35)
+    queueing_harness.run_until(lambda: client.answers, "the request is answered")
+
+    assert client.answer_kinds() == {seqid: "throttled"}
+
+
 def test_time_unread_in_the_socket_counts_towards_the_timeout(queueing_harness):
     queueing_harness.connect_client().send_request(ttl="8000")
     stall_ms = 400.0
