Need both leases where health checks cost little, whatever the number of routers

New work needed the lease on the list and that of the worker with at most 8 routers. That number stood for the price of health checks, which the settings have (costs.probe): a check goes before a request at most, so its cost is at most that figure. The soak, whose checks are free, lets its logs lag with any number of routers.

--- a/function_router/config/conversion.py
+++ b/function_router/config/conversion.py
@@ -42,6 +42,7 @@
         slow_start_initial=invariants.cold_share,
         overload_window_ms=invariants.fall,
         overload_multiple=invariants.fall_multiple,
+        health_check_cost=section.costs.probe,
     )
 
 
--- a/function_router/config/schema.py
+++ b/function_router/config/schema.py
@@ -97,6 +97,7 @@
     """Costs of operations that the operator charges for (`settings.costs`)."""
 
     handshake: NonNegativeFloat = 0.0  # cost of a connection to a worker
+    probe: NonNegativeFloat = 0.0  # cost of a probe or a health check for each request
 
 
 class SettingsSection(Struct):
--- a/function_router/decisions/endpoint_leases.py
+++ b/function_router/decisions/endpoint_leases.py
@@ -3,9 +3,9 @@
 The endpoint log reports past states. Its heartbeats renew a lease on the whole list (`list_lease`), and a
 worker gets a lease of its own by answering a health check with ready (`worker_leases`).
 
-With few routers, a worker gets new work only with both leases, as health checks cost little there, and the
-list may be behind although its heartbeats are in time. With many routers, the lease on the list suffices. It
-also suffices for a worker that has left its first health check without an answer, as it may be unable to.
+The list may be behind although its heartbeats are in time. So where health checks cost little, a worker gets
+new work only with both leases. Where they are expensive, the lease on the list suffices. It also suffices for
+a worker that has left its first health check without an answer, as it may be unable to answer any.
 
 Without the lease on the list, a worker may have drained or restarted unnoticed. Its own lease then suffices,
 unless a worker's answer has contradicted the list (`drain_reports`). In that case no worker gets new work
@@ -41,8 +41,9 @@
 # round trips.
 CHECK_WAIT_MS = 60.0
 
-# Maximum number of routers that need both leases. A worker then answers at most 20 health checks a second.
-MAX_ROUTERS_WITH_BOTH_LEASES = 8
+# Maximum cost of health checks at which new work needs both leases. There is at most one check for each
+# request, as only requests renew a worker's lease.
+MAX_HEALTH_CHECK_COST = 0.02
 
 
 class LeaseStatus(Enum):
@@ -78,7 +79,7 @@
         interrupted_lease_ms = max(grace_ms * MIN_LEASE_FRACTION, grace_ms - LEASE_MARGIN_MS)
         self._list = ListLease(grace_ms, interrupted_lease_ms)
         self._worker_leases = WorkerLeases(grace_ms, workers, outbox)
-        self._has_few_routers = settings.router_count <= MAX_ROUTERS_WITH_BOTH_LEASES
+        self._are_checks_cheap = settings.health_check_cost <= MAX_HEALTH_CHECK_COST
         self._workers = workers
 
     # --- the list -------------------------------------------------------------------------------
@@ -114,7 +115,7 @@
         """Whether workers get health checks while the list is current."""
         is_confirmed = self._list.complete_as_of_ms is not None
         return (
-            self._has_few_routers and is_confirmed and not self._worker_leases.drain_reports.are_contradicted
+            self._are_checks_cheap and is_confirmed and not self._worker_leases.drain_reports.are_contradicted
         )
 
     def _needs_both(self, worker: Worker) -> bool:
--- a/function_router/decisions/settings.py
+++ b/function_router/decisions/settings.py
@@ -54,6 +54,7 @@
     slow_start_initial: float = 0.2  # minimum fraction of its capacity that a worker has at its start
     overload_window_ms: float = 1000.0  # window in which the sends to a worker in slow start are counted
     overload_multiple: float = 2.0  # multiple of its capacity above which a worker in slow start fails
+    health_check_cost: float = 0.0  # fraction of the value of all requests that a check for each would cost
 
     max_functions: int = 2_000  # maximum number of functions that are known at the same time
     functions_bytes: int = 0  # maximum memory of these functions; 0: no such limit
--- a/soak/cluster.py
+++ b/soak/cluster.py
@@ -49,7 +49,7 @@
         self.plan = plan
         self.rng = random.Random(plan.seed + 1)
         self.drain_lags_rng = random.Random(f"drain lags of {plan.seed}")
-        self.drain_lags = DrainLags.draw(self.drain_lags_rng, plan.router_count)
+        self.drain_lags = DrainLags.draw(self.drain_lags_rng)
         self.routers: list[RouterSlot] = []
         self.workers: list[WorkerSlot] = []
         self.endpoint_log_outages: list[EndpointLogOutage] = []
--- a/soak/drain_lags.py
+++ b/soak/drain_lags.py
@@ -7,10 +7,7 @@
 MAX_WORKER_LAG_S = 0.45
 MIN_LOG_LAG_S = 2.5
 MAX_LOG_LAG_S = 8.8
-LATE_LOG_SHARE = 0.5  # share of the runs with few routers in which the logs lag
-# Maximum number of routers that have to notice a drain that the logs don't show. More routers may take a
-# heartbeat with the number of the last event for the proof that the log has no later one.
-MAX_ROUTERS_WITH_LATE_LOGS = 8
+LATE_LOG_SHARE = 0.5  # share of the runs in which the logs lag
 
 
 @dataclass(frozen=True, slots=True)
@@ -26,8 +23,8 @@
     log_s: float
 
     @classmethod
-    def draw(cls, rng: random.Random, router_count: int) -> Self:
+    def draw(cls, rng: random.Random) -> Self:
         """Draw the lags of a run. Either the workers or the logs lag, as nothing else shows a drain."""
-        if router_count <= MAX_ROUTERS_WITH_LATE_LOGS and rng.random() < LATE_LOG_SHARE:
+        if rng.random() < LATE_LOG_SHARE:
             return cls(0.0, rng.uniform(MIN_LOG_LAG_S, MAX_LOG_LAG_S))
         return cls(MAX_WORKER_LAG_S, 0.0)
--- a/tests/decisions/test_both_leases.py
+++ b/tests/decisions/test_both_leases.py
@@ -1,11 +1,11 @@
-"""Tests of `endpoint_leases` with few routers: new work needs the leases on the list and of its worker."""
+"""Tests of `endpoint_leases` with cheap health checks: new work needs both leases."""
 
 import pytest
 from helpers.decision_harness import DecisionHarness, actions_of
 from helpers.lease_harness import DRAIN_GRACE_MS, LEASE_MS, LeaseHarness, checked, sent_to
 
 from function_router.decisions.actions import SendRequest
-from function_router.decisions.endpoint_leases import CHECK_WAIT_MS, MAX_ROUTERS_WITH_BOTH_LEASES
+from function_router.decisions.endpoint_leases import CHECK_WAIT_MS, MAX_HEALTH_CHECK_COST
 from function_router.decisions.events import Endpoint, EndpointListConfirmed, EndpointsChanged
 from function_router.decisions.list_lease import HEARTBEAT_INTERVAL_MS
 from function_router.decisions.records import RECHECK_INTERVAL_MS
@@ -15,7 +15,7 @@
 
 @pytest.fixture
 def harness():
-    """Return one of few routers, whose warm worker has answered a health check."""
+    """Return a router with cheap health checks, whose warm worker has answered one."""
     harness = LeaseHarness(needs_both_leases=True)
     harness.answer_health_check(harness.warm_id)
     return harness
@@ -127,12 +127,15 @@
     assert not harness.worker(harness.warm_id).is_ready
 
 
-@pytest.mark.parametrize("router_count", [MAX_ROUTERS_WITH_BOTH_LEASES, MAX_ROUTERS_WITH_BOTH_LEASES + 1])
-def test_workers_are_asked_while_the_list_is_current_only_with_few_routers(router_count):
-    harness = DecisionHarness(drain_grace_ms=DRAIN_GRACE_MS, router_count=router_count)
+@pytest.mark.parametrize("cost", [0.0, MAX_HEALTH_CHECK_COST, MAX_HEALTH_CHECK_COST + 0.001])
+@pytest.mark.parametrize("router_count", [3, 200])
+def test_workers_are_asked_while_the_list_is_current_only_where_checks_cost_little(cost, router_count):
+    harness = DecisionHarness(
+        drain_grace_ms=DRAIN_GRACE_MS, router_count=router_count, health_check_cost=cost
+    )
     harness.feed(EndpointListConfirmed(0.0))
 
     harness.answer_probes(harness.request("r1"))
 
     is_checked = bool(checked(harness.all_actions()))
-    assert is_checked is (router_count == MAX_ROUTERS_WITH_BOTH_LEASES)
+    assert is_checked is (cost <= MAX_HEALTH_CHECK_COST)
--- a/tests/decisions/test_drain_reports.py
+++ b/tests/decisions/test_drain_reports.py
@@ -34,7 +34,7 @@
 # --- answers that contradict the list
 
 
-@pytest.mark.parametrize("needs_both_leases", [True, False], ids=["few routers", "many routers"])
+@pytest.mark.parametrize("needs_both_leases", [True, False], ids=["cheap checks", "expensive checks"])
 def test_worker_that_is_ready_although_the_list_shows_its_drain_ends_the_leases_of_all(needs_both_leases):
     # Guards against workers that say they are ready for as long as they accept work (issue 50).
     harness = LeaseHarness(needs_both_leases=needs_both_leases)
--- a/tests/helpers/lease_harness.py
+++ b/tests/helpers/lease_harness.py
@@ -18,6 +18,7 @@
 LEASE_MS = INTERRUPTED_LEASE_MS - REPORT_LAG_MS
 SLOW_START_MS = 10_000.0
 ROUND_TRIP_MS = 2.0
+EXPENSIVE_CHECKS = 1.0  # a cost at which the lease on the list suffices
 
 
 class LeaseHarness(DecisionHarness):
@@ -32,12 +33,12 @@
         """Create the router.
 
         Args:
-            needs_both_leases: Whether new work needs the leases on the list and of its worker, as with few
-                routers. The other consequences of the number of routers don't depend on this.
+            needs_both_leases: Whether health checks cost so little that new work needs the leases on the
+                list and of its worker.
             settings: Further settings.
         """
+        settings.setdefault("health_check_cost", 0.0 if needs_both_leases else EXPENSIVE_CHECKS)
         super().__init__(drain_grace_ms=DRAIN_GRACE_MS, slow_start_ms=SLOW_START_MS, **settings)
-        self.leases._has_few_routers = needs_both_leases
         self.connected_ms = 0.0
         self.warm_id = self.warm_up()
         self.confirm_list()
--- a/tests/test_late_endpoint_log.py
+++ b/tests/test_late_endpoint_log.py
@@ -12,14 +12,12 @@
 from helpers.late_endpoint_log import Course, LateEndpointLog, drain, run_until_the_log_is_late
 from helpers.serving_cluster import DRAIN_GRACE_MS
 
-from function_router.decisions.endpoint_leases import MAX_ROUTERS_WITH_BOTH_LEASES
-
 GRACE_S = DRAIN_GRACE_MS / 1000 + 0.05  # from the publication; with the protocol's allowance for sockets
 BASELINE_S = 2.2  # duration of the traffic before the log becomes late
 ANSWER_WAIT_S = 0.5  # wait for the answers to the last requests
 MIN_SERVED_RATIO = 0.98  # ratio of the share that is served while the log is late to the share before
 MAX_CHECKS_PER_S = 2.5  # for each worker: one 100 ms before the end of each lease of 500 ms
-MANY_ROUTERS = MAX_ROUTERS_WITH_BOTH_LEASES + 1  # so many that the lease on the list suffices
+EXPENSIVE_CHECKS = {"probe": 0.08}  # so expensive that the lease on the list suffices
 MAX_REJECTED = 3  # of new work by a draining worker, until its router knows: that of one round trip
 
 
@@ -188,7 +186,7 @@
 # --- what the precautions cost
 
 
-def test_workers_of_few_routers_get_health_checks_while_the_log_is_in_time(make_cluster):
+def test_workers_get_health_checks_while_the_log_is_in_time_where_they_cost_little(make_cluster):
     cluster = make_cluster(endpoint_log=LateEndpointLog())
     cluster.run(BASELINE_S)
     checks_before = cluster.health_check_count()
@@ -199,8 +197,8 @@
     assert 0 < checks <= 2 * MAX_CHECKS_PER_S * 5.0
 
 
-def test_no_health_check_of_many_routers_is_sent_while_the_log_is_in_time(make_cluster):
-    cluster = make_cluster(endpoint_log=LateEndpointLog(heartbeat_s=1.001), fleet_size=MANY_ROUTERS)
+def test_no_expensive_health_check_is_sent_while_the_log_is_in_time(make_cluster):
+    cluster = make_cluster(endpoint_log=LateEndpointLog(heartbeat_s=1.001), costs=EXPENSIVE_CHECKS)
 
     cluster.run(10.0)
 
@@ -210,7 +208,7 @@
 
 def test_log_whose_heartbeats_are_slow_is_asked_instead_of_the_workers(make_cluster):
     # The interval is longer than a second by so much that the bound is soon too far behind.
-    cluster = make_cluster(endpoint_log=LateEndpointLog(heartbeat_s=1.01), fleet_size=MANY_ROUTERS)
+    cluster = make_cluster(endpoint_log=LateEndpointLog(heartbeat_s=1.01), costs=EXPENSIVE_CHECKS)
 
     cluster.run(10.0)
 
@@ -221,7 +219,7 @@
 def test_new_connection_replaces_one_that_has_become_late(make_cluster):
     late_indexes = set()
     log = LateEndpointLog(lambda index: 3.6 if index in late_indexes else 0.0)
-    cluster = make_cluster(endpoint_log=log, fleet_size=MANY_ROUTERS)
+    cluster = make_cluster(endpoint_log=log, costs=EXPENSIVE_CHECKS)
     cluster.run(BASELINE_S)
 
     late_indexes.add(0)
@@ -233,7 +231,7 @@
 
 def test_late_log_costs_about_one_health_check_a_second_and_none_once_it_is_in_time_again(make_cluster):
     course = Course(lambda at_s: 3.6 if at_s < 8.0 else 0.0)
-    cluster = make_cluster(endpoint_log=LateEndpointLog(course), fleet_size=MANY_ROUTERS)
+    cluster = make_cluster(endpoint_log=LateEndpointLog(course), costs=EXPENSIVE_CHECKS)
     cluster.run(BASELINE_S)
     course.start()
     cluster.run(8.0 + 3.6)
@@ -250,7 +248,7 @@
 @pytest.mark.parametrize("first_heartbeat_s", [0.5, 1.0])
 def test_log_that_sends_its_first_heartbeat_late_is_not_taken_for_a_late_log(make_cluster, first_heartbeat_s):
     log = LateEndpointLog(first_heartbeat_s=first_heartbeat_s)
-    cluster = make_cluster(endpoint_log=log, fleet_size=MANY_ROUTERS)
+    cluster = make_cluster(endpoint_log=log, costs=EXPENSIVE_CHECKS)
     [draining, other] = cluster.workers
     log.publish(endpoint_event(2, other.record()))
     cluster.run(4.0)
--- a/tests/test_stale_endpoint_list.py
+++ b/tests/test_stale_endpoint_list.py
@@ -13,7 +13,6 @@
 from helpers.configuration import SETTINGS, endpoint_event
 from helpers.serving_cluster import DRAIN_GRACE_MS
 
-from function_router.decisions.endpoint_leases import MAX_ROUTERS_WITH_BOTH_LEASES
 from soak.endpoint_log import EndpointLogFailure
 
 GRACE_S = DRAIN_GRACE_MS / 1000 + 0.05  # from the notification; with the protocol's allowance for sockets
@@ -71,7 +70,7 @@
 
 # --- restarts
 
-MANY_ROUTERS = MAX_ROUTERS_WITH_BOTH_LEASES + 1  # so many that the lease on the list suffices
+EXPENSIVE_CHECKS = {"probe": 0.08}  # so expensive that the lease on the list suffices
 SLOW_START = {"cold": 20_000.0, "cold_share": 0.1, "fall": 1_000.0, "fall_multiple": 1.5}
 STALE_AFTER_S = 2.5  # time from the failure of the log until the endpoint list is stale
 DRAIN_DURATION_S = 1.0
@@ -234,7 +233,7 @@
 
 def test_health_checks_are_sent_about_once_a_second_and_only_during_an_outage(make_cluster):
     # With one request at a time, no attempt needs a further connection: only a health check could open one.
-    cluster = make_cluster(fleet_size=MANY_ROUTERS)
+    cluster = make_cluster(costs=EXPENSIVE_CHECKS)
     cluster.run(BASELINE_S, max_unanswered=1)
     checks_before = sum(len(worker.health_checks) for worker in cluster.workers)
     connections_before = [len(worker.connections) for worker in cluster.workers]
