Log how long before the list a worker had reported its drain

When a drain arrives in the list, the log now says how long before the worker itself had answered a health check with draining. It has no effect on decisions.

--- a/function_router/decisions/__init__.py
+++ b/function_router/decisions/__init__.py
@@ -22,9 +22,9 @@
     instances                           instances that are presumed to exist
     health, circuit_breakers            which workers are usable
     late_send_audit                     new work that was sent although a drain was published already
-    endpoint_leases                     which workers may get new work, by the list or by a health check
+    endpoint_leases                     which workers may get new work, by the list and by health checks
     worker_leases                       health checks of workers, and how long their answers stay valid
-    drain_reports                       whether workers' answers to health checks show drains in time
+    drain_reports                       whether a worker's answer to a health check contradicts the list
     list_lease                          how long the endpoint list stays valid
     capacity, slow_start                limits of workers, and send budgets of those in slow start
     arrivals, durations                 request rates, run times and start times
--- a/function_router/decisions/drain_reports.py
+++ b/function_router/decisions/drain_reports.py
@@ -38,15 +38,20 @@
 class DrainReports:
     """Owns the drains that are to be verified by a health check, and what the answers have shown.
 
-    Args:
-        max_lag_ms: Maximum time from the publication of a drain to when the worker reports it.
+    Attributes:
+        are_contradicted: Whether a worker was ready although the list showed its drain.
     """
 
     def __init__(self, max_lag_ms: float) -> None:
+        """Create the component.
+
+        Args:
+            max_lag_ms: Maximum time from the publication of a drain to when the worker reports it.
+        """
         self._max_lag_ms = max_lag_ms
         self._verified: ListedDrain | None = None  # the drain that is being verified
         self._started_ms = -math.inf  # when the last verification began
-        self.are_contradicted = False  # a worker was ready although the list showed its drain
+        self.are_contradicted = False
 
     def record_drains(self, draining: list[Worker], now_ms: float) -> None:
         """Select one of the workers whose drain has just arrived for verification, unless it is too soon."""
--- a/function_router/decisions/fleet.py
+++ b/function_router/decisions/fleet.py
@@ -45,6 +45,7 @@
     def update_endpoints(self, event: EndpointsChanged, now_ms: float) -> None:
         """Apply a complete endpoint list or the changes in it."""
         draining = self.workers.update(event, now_ms)
+        self.late_send_audit.report_earlier_reports(draining, now_ms)
         self.late_send_audit.report_late_sends(now_ms)
         self.functions.set_worker_count(len(self.workers.by_id))
         self.health.recount_unresponsive()
--- a/function_router/decisions/late_send_audit.py
+++ b/function_router/decisions/late_send_audit.py
@@ -3,7 +3,9 @@
 An event of the log shows a drain, but not when it was published: at some time between the last confirmation
 of the list and its arrival. New work that was sent later than the drain grace after that confirmation may
 have been late. The audit says so in the log when the event arrives, with the leases by which the work was
-sent, as only this shows afterwards which evidence was wrong. It has no effect on decisions.
+sent, as only this shows afterwards which evidence was wrong. It also
+says if the worker itself had reported its drain before, as the log may have been behind while its heartbeats
+were in time. The audit has no effect on decisions.
 """
 
 from collections import Counter, deque
@@ -74,6 +76,14 @@
             if not worker_sends.sends:
                 del self._by_worker_id[worker_id]
 
+    def report_earlier_reports(self, draining: list[Worker], now_ms: float) -> None:
+        """Log how long before the list the workers whose drain has just arrived had reported it."""
+        for worker in draining:
+            reported_ms = worker.lease.drain_first_reported_ms
+            if reported_ms is not None:
+                text = f"worker {worker.id} reported its drain {now_ms - reported_ms:.0f} ms before the list"
+                self._outbox.add(LogMessage(text))
+
     def report_late_sends(self, now_ms: float) -> None:
         """Report the sends to workers that the list shows as not ready now, and forget them."""
         as_of_ms = self._complete_as_of_ms
--- a/function_router/decisions/records.py
+++ b/function_router/decisions/records.py
@@ -48,6 +48,7 @@
     rejected_ms: float | None = None  # when it rejected new work although it counted as ready
     drain_reported_ms: float | None = None  # when the worker last reported a drain; None if ready since
     has_been_checked: bool = False  # whether a health check has ended, with or without an answer
+    drain_first_reported_ms: float | None = None  # when it first did since it was ready
     pending_check_ms: float | None = None  # when the pending health check was decided; None if there is none
     next_check_ms: float = -math.inf  # earliest time of the next health check
     recheck_interval_ms: float = RECHECK_INTERVAL_MS  # time to the next check of a silent or draining worker
--- a/function_router/decisions/workers.py
+++ b/function_router/decisions/workers.py
@@ -31,20 +31,24 @@
         """Apply a complete endpoint list, or the changes in it.
 
         Returns:
-            The workers that were ready, and drain now.
+            The workers that were listed as ready, and are listed as draining now.
         """
-        ready = self.ready
+        ready_state = WorkerState.READY
+        listed_as_ready = [worker for worker in self.by_id.values() if worker.endpoint.state is ready_state]
         if event.is_complete:
             self._mark_missing_as_removed(event.endpoints)
         for endpoint in event.endpoints:
             self._apply(endpoint, now_ms)
         self._recompute_ready()
-        return [worker for worker in ready if worker.endpoint.state is WorkerState.DRAINING]
+        return [worker for worker in listed_as_ready if worker.endpoint.state is WorkerState.DRAINING]
 
     def set_drain_reported(self, worker: Worker, reported_ms: float | None) -> None:
         """Record when a worker reported its drain; None ends the drain. A draining worker is not ready."""
         was_ready = worker.is_ready
-        worker.lease.drain_reported_ms = reported_ms
+        lease = worker.lease
+        if lease.drain_reported_ms is None or reported_ms is None:
+            lease.drain_first_reported_ms = reported_ms
+        lease.drain_reported_ms = reported_ms
         if worker.is_ready is not was_ready:
             self._recompute_ready()
 
@@ -112,6 +116,7 @@
         lease.rejected_ms = None
     if lease.drain_reported_ms is not None and started_ms > lease.drain_reported_ms:
         lease.drain_reported_ms = None
+        lease.drain_first_reported_ms = None
     if worker.started_ms is None or started_ms > worker.started_ms:
         worker.started_ms = started_ms
         worker.recount_slow_start_sends()
--- a/tests/decisions/test_late_send_audit.py
+++ b/tests/decisions/test_late_send_audit.py
@@ -2,12 +2,12 @@
 
 import pytest
 from helpers.decision_harness import actions_of
-from helpers.lease_harness import DRAIN_GRACE_MS, LeaseHarness
+from helpers.lease_harness import DRAIN_GRACE_MS, ROUND_TRIP_MS, LeaseHarness
 
 from function_router.decisions.actions import LogMessage
 from function_router.decisions.events import Endpoint, EndpointsChanged
 from function_router.decisions.late_send_audit import MAX_SENDS_PER_WORKER
-from function_router.decisions.types import WorkerState
+from function_router.decisions.types import Readiness, WorkerState
 
 DRAIN_ARRIVES_AFTER_MS = 4_000.0
 
@@ -56,6 +56,26 @@
     assert drain(harness) == []
 
 
+def test_worker_that_reported_its_drain_before_the_list_is_logged_with_the_time_between(harness):
+    # Guards against logs that don't show by how much the list was behind with heartbeats in time (issue 50).
+    harness.answer_health_check(harness.warm_id, Readiness.DRAINING)
+    harness.now_ms += 500.0
+    harness.answer_health_check(harness.warm_id, Readiness.DRAINING)
+
+    lines = drain(harness)
+
+    waited_ms = DRAIN_ARRIVES_AFTER_MS + 500.0 + ROUND_TRIP_MS
+    assert lines == [f"worker {harness.warm_id} reported its drain {waited_ms:.0f} ms before the list"]
+
+
+def test_report_of_an_earlier_process_is_not_logged_with_the_drain_of_the_next_one(harness):
+    harness.answer_health_check(harness.warm_id, Readiness.DRAINING)
+    restarted = Endpoint(harness.warm_id, started_at_ms=harness.now_ms + 1)
+    harness.feed(EndpointsChanged([restarted], is_complete=False))
+
+    assert drain(harness) == []
+
+
 def test_sends_are_reported_once(harness):
     send_at(harness, DRAIN_GRACE_MS + 10.0)
     drain(harness)
